--- /dev/null
+++ b/internal/cmd/demo/demo.go
@@ -0,0 +1,139 @@
+// Package demo is the command that runs both example deployments in one process on loopback and checks every answer.
+package demo
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"basilspan/internal/cmd/stream"
+	"basilspan/internal/config/example"
+	"basilspan/internal/core/unit"
+	"basilspan/internal/standin/bench"
+	"basilspan/internal/standin/endpoint"
+	"basilspan/internal/standin/load"
+)
+
+const (
+	// entries is how many entry VMs the demo runs for each deployment.
+	entries = 3
+	// median and sigma give the endpoints' service time.
+	median = 3 * time.Millisecond
+	sigma  = 0.4
+	// readyTime bounds the wait for the entry VMs.
+	readyTime = 10 * time.Second
+)
+
+// Options are what the command works with.
+type Options struct {
+	Streams  stream.Streams
+	Duration time.Duration
+	Verbose  bool
+}
+
+// New makes the command; run replaces Run in tests and may be nil.
+func New(streams stream.Streams, run func(ctx context.Context, opts *Options) error) *cli.Command {
+	opts := &Options{Streams: streams}
+	if run == nil {
+		run = Run
+	}
+	return &cli.Command{
+		Name:        "demo",
+		Usage:       "run both example deployments on loopback and check every answer",
+		Description: "Examples:\n   basilspan demo\n   basilspan demo --duration 10s",
+		Flags: []cli.Flag{
+			&cli.DurationFlag{
+				Name: "duration", Usage: "time to send queries", Value: 3 * time.Second, Destination: &opts.Duration,
+			},
+			&cli.BoolFlag{Name: "verbose", Usage: "print log lines", Destination: &opts.Verbose},
+		},
+		Action: func(ctx context.Context, _ *cli.Command) error { return run(ctx, opts) },
+	}
+}
+
+// Run runs the deployments one after the other. A broken answer ends with ExitNegative.
+func Run(ctx context.Context, opts *Options) error {
+	hlog.SetOutput(io.Discard)
+	for _, name := range example.Names() {
+		if err := deployment(ctx, opts, name); err != nil {
+			return err
+		}
+	}
+	opts.Streams.Printf("every answer was true\n")
+	return nil
+}
+
+func deployment(ctx context.Context, opts *Options, name string) (err error) {
+	b, err := bench.Start(ctx, bench.Settings{
+		Deployment: name,
+		Entries:    entries,
+		Fleet:      endpoint.FleetSettings{Median: median, Sigma: sigma, Seed: 1, Loopback: true},
+		Log:        logger(opts),
+	})
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.CombineErrors(err, b.Close()) }()
+	if err := b.WaitReady(ctx, readyTime); err != nil {
+		return err
+	}
+	rows := load.Run(ctx, load.Settings{
+		Entries:  b.Callers(),
+		Flows:    flows(name),
+		Duration: opts.Duration,
+		Run:      name,
+	})
+	opts.Streams.Printf("%s\n", name)
+	if err := load.Print(opts.Streams.Out, rows); err != nil {
+		return err
+	}
+	return verdict(name, rows, b.Fleet.Stats())
+}
+
+// verdict gives an error when an invariant was broken or nothing was answered.
+func verdict(name string, rows []load.Row, stats endpoint.Stats) error {
+	if stats.Doubled > 0 {
+		err := errors.Newf("%s: %d requests that run once ran twice", name, stats.Doubled)
+		return stream.WithExit(err, stream.ExitNegative)
+	}
+	for _, r := range rows {
+		if r.Broken > 0 || r.Whole == 0 {
+			err := errors.Newf("%s: %s: %d broken and %d whole answers", name, r.Flow.Search, r.Broken, r.Whole)
+			return stream.WithExit(err, stream.ExitNegative)
+		}
+	}
+	return nil
+}
+
+// flows gives what is sent to a deployment.
+func flows(name string) []load.Flow {
+	flow := func(search unit.SearchName, rank unit.RankName, rate float64) load.Flow {
+		return load.Flow{Search: search, Rank: rank, Rate: rate, Timeout: time.Second}
+	}
+	if name == example.AlWadi {
+		return []load.Flow{
+			flow("fitter-desk", "fitter", 20),
+			flow("member-ledger", "member", 10),
+			flow("order-track", "fitter", 10),
+			flow("catalogue-admin", "upkeep", 5),
+		}
+	}
+	return []load.Flow{
+		flow("claim-desk", "claims", 20),
+		flow("donor-portal", "donor", 10),
+		flow("audit-archive", "archive", 5),
+		flow("member-reports", "archive", 5),
+	}
+}
+
+func logger(opts *Options) *slog.Logger {
+	if opts.Verbose {
+		return slog.New(slog.NewTextHandler(opts.Streams.Err, nil))
+	}
+	return slog.New(slog.DiscardHandler)
+}
--- /dev/null
+++ b/internal/cmd/query/query.go
@@ -0,0 +1,121 @@
+// Package query is the command that sends one query to an entry VM and prints the answer.
+package query
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"basilspan/internal/cmd/stream"
+	"basilspan/internal/core/unit"
+)
+
+// callSlack is how much longer than the query's timeout the command waits for the answer.
+const callSlack = 5 * time.Second
+
+// wireQuery is the query as the entry VM reads it.
+type wireQuery struct {
+	ID      string `json:"id"`
+	Search  string `json:"search"`
+	Rank    string `json:"rank"`
+	Timeout int64  `json:"timeout"`
+	Once    bool   `json:"once"`
+	Body    []byte `json:"body"`
+}
+
+// Options are what the command works with.
+type Options struct {
+	Streams stream.Streams
+	Entry   string
+	ID      string
+	Search  string
+	Rank    string
+	Timeout time.Duration
+	Once    bool
+	Body    string
+	Now     func() time.Time
+	// Do sends an HTTP request.
+	Do func(req *http.Request) (*http.Response, error)
+}
+
+// New makes the command; run replaces Run in tests and may be nil.
+func New(streams stream.Streams, run func(ctx context.Context, opts *Options) error) *cli.Command {
+	client := &http.Client{Transport: &http.Transport{Proxy: nil}}
+	opts := &Options{Streams: streams, Now: time.Now, Do: client.Do}
+	if run == nil {
+		run = Run
+	}
+	return &cli.Command{
+		Name:        "query",
+		Usage:       "send one query and print the answer as JSON",
+		Description: "Examples:\n   basilspan query --search fitter-desk --rank fitter --body 'tap 12'",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "entry", Usage: "address for callers", Value: "127.0.0.1:8080", Destination: &opts.Entry},
+			&cli.StringFlag{Name: "id", Usage: "request id; made from the time if empty", Destination: &opts.ID},
+			&cli.StringFlag{Name: "search", Usage: "name of the search", Required: true, Destination: &opts.Search},
+			&cli.StringFlag{Name: "rank", Usage: "rank of the work", Required: true, Destination: &opts.Rank},
+			&cli.DurationFlag{Name: "timeout", Usage: "time for the answer", Value: time.Second, Destination: &opts.Timeout},
+			&cli.BoolFlag{Name: "once", Usage: "never run the request twice", Destination: &opts.Once},
+			&cli.StringFlag{Name: "body", Usage: "body of the request", Destination: &opts.Body},
+		},
+		Action: func(ctx context.Context, _ *cli.Command) error { return run(ctx, opts) },
+	}
+}
+
+// Run sends the query. An answer that is not whole ends with ExitNegative.
+func Run(ctx context.Context, opts *Options) error {
+	if opts.ID == "" {
+		opts.ID = "q" + strconv.FormatInt(opts.Now().UnixNano(), 36)
+	}
+	body, err := json.Marshal(wireQuery{
+		ID:      opts.ID,
+		Search:  opts.Search,
+		Rank:    opts.Rank,
+		Timeout: opts.Timeout.Milliseconds(),
+		Once:    opts.Once,
+		Body:    []byte(opts.Body),
+	})
+	if err != nil {
+		return errors.Wrap(err, "encode the query")
+	}
+	ctx, cancel := context.WithTimeout(ctx, opts.Timeout+callSlack)
+	defer cancel()
+	url := "http://" + opts.Entry + "/query"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return stream.WithExit(err, stream.ExitUsage)
+	}
+	resp, err := opts.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "no answer; check --entry and that the entry VM runs")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	content, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return errors.Wrap(err, "read the answer")
+	}
+	opts.Streams.Printf("%s\n", content)
+	return verdict(content)
+}
+
+// verdict gives an error for an answer that is not whole.
+func verdict(content []byte) error {
+	var answer struct {
+		Code unit.Code `json:"code"`
+	}
+	if err := json.Unmarshal(content, &answer); err != nil {
+		return errors.Wrap(err, "decode the answer")
+	}
+	if answer.Code == unit.CodeWhole {
+		return nil
+	}
+	err := errors.Newf("code %d: %s; see docs/RESULTS.md", answer.Code, answer.Code)
+	return stream.WithExit(err, stream.ExitNegative)
+}
--- /dev/null
+++ b/internal/cmd/standin/endpoint.go
@@ -0,0 +1,106 @@
+package standin
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"basilspan/internal/cmd/stream"
+	"basilspan/internal/config/folder"
+	"basilspan/internal/core/unit"
+	"basilspan/internal/standin/control"
+	"basilspan/internal/standin/endpoint"
+)
+
+// endpointOptions are what the endpoint command works with.
+type endpointOptions struct {
+	streams  stream.Streams
+	folder   string
+	overlay  string
+	control  string
+	settings endpoint.FleetSettings
+}
+
+func newEndpoint(streams stream.Streams) *cli.Command {
+	opts := &endpointOptions{streams: streams}
+	return &cli.Command{
+		Name:  "endpoint",
+		Usage: "run every endpoint of a configuration folder",
+		Description: "With --overlay the endpoints listen at free ports of 127.0.0.1, and the file that moves the " +
+			"configuration there is written.\n\nExamples:\n   standin endpoint --folder conf --overlay 90-loopback.json",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "folder", Required: true, Destination: &opts.folder},
+			&cli.StringFlag{Name: "overlay", Usage: "file of the folder to write", Destination: &opts.overlay},
+			&cli.StringFlag{
+				Name: "control", Usage: "address that takes faults and gives counts", Destination: &opts.control,
+			},
+			&cli.DurationFlag{Name: "median", Value: 5 * time.Millisecond, Destination: &opts.settings.Median},
+			&cli.FloatFlag{Name: "sigma", Value: 0.4, Destination: &opts.settings.Sigma},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Destination: &opts.settings.Seed},
+		},
+		Action: func(ctx context.Context, _ *cli.Command) error { return runEndpoint(ctx, opts) },
+	}
+}
+
+func runEndpoint(ctx context.Context, opts *endpointOptions) error {
+	files, err := folder.Read(opts.folder)
+	if err != nil {
+		return err
+	}
+	built, problems := folder.Build(files)
+	if len(problems) > 0 {
+		return stream.WithExit(errors.Newf("the folder is not valid: %s", problems[0]), stream.ExitUsage)
+	}
+	opts.settings.Loopback = opts.overlay != ""
+	fleet, err := endpoint.StartFleet(built, opts.settings)
+	if err != nil {
+		return err
+	}
+	if opts.overlay != "" {
+		file, err := folder.Overlay(opts.overlay, built, fleet.Addresses())
+		if err != nil {
+			return errors.CombineErrors(err, fleet.Close())
+		}
+		if err := writeFile(filepath.Join(opts.folder, file.Name), file.Content); err != nil {
+			return errors.CombineErrors(err, fleet.Close())
+		}
+	}
+	port, err := startControl(opts.control, control.Targets{
+		Faults: fleet.SetFaults,
+		Stats:  fleet.StatsOf,
+	})
+	if err != nil {
+		return errors.CombineErrors(err, fleet.Close())
+	}
+	opts.streams.Printf("endpoints %d\n", len(fleet.Addresses()))
+	<-ctx.Done()
+	if err := port.Close(); err != nil {
+		return err
+	}
+	if err := opts.streams.PrintJSON(fleet.Stats()); err != nil {
+		return err
+	}
+	return fleet.Close()
+}
+
+// startControl starts the control port; without an address it starts none.
+func startControl(listen string, targets control.Targets) (*control.Server, error) {
+	s := control.New(targets)
+	if listen == "" {
+		return s, nil
+	}
+	return s, s.Start(unit.Address(listen))
+}
+
+// writeFile replaces a file in one step, so that no reader sees half of it.
+func writeFile(path string, content []byte) error {
+	temporary := path + ".new"
+	if err := os.WriteFile(temporary, content, 0o600); err != nil {
+		return errors.Wrap(err, "write the addresses")
+	}
+	return errors.Wrap(os.Rename(temporary, path), "write the addresses")
+}
--- /dev/null
+++ b/internal/cmd/standin/platform.go
@@ -0,0 +1,100 @@
+package standin
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"basilspan/internal/cmd/stream"
+	"basilspan/internal/config/folder"
+	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/member"
+	"basilspan/internal/policy/revision"
+	"basilspan/internal/standin/control"
+	"basilspan/internal/standin/platform"
+)
+
+// folderPoll is the time between two looks at the served folder.
+const folderPoll = 100 * time.Millisecond
+
+// platformOptions are what the platform command works with.
+type platformOptions struct {
+	streams stream.Streams
+	listen  string
+	folder  string
+	vms     []string
+	control string
+}
+
+func newPlatform(streams stream.Streams) *cli.Command {
+	opts := &platformOptions{streams: streams}
+	return &cli.Command{
+		Name:        "platform",
+		Usage:       "serve a folder as the configuration, with a new revision at each change, and a list of VMs",
+		Description: "Examples:\n   standin platform --folder conf --vm e1=amman=127.0.0.1:9001",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:8090", Destination: &opts.listen},
+			&cli.StringFlag{Name: "folder", Required: true, Destination: &opts.folder},
+			&cli.StringFlag{Name: "control", Usage: "address that takes faults", Destination: &opts.control},
+			&cli.StringSliceFlag{Name: "vm", Usage: "NAME=CENTRE=PEER-ADDRESS", Destination: &opts.vms},
+		},
+		Action: func(ctx context.Context, _ *cli.Command) error { return runPlatform(ctx, opts) },
+	}
+}
+
+func runPlatform(ctx context.Context, opts *platformOptions) error {
+	members, err := parseVMs(opts.vms)
+	if err != nil {
+		return stream.WithExit(err, stream.ExitUsage)
+	}
+	s := platform.New()
+	if err := s.Start(unit.Address(opts.listen)); err != nil {
+		return err
+	}
+	s.List(members)
+	port, err := startControl(opts.control, control.Targets{Down: s.SetDown, Frozen: s.SetFrozen, State: s.SetState})
+	if err != nil {
+		return errors.CombineErrors(err, s.Close())
+	}
+	opts.streams.Printf("platform %s\n", s.Address())
+	follow(ctx, s, opts.folder)
+	return errors.CombineErrors(port.Close(), s.Close())
+}
+
+// follow publishes the folder at each change until ctx ends.
+func follow(ctx context.Context, s *platform.Server, dir string) {
+	ticker := time.NewTicker(folderPoll)
+	defer ticker.Stop()
+	var shown revision.Digest
+	for {
+		files, err := folder.Read(dir)
+		if sum := folder.Sum(files); err == nil && sum != shown && s.Publish(files) {
+			shown = sum
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func parseVMs(texts []string) ([]member.Member, error) {
+	var members []member.Member
+	for _, text := range texts {
+		fields := strings.Split(text, "=")
+		if len(fields) != 3 {
+			return nil, errors.Newf("--vm %q: must be NAME=CENTRE=PEER-ADDRESS", text)
+		}
+		members = append(members, member.Member{
+			ID:     unit.NodeID(fields[0]),
+			Centre: unit.CentreName(fields[1]),
+			Peer:   unit.Address(fields[2]),
+			State:  member.StateLive,
+		})
+	}
+	return members, nil
+}
--- /dev/null
+++ b/internal/cmd/standin/standin.go
@@ -0,0 +1,36 @@
+// Package standin is the entry of the standin program, with a command for each stand-in and one for the load sender.
+package standin
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"basilspan/internal/cmd/stream"
+)
+
+// Main runs the program with its arguments, the program's name first.
+func Main(ctx context.Context, streams stream.Streams, args []string) stream.ExitCode {
+	root := &cli.Command{
+		Name:  "standin",
+		Usage: "stand-ins for the platform and the endpoints, and a load sender",
+		// A flow holds commas, so that one flag is one value.
+		DisableSliceFlagSeparator: true,
+
+		Writer:         streams.Out,
+		ErrWriter:      streams.Err,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Commands:       []*cli.Command{newPlatform(streams), newEndpoint(streams), newLoad(streams)},
+	}
+	ctx, cancel := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	err := root.Run(ctx, args)
+	if err != nil {
+		_, _ = fmt.Fprintf(streams.Err, "standin: %v\n", err)
+	}
+	return stream.CodeOf(err)
+}
--- /dev/null
+++ b/internal/cmd/version/version.go
@@ -0,0 +1,33 @@
+// Package version is the command that prints the program's version.
+package version
+
+import (
+	"context"
+	"runtime"
+	"runtime/debug"
+
+	"github.com/urfave/cli/v3"
+
+	"basilspan/internal/cmd/stream"
+)
+
+// New makes the command.
+func New(streams stream.Streams) *cli.Command {
+	return &cli.Command{
+		Name:        "version",
+		Usage:       "print the version",
+		Description: "Examples:\n   basilspan version",
+		Action: func(context.Context, *cli.Command) error {
+			streams.Printf("basilspan %s %s\n", version(), runtime.Version())
+			return nil
+		},
+	}
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" {
+		return "(devel)"
+	}
+	return info.Main.Version
+}
--- /dev/null
+++ b/internal/config/folder/merge.go
@@ -0,0 +1,113 @@
+package folder
+
+import (
+	"bytes"
+	"encoding/json"
+)
+
+// The wire types hold one file, or the merge of several. A nil field was not given; a null entry of a map removes
+// the entry that an earlier file made.
+type (
+	wireFile struct {
+		Ranks    map[string]*wireRank   `json:"ranks,omitempty"`
+		Searches map[string]*wireSearch `json:"searches,omitempty"`
+	}
+
+	wireRank struct {
+		Urgency *int     `json:"urgency,omitempty"`
+		Floor   *float64 `json:"floor,omitempty"`
+	}
+
+	wireSearch struct {
+		Tenant    *string                  `json:"tenant,omitempty"`
+		Aim       *string                  `json:"aim,omitempty"`
+		Once      *bool                    `json:"once,omitempty"`
+		Hedge     *bool                    `json:"hedge,omitempty"`
+		Minimum   *float64                 `json:"minimum,omitempty"`
+		Snapshots map[string]*wireSnapshot `json:"snapshots,omitempty"`
+		Endpoints map[string]*wireEndpoint `json:"endpoints,omitempty"`
+	}
+
+	wireSnapshot struct {
+		Shards []string `json:"shards,omitempty"`
+	}
+
+	wireEndpoint struct {
+		Shard       *string `json:"shard,omitempty"`
+		Address     *string `json:"address,omitempty"`
+		Centre      *string `json:"centre,omitempty"`
+		Slots       *int    `json:"slots,omitempty"`
+		Connections *int    `json:"connections,omitempty"`
+		Leaving     *bool   `json:"leaving,omitempty"`
+	}
+)
+
+// decode reads one file strictly.
+func decode(content []byte) (wireFile, error) {
+	var f wireFile
+	d := json.NewDecoder(bytes.NewReader(content))
+	d.DisallowUnknownFields()
+	err := d.Decode(&f)
+	return f, err
+}
+
+// mergeFile lays the fields that from gives over those of to.
+func mergeFile(to *wireFile, from wireFile) {
+	to.Ranks = mergeMap(to.Ranks, from.Ranks, mergeRank)
+	to.Searches = mergeMap(to.Searches, from.Searches, mergeSearch)
+}
+
+// mergeMap merges entry by entry.
+func mergeMap[T any](to, from map[string]*T, merge func(to, from *T)) map[string]*T {
+	if to == nil {
+		to = make(map[string]*T, len(from))
+	}
+	for name, entry := range from {
+		if entry == nil {
+			delete(to, name)
+			continue
+		}
+		if to[name] == nil {
+			to[name] = new(T)
+		}
+		merge(to[name], entry)
+	}
+	return to
+}
+
+func mergeRank(to, from *wireRank) {
+	set(&to.Urgency, from.Urgency)
+	set(&to.Floor, from.Floor)
+}
+
+func mergeSearch(to, from *wireSearch) {
+	set(&to.Tenant, from.Tenant)
+	set(&to.Aim, from.Aim)
+	set(&to.Once, from.Once)
+	set(&to.Hedge, from.Hedge)
+	set(&to.Minimum, from.Minimum)
+	to.Snapshots = mergeMap(to.Snapshots, from.Snapshots, mergeSnapshot)
+	to.Endpoints = mergeMap(to.Endpoints, from.Endpoints, mergeEndpoint)
+}
+
+func mergeSnapshot(to, from *wireSnapshot) {
+	if from.Shards != nil {
+		to.Shards = from.Shards
+	}
+}
+
+func mergeEndpoint(to, from *wireEndpoint) {
+	set(&to.Shard, from.Shard)
+	set(&to.Address, from.Address)
+	set(&to.Centre, from.Centre)
+	set(&to.Slots, from.Slots)
+	set(&to.Connections, from.Connections)
+	set(&to.Leaving, from.Leaving)
+}
+
+// set replaces a field that from gives.
+func set[T any](to **T, from *T) {
+	if from != nil {
+		*to = from
+	}
+}
--- /dev/null
+++ b/internal/core/kernel/kernel.go
@@ -0,0 +1,114 @@
+// Package kernel is the micro-kernel: it registers services by name, lets them find each other, starts them in
+// order and closes them in reverse, and it runs the one control goroutine that owns the control state.
+package kernel
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Name is the name that a service is found by.
+type Name string
+
+// Service is one named part of a process.
+//
+// Start may be nil; it returns once the service works, and ctx ends when the process is killed rather than closed.
+// Close may be nil; it returns once everything that Start began has ended.
+type Service struct {
+	Name  Name
+	Value any
+	Start func(ctx context.Context) error
+	Close func() error
+}
+
+// Kernel holds the services of one process.
+type Kernel struct {
+	mu       sync.Mutex
+	services []Service
+	byName   map[Name]Service
+	started  int
+}
+
+// New makes a kernel without services.
+func New() *Kernel {
+	return &Kernel{byName: make(map[Name]Service)}
+}
+
+// Register adds a service; services start in the order in which they were registered.
+func (k *Kernel) Register(s Service) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if s.Name == "" {
+		return errors.New("a service needs a name")
+	}
+	if _, ok := k.byName[s.Name]; ok {
+		return errors.Newf("service %q is registered already", s.Name)
+	}
+	k.byName[s.Name] = s
+	k.services = append(k.services, s)
+	return nil
+}
+
+// Find gives the value of the service with that name, as type T.
+func Find[T any](k *Kernel, name Name) (T, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var none T
+	s, ok := k.byName[name]
+	if !ok {
+		return none, errors.Newf("service %q is not registered", name)
+	}
+	value, ok := s.Value.(T)
+	if !ok {
+		return none, errors.Newf("service %q is a %T, not a %T", name, s.Value, none)
+	}
+	return value, nil
+}
+
+// Start starts the services in order; when one fails, those started before it are closed.
+func (k *Kernel) Start(ctx context.Context) error {
+	for _, s := range k.list() {
+		if err := start(ctx, s); err != nil {
+			return errors.CombineErrors(errors.Wrapf(err, "start service %q", s.Name), k.Close())
+		}
+		k.mu.Lock()
+		k.started++
+		k.mu.Unlock()
+	}
+	return nil
+}
+
+// Close closes the started services in reverse order and waits for each; a second call does nothing.
+func (k *Kernel) Close() error {
+	k.mu.Lock()
+	n := k.started
+	k.started = 0
+	k.mu.Unlock()
+	services := k.list()
+	var all error
+	for i := n - 1; i >= 0; i-- {
+		s := services[i]
+		if s.Close == nil {
+			continue
+		}
+		if err := s.Close(); err != nil {
+			all = errors.CombineErrors(all, errors.Wrapf(err, "close service %q", s.Name))
+		}
+	}
+	return all
+}
+
+func (k *Kernel) list() []Service {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return append([]Service(nil), k.services...)
+}
+
+func start(ctx context.Context, s Service) error {
+	if s.Start == nil {
+		return nil
+	}
+	return s.Start(ctx)
+}
--- /dev/null
+++ b/internal/core/kernel/names.go
@@ -0,0 +1,25 @@
+package kernel
+
+// The names of the services of an entry VM.
+const (
+	// ServiceSettings is the process's own settings.
+	ServiceSettings Name = "settings"
+	// ServiceControl is the control goroutine.
+	ServiceControl Name = "control"
+	// ServiceViews is the store of published views.
+	ServiceViews Name = "views"
+	// ServiceMetrics is the set of counters and histograms.
+	ServiceMetrics Name = "metrics"
+	// ServiceEndpoint is the client of the endpoints.
+	ServiceEndpoint Name = "endpoint"
+	// ServicePeer is the link to the other entry VMs.
+	ServicePeer Name = "peer"
+	// ServicePlatform is the watcher of the platform's service.
+	ServicePlatform Name = "platform"
+	// ServiceQuery runs queries.
+	ServiceQuery Name = "query"
+	// ServiceCaller is the port for callers.
+	ServiceCaller Name = "caller"
+	// ServiceOperator is the port for operators.
+	ServiceOperator Name = "operator"
+)
--- /dev/null
+++ b/internal/core/metric/metric.go
@@ -0,0 +1,144 @@
+// Package metric holds a process's counters and its histograms by search and rank, in expvar's form.
+package metric
+
+import (
+	"encoding/json"
+	"expvar"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"basilspan/internal/core/unit"
+)
+
+const (
+	// lowest and highest bound the recorded latencies, in microseconds.
+	lowest  = 1
+	highest = 60_000_000
+	// digits is the number of significant digits that a histogram keeps.
+	digits = 2
+)
+
+// Latency is a histogram of latencies that several goroutines may use.
+type Latency struct {
+	mu sync.Mutex
+	h  *hdrhistogram.Histogram
+}
+
+// NewLatency makes an empty histogram.
+func NewLatency() *Latency {
+	return &Latency{h: hdrhistogram.New(lowest, highest, digits)}
+}
+
+// Record adds one latency; one beyond the bounds counts as the bound.
+func (l *Latency) Record(d time.Duration) {
+	us := min(max(d.Microseconds(), lowest), highest)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = l.h.RecordValue(us)
+}
+
+// Quantile gives the latency below which the share q, from 0 to 1, of the records lies.
+func (l *Latency) Quantile(q float64) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(l.h.ValueAtQuantile(q*100)) * time.Microsecond
+}
+
+// Count gives the number of records.
+func (l *Latency) Count() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.h.TotalCount()
+}
+
+// wireLatency is a histogram in the operator port's answer, in microseconds.
+type wireLatency struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50"`
+	P90   int64 `json:"p90"`
+	P99   int64 `json:"p99"`
+	P999  int64 `json:"p999"`
+	Max   int64 `json:"max"`
+}
+
+// String gives the histogram as JSON, as expvar asks.
+func (l *Latency) String() string {
+	l.mu.Lock()
+	wire := wireLatency{
+		Count: l.h.TotalCount(),
+		P50:   l.h.ValueAtQuantile(50),
+		P90:   l.h.ValueAtQuantile(90),
+		P99:   l.h.ValueAtQuantile(99),
+		P999:  l.h.ValueAtQuantile(99.9),
+		Max:   l.h.Max(),
+	}
+	l.mu.Unlock()
+	text, err := json.Marshal(wire)
+	if err != nil {
+		return "{}"
+	}
+	return string(text)
+}
+
+// Set is one process's metrics. It is not published globally, so that several entries may live in one process.
+type Set struct {
+	counters *expvar.Map
+	mu       sync.Mutex
+	latency  map[latencyKey]*Latency
+	byName   *expvar.Map
+}
+
+type latencyKey struct {
+	search unit.SearchName
+	rank   unit.RankName
+}
+
+// NewSet makes an empty set.
+func NewSet() *Set {
+	return &Set{
+		counters: new(expvar.Map).Init(),
+		latency:  make(map[latencyKey]*Latency),
+		byName:   new(expvar.Map).Init(),
+	}
+}
+
+// Add adds n to the counter with that name.
+func (s *Set) Add(name string, n int64) {
+	s.counters.Add(name, n)
+}
+
+// Get gives the counter with that name.
+func (s *Set) Get(name string) int64 {
+	v, ok := s.counters.Get(name).(*expvar.Int)
+	if !ok {
+		return 0
+	}
+	return v.Value()
+}
+
+// Ended records the end of a query of that search and rank, with its result code and latency.
+func (s *Set) Ended(search unit.SearchName, rank unit.RankName, code unit.Code, took time.Duration) {
+	s.counters.Add("code."+strconv.Itoa(int(code)), 1)
+	s.histogram(search, rank).Record(took)
+}
+
+func (s *Set) histogram(search unit.SearchName, rank unit.RankName) *Latency {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := latencyKey{search: search, rank: rank}
+	l, ok := s.latency[key]
+	if !ok {
+		l = NewLatency()
+		s.latency[key] = l
+		s.byName.Set(string(search)+"."+string(rank), l)
+	}
+	return l
+}
+
+// String gives the whole set as JSON.
+func (s *Set) String() string {
+	return `{"counters":` + s.counters.String() + `,"latency":` + s.byName.String() + `}`
+}
--- /dev/null
+++ b/internal/link/endpoint/endpoint.go
@@ -0,0 +1,173 @@
+// Package endpoint calls the endpoints over HTTP. docs/PROTOCOLS.md describes the messages.
+//
+// It uses the standard library's client and not hertz's, because hertz's client does not end a call when its context
+// ends, and cancellation has to reach the endpoint.
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/fanout"
+)
+
+// The headers of a call and its reply.
+const (
+	headerRequest   = "X-Request"
+	headerShard     = "X-Shard"
+	headerSnapshot  = "X-Snapshot"
+	headerRank      = "X-Rank"
+	headerRemaining = "X-Remaining-Ms"
+	headerOnce      = "X-Once"
+)
+
+const (
+	// maxReply is the largest reply body that is read.
+	maxReply = 1 << 20
+	// idleTime is how long an unused connection is kept warm.
+	idleTime = 90 * time.Second
+	// dialTime bounds the making of a connection.
+	dialTime = time.Second
+)
+
+// Call is one attempt as it goes to an endpoint.
+type Call struct {
+	Query    fanout.Query
+	Attempt  fanout.Attempt
+	Address  unit.Address
+	MaxConns unit.Connections
+}
+
+// Client calls endpoints. Now is the source of the present time.
+type Client struct {
+	Now func() time.Time
+
+	transport *http.Transport
+}
+
+// New makes a client that opens at most connections to one endpoint.
+func New(now func() time.Time, connections unit.Connections) *Client {
+	dialer := &net.Dialer{Timeout: dialTime}
+	return &Client{
+		Now: now,
+		transport: &http.Transport{
+			Proxy:               nil,
+			DialContext:         dialer.DialContext,
+			MaxConnsPerHost:     int(connections),
+			MaxIdleConnsPerHost: int(connections),
+			IdleConnTimeout:     idleTime,
+			DisableCompression:  true,
+		},
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() error {
+	c.transport.CloseIdleConnections()
+	return nil
+}
+
+// Send makes one attempt and waits for its end. The outcome is "not run" only while no byte of the request can have
+// left, or when the endpoint says that it refused; a failure after that is unknown.
+func (c *Client) Send(ctx context.Context, call Call) fanout.Reply {
+	reply := fanout.Reply{Attempt: call.Attempt.ID}
+	ctx, cancel := context.WithDeadline(ctx, call.Query.Deadline)
+	defer cancel()
+	var sent atomic.Bool
+	req, err := c.request(ctx, call, &sent)
+	if err != nil {
+		reply.Code = unit.CodeNotConnected
+		return reply
+	}
+	resp, err := c.transport.RoundTrip(req)
+	if err != nil {
+		reply.Code = failure(ctx, err, sent.Load())
+		return reply
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply+1))
+	if err != nil {
+		reply.Code = failure(ctx, err, true)
+		return reply
+	}
+	reply.Code = status(resp, len(body))
+	reply.Body = body
+	reply.Shard = unit.ShardID(resp.Header.Get(headerShard))
+	n, err := strconv.ParseUint(resp.Header.Get(headerSnapshot), 10, 64)
+	if err != nil && reply.Code == unit.CodeWhole {
+		reply.Code = unit.CodeBadReply
+	}
+	reply.Snapshot = unit.SnapshotID(n)
+	return reply
+}
+
+// request builds the HTTP request; sent becomes true once a connection is at hand and bytes may leave.
+func (c *Client) request(ctx context.Context, call Call, sent *atomic.Bool) (*http.Request, error) {
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	url := "http://" + string(call.Address) + "/leaf"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(call.Query.Body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build the call of an endpoint")
+	}
+	// Without GetBody the transport cannot send the body a second time.
+	req.GetBody = nil
+	remaining := unit.Remaining(call.Query.Deadline.Sub(c.Now()))
+	req.Header.Set(headerRequest, string(call.Query.ID))
+	req.Header.Set(headerShard, string(call.Attempt.Shard))
+	req.Header.Set(headerSnapshot, strconv.FormatUint(uint64(call.Attempt.Snapshot), 10))
+	req.Header.Set(headerRank, string(call.Query.Rank))
+	req.Header.Set(headerRemaining, strconv.FormatInt(remaining.Millis(), 10))
+	if call.Query.Once {
+		req.Header.Set(headerOnce, "1")
+	}
+	return req, nil
+}
+
+// status gives the code of a reply that has come whole.
+func status(resp *http.Response, size int) unit.Code {
+	switch resp.StatusCode {
+	case http.StatusOK:
+		if size > maxReply {
+			return unit.CodeBadReply
+		}
+		return unit.CodeWhole
+	case http.StatusTooManyRequests:
+		return unit.CodeRefused
+	case http.StatusServiceUnavailable:
+		return unit.CodeDraining
+	case http.StatusConflict:
+		return unit.CodeSnapshotAbsent
+	default:
+		return unit.CodeEndpointError
+	}
+}
+
+// failure gives the code of a call that has no reply.
+func failure(ctx context.Context, err error, sent bool) unit.Code {
+	late := errors.Is(err, context.DeadlineExceeded) || errors.Is(ctx.Err(), context.DeadlineExceeded)
+	switch {
+	case !sent && late:
+		return unit.CodeTooLate
+	case !sent:
+		return unit.CodeNotConnected
+	case late:
+		return unit.CodeDeadline
+	case errors.Is(err, context.Canceled):
+		return unit.CodeCancelled
+	default:
+		return unit.CodeConnection
+	}
+}
--- /dev/null
+++ b/internal/policy/fanout/query.go
@@ -0,0 +1,107 @@
+// Package fanout decides how one query is spread over the endpoints of its shards: which snapshot and replicas are
+// asked, what follows each reply, and what the answer may claim. It reads no clock and sends nothing itself.
+package fanout
+
+import (
+	"time"
+
+	"basilspan/internal/core/unit"
+)
+
+// Query is one caller's request.
+type Query struct {
+	ID       unit.RequestID
+	Search   unit.SearchName
+	Rank     unit.RankName
+	Deadline time.Time
+	// Once means that the request may run at most once at each shard.
+	Once bool
+	Body []byte
+}
+
+// Shard is one shard of a plan with the endpoints that may be asked, the preferred one first.
+type Shard struct {
+	ID       unit.ShardID
+	Replicas []unit.EndpointID
+}
+
+// Plan is what a query is to be asked, and of whom.
+type Plan struct {
+	Snapshot unit.SnapshotID
+	Shards   []Shard
+}
+
+// Part is one shard's share of an answer.
+type Part struct {
+	Shard    unit.ShardID
+	Endpoint unit.EndpointID
+	Body     []byte
+}
+
+// Missing is a shard that an answer lacks, with the reason.
+type Missing struct {
+	Shard unit.ShardID
+	Code  unit.Code
+}
+
+// Extra counts what a query cost beyond one attempt for each shard.
+type Extra struct {
+	Attempts int
+	Hedges   int
+	Retries  int
+	Late     int
+}
+
+// Answer is the end of a query.
+type Answer struct {
+	ID       unit.RequestID
+	Code     unit.Code
+	Message  string
+	Snapshot unit.SnapshotID
+	// Asked is how many shards the snapshot has.
+	Asked   int
+	Parts   []Part
+	Missing []Missing
+	Extra   Extra
+}
+
+// Refuse gives the answer to a query of which nothing was sent.
+func Refuse(id unit.RequestID, code unit.Code, message string) Answer {
+	return Answer{ID: id, Code: code, Message: message}
+}
+
+// Attempt is one call to one endpoint.
+type Attempt struct {
+	ID       unit.AttemptID
+	Shard    unit.ShardID
+	Endpoint unit.EndpointID
+	Snapshot unit.SnapshotID
+}
+
+// Reply is how an attempt ended.
+type Reply struct {
+	Attempt unit.AttemptID
+	Code    unit.Code
+	// Snapshot is the snapshot that the endpoint drew its reply from.
+	Snapshot unit.SnapshotID
+	// Shard is the shard that the endpoint says it answered for.
+	Shard unit.ShardID
+	Body  []byte
+}
+
+// ActionKind says what an action asks for.
+type ActionKind int
+
+// The kinds of action.
+const (
+	// ActionSend asks for the attempt to be sent.
+	ActionSend ActionKind = iota + 1
+	// ActionCancel asks for an attempt under way to be given up.
+	ActionCancel
+)
+
+// Action is one thing that the machine asks its driver to do.
+type Action struct {
+	Kind    ActionKind
+	Attempt Attempt
+}
--- /dev/null
+++ b/internal/serve/entry/entry.go
@@ -0,0 +1,154 @@
+// Package entry puts the services of one entry VM together in a kernel and leads them through its life.
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"basilspan/internal/config/process"
+	"basilspan/internal/core/control"
+	"basilspan/internal/core/kernel"
+	"basilspan/internal/core/metric"
+	"basilspan/internal/core/query"
+	"basilspan/internal/core/unit"
+	"basilspan/internal/core/view"
+	"basilspan/internal/link/endpoint"
+	"basilspan/internal/link/peer"
+	"basilspan/internal/link/platform"
+	"basilspan/internal/serve/caller"
+	"basilspan/internal/serve/operator"
+)
+
+// endpointConnections is how many connections one entry VM opens to one endpoint.
+const endpointConnections unit.Connections = 3
+
+// Options are the seams of an entry.
+type Options struct {
+	Now func() time.Time
+	Log *slog.Logger
+}
+
+// Entry is one entry VM.
+type Entry struct {
+	kernel   *kernel.Kernel
+	settings process.Settings
+	options  Options
+	views    *view.Store
+	metrics  *metric.Set
+	life     *life
+	drain    chan struct{}
+	once     sync.Once
+}
+
+// New registers the services of an entry VM; nothing runs before Start.
+func New(settings process.Settings, options Options) (*Entry, error) {
+	e := &Entry{
+		kernel:   kernel.New(),
+		settings: settings,
+		options:  options,
+		views:    view.NewStore(),
+		metrics:  metric.NewSet(),
+		drain:    make(chan struct{}),
+	}
+	e.life = newLife(options.Log)
+	if err := e.install(); err != nil {
+		return nil, err
+	}
+	return e, nil
+}
+
+// install registers the services in the order in which they start.
+func (e *Entry) install() error {
+	k, now := e.kernel, e.options.Now
+	loop := kernel.NewLoop(now)
+	control.Install(loop, e.views, e.metrics, e.options.Log)
+	client := endpoint.New(now, endpointConnections)
+	link := peer.New(e.settings.Peer)
+	watcher := platform.New(e.settings.Platform, loop)
+	runner := &query.Runner{Now: now, Views: e.views, Metrics: e.metrics, Send: client.Send}
+	services := []kernel.Service{
+		{Name: kernel.ServiceSettings, Value: e.settings},
+		{Name: kernel.ServiceMetrics, Value: e.metrics},
+		{Name: kernel.ServiceViews, Value: e.views},
+		loop.Service(kernel.ServiceControl),
+		link.Service(kernel.ServicePeer),
+		watcher.Service(kernel.ServicePlatform),
+		{Name: kernel.ServiceEndpoint, Value: client, Close: client.Close},
+		{Name: kernel.ServiceQuery, Value: runner, Close: runner.Close},
+	}
+	for _, s := range services {
+		if err := k.Register(s); err != nil {
+			return err
+		}
+	}
+	port := operator.New(e.settings.Node, e.settings.Operator, now, e.State, e.BeginDrain)
+	if err := port.Install(k); err != nil {
+		return err
+	}
+	return caller.Install(k, e.settings.Caller, now)
+}
+
+// Start starts the services; the entry becomes ready once a configuration is in force.
+func (e *Entry) Start(ctx context.Context) error {
+	if err := e.kernel.Start(ctx); err != nil {
+		return errors.Wrapf(err, "start entry VM %q", e.settings.Node)
+	}
+	return nil
+}
+
+// State gives the lifecycle state.
+func (e *Entry) State() string {
+	return e.life.state(e.views.Load().Catalog != nil)
+}
+
+// BeginDrain asks for a planned stop; Draining tells whoever runs the entry.
+func (e *Entry) BeginDrain() {
+	e.once.Do(func() {
+		e.life.fire(triggerDrain)
+		close(e.drain)
+	})
+}
+
+// Draining is closed once a planned stop has been asked for.
+func (e *Entry) Draining() <-chan struct{} {
+	return e.drain
+}
+
+// Close finishes what is under way, ends every service and waits.
+func (e *Entry) Close() error {
+	e.BeginDrain()
+	err := e.kernel.Close()
+	e.life.fire(triggerStopped)
+	return err
+}
+
+// CallerAddress gives the address for callers.
+func (e *Entry) CallerAddress() unit.Address {
+	port, err := kernel.Find[*caller.Server](e.kernel, kernel.ServiceCaller)
+	if err != nil {
+		return ""
+	}
+	return port.Address()
+}
+
+// OperatorAddress gives the address for operators.
+func (e *Entry) OperatorAddress() unit.Address {
+	port, err := kernel.Find[*operator.Server](e.kernel, kernel.ServiceOperator)
+	if err != nil {
+		return ""
+	}
+	return port.Address()
+}
+
+// PeerAddress gives the address for the other entry VMs.
+func (e *Entry) PeerAddress() unit.Address {
+	link, err := kernel.Find[*peer.Link](e.kernel, kernel.ServicePeer)
+	if err != nil {
+		return ""
+	}
+	return link.Address()
+}
--- /dev/null
+++ b/internal/serve/operator/operator.go
@@ -0,0 +1,144 @@
+// Package operator serves the operators and the balancer over HTTP: readiness, metrics and status.
+package operator
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cockroachdb/errors"
+
+	"basilspan/internal/core/kernel"
+	"basilspan/internal/core/metric"
+	"basilspan/internal/core/unit"
+	"basilspan/internal/core/view"
+)
+
+type (
+	wireStatus struct {
+		Node     string       `json:"node"`
+		State    string       `json:"state"`
+		Revision uint64       `json:"revision"`
+		Age      int64        `json:"age"`
+		Members  []wireMember `json:"members"`
+		Leaving  []string     `json:"leaving"`
+	}
+
+	wireMember struct {
+		ID    string `json:"id"`
+		Peer  string `json:"peer"`
+		State string `json:"state"`
+	}
+)
+
+// Server is the port for operators. The function fields are its seams.
+type Server struct {
+	Now func() time.Time
+	// State gives the entry VM's lifecycle state, and Drain begins a planned stop.
+	State func() string
+	Drain func()
+
+	node     unit.NodeID
+	listen   unit.Address
+	listener net.Listener
+	server   *server.Hertz
+	views    *view.Store
+	metrics  *metric.Set
+	done     chan struct{}
+}
+
+// StateReady is the lifecycle state in which the balancer may send callers.
+const StateReady = "ready"
+
+// New makes the port.
+func New(node unit.NodeID, listen unit.Address, now func() time.Time, state func() string, drain func()) *Server {
+	return &Server{Now: now, State: state, Drain: drain, node: node, listen: listen, done: make(chan struct{})}
+}
+
+// Install registers the port with the kernel; it finds the views and metrics there when it starts.
+func (s *Server) Install(k *kernel.Kernel) error {
+	return k.Register(kernel.Service{
+		Name:  kernel.ServiceOperator,
+		Value: s,
+		Start: func(context.Context) error {
+			var err error
+			if s.views, err = kernel.Find[*view.Store](k, kernel.ServiceViews); err != nil {
+				return err
+			}
+			if s.metrics, err = kernel.Find[*metric.Set](k, kernel.ServiceMetrics); err != nil {
+				return err
+			}
+			return s.start()
+		},
+		Close: s.close,
+	})
+}
+
+// Address gives the address that the port listens at.
+func (s *Server) Address() unit.Address {
+	return unit.Address(s.listener.Addr().String())
+}
+
+func (s *Server) start() error {
+	listener, err := net.Listen("tcp", string(s.listen))
+	if err != nil {
+		return errors.Wrap(err, "listen for operators")
+	}
+	s.listener = listener
+	s.server = server.New(server.WithListener(listener), server.WithDisablePrintRoute(true))
+	s.server.GET("/ready", s.ready)
+	s.server.GET("/status", s.status)
+	s.server.GET("/debug/vars", s.vars)
+	s.server.POST("/drain", s.drain)
+	go func() {
+		defer close(s.done)
+		_ = s.server.Run()
+	}()
+	return nil
+}
+
+func (s *Server) close() error {
+	err := s.server.Shutdown(context.Background())
+	<-s.done
+	return errors.Wrap(err, "close the port for operators")
+}
+
+func (s *Server) ready(_ context.Context, rc *app.RequestContext) {
+	state := s.State()
+	if state != StateReady {
+		rc.String(http.StatusServiceUnavailable, state)
+		return
+	}
+	rc.String(http.StatusOK, state)
+}
+
+func (s *Server) vars(_ context.Context, rc *app.RequestContext) {
+	rc.Data(http.StatusOK, "application/json", []byte(s.metrics.String()))
+}
+
+func (s *Server) drain(_ context.Context, rc *app.RequestContext) {
+	s.Drain()
+	rc.Status(http.StatusAccepted)
+}
+
+func (s *Server) status(_ context.Context, rc *app.RequestContext) {
+	v := s.views.Load()
+	w := wireStatus{
+		Node:     string(s.node),
+		State:    s.State(),
+		Revision: uint64(v.Revision),
+		Age:      s.Now().Sub(v.At).Milliseconds(),
+	}
+	for _, m := range v.Members {
+		w.Members = append(w.Members, wireMember{ID: string(m.ID), Peer: string(m.Peer), State: string(m.State)})
+	}
+	for id := range v.Leaving {
+		w.Leaving = append(w.Leaving, string(id))
+	}
+	sort.Strings(w.Leaving)
+	rc.JSON(http.StatusOK, w)
+}
--- /dev/null
+++ b/internal/standin/endpoint/fleet.go
@@ -0,0 +1,140 @@
+package endpoint
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/catalog"
+)
+
+const (
+	// connectSmall is the connect time of endpoints with many connections, and connectLarge that of the others.
+	connectSmall = time.Millisecond
+	connectLarge = 6 * time.Millisecond
+	// largeConnections is the number of connections up to which connecting is slow.
+	largeConnections unit.Connections = 25
+	// fleetQueue is how many calls wait at one endpoint.
+	fleetQueue = 64
+)
+
+// FleetSettings describe all endpoints of a configuration.
+type FleetSettings struct {
+	// Median and Sigma give the log-normal service time.
+	Median time.Duration
+	Sigma  float64
+	Seed   uint64
+	// Loopback makes each endpoint listen at a free port of 127.0.0.1 and not at its configured address.
+	Loopback bool
+}
+
+// Fleet is every endpoint of one configuration in one process.
+type Fleet struct {
+	servers map[unit.EndpointID]*Server
+}
+
+// StartFleet starts an endpoint for each one in built.
+func StartFleet(built *catalog.Catalog, settings FleetSettings) (*Fleet, error) {
+	f := &Fleet{servers: make(map[unit.EndpointID]*Server)}
+	draw := lognormal(settings)
+	for _, search := range built.Searches {
+		for _, e := range search.Endpoints {
+			s := New(fleetMember(e, settings, draw))
+			if err := s.Start(); err != nil {
+				return nil, errors.CombineErrors(err, f.Close())
+			}
+			f.servers[e.ID] = s
+		}
+	}
+	return f, nil
+}
+
+func fleetMember(e catalog.Endpoint, settings FleetSettings, draw func() time.Duration) Settings {
+	one := Settings{
+		ID:          e.ID,
+		Shard:       e.Shard,
+		Listen:      e.Address,
+		Slots:       e.Slots,
+		Connections: e.Connections,
+		Queue:       fleetQueue,
+		ConnectTime: connectSmall,
+		ServiceTime: draw,
+	}
+	if e.Connections <= largeConnections {
+		one.ConnectTime = connectLarge
+	}
+	if settings.Loopback {
+		one.Listen = "127.0.0.1:0"
+	}
+	return one
+}
+
+// lognormal gives a source of service times that several goroutines may use.
+func lognormal(settings FleetSettings) func() time.Duration {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(settings.Seed, settings.Seed))
+	return func() time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		return time.Duration(float64(settings.Median) * math.Exp(settings.Sigma*random.NormFloat64()))
+	}
+}
+
+// Addresses gives where each endpoint listens.
+func (f *Fleet) Addresses() map[unit.EndpointID]unit.Address {
+	all := make(map[unit.EndpointID]unit.Address, len(f.servers))
+	for id, s := range f.servers {
+		all[id] = s.Address()
+	}
+	return all
+}
+
+// Endpoint gives one endpoint, or nil.
+func (f *Fleet) Endpoint(id unit.EndpointID) *Server {
+	return f.servers[id]
+}
+
+// SetFaults replaces the faults of one endpoint; an unknown one is passed over.
+func (f *Fleet) SetFaults(id unit.EndpointID, faults Faults) {
+	if s := f.servers[id]; s != nil {
+		s.SetFaults(faults)
+	}
+}
+
+// StatsOf gives the counts of one endpoint, or of all when id is empty.
+func (f *Fleet) StatsOf(id unit.EndpointID) Stats {
+	if s := f.servers[id]; s != nil {
+		return s.Stats()
+	}
+	return f.Stats()
+}
+
+// Stats gives the sum of all endpoints' counts.
+func (f *Fleet) Stats() Stats {
+	var sum Stats
+	for _, s := range f.servers {
+		one := s.Stats()
+		sum.Runs += one.Runs
+		sum.Refused += one.Refused
+		sum.Wasted += one.Wasted
+		sum.Doubled += one.Doubled
+		sum.Late += one.Late
+		if one.Last.After(sum.Last) {
+			sum.Last = one.Last
+		}
+	}
+	return sum
+}
+
+// Close ends every endpoint.
+func (f *Fleet) Close() error {
+	var all error
+	for _, s := range f.servers {
+		all = errors.CombineErrors(all, s.Close())
+	}
+	return all
+}
--- /dev/null
+++ b/internal/standin/proc/deployment.go
@@ -0,0 +1,210 @@
+package proc
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilspan/internal/config/example"
+	"basilspan/internal/config/folder"
+	"basilspan/internal/core/unit"
+	"basilspan/internal/standin/endpoint"
+)
+
+const (
+	// readyTime bounds the wait for a process to be ready.
+	readyTime = 20 * time.Second
+	// overlayFile is the file that moves the endpoints to loopback.
+	overlayFile = "90-loopback.json"
+	// fileMode is the mode of the files that a test publishes.
+	fileMode = 0o600
+)
+
+// Settings describe a deployment.
+type Settings struct {
+	// Example names a shipped example; Files replace it when they are not empty.
+	Example string
+	Files   []folder.File
+	Entries int
+	// Median is the endpoints' service time.
+	Median time.Duration
+}
+
+// Node is one entry VM's process and its addresses.
+type Node struct {
+	*Process
+	Name     string
+	Caller   unit.Address
+	Operator unit.Address
+	Peer     unit.Address
+}
+
+// Deployment is a running deployment.
+type Deployment struct {
+	t         testing.TB
+	Folder    string
+	Platform  *Process
+	Endpoints *Process
+	Nodes     []*Node
+
+	platformAddress unit.Address
+	platformControl unit.Address
+	endpointControl unit.Address
+}
+
+// Start starts the processes and waits until every entry VM is ready.
+func Start(t testing.TB, settings Settings) *Deployment {
+	t.Helper()
+	d := &Deployment{
+		t:               t,
+		Folder:          t.TempDir(),
+		platformAddress: FreePort(t),
+		platformControl: FreePort(t),
+		endpointControl: FreePort(t),
+	}
+	d.write(settings)
+	d.startEndpoints(settings)
+	for i := range settings.Entries {
+		d.Nodes = append(d.Nodes, &Node{
+			Name: nodeName(i), Caller: FreePort(t), Operator: FreePort(t), Peer: FreePort(t),
+		})
+	}
+	d.startPlatform()
+	for _, n := range d.Nodes {
+		d.StartNode(n)
+	}
+	d.WaitReady()
+	return d
+}
+
+func (d *Deployment) write(settings Settings) {
+	files := settings.Files
+	if len(files) == 0 {
+		var err error
+		files, err = example.Files(settings.Example)
+		assert.NilError(d.t, err)
+	}
+	for _, f := range files {
+		d.Publish(f.Name, string(f.Content))
+	}
+}
+
+// Publish writes a file of the served folder in one step.
+func (d *Deployment) Publish(name, content string) {
+	d.t.Helper()
+	path := filepath.Join(d.Folder, name)
+	assert.NilError(d.t, os.WriteFile(path+".new", []byte(content), fileMode))
+	assert.NilError(d.t, os.Rename(path+".new", path))
+}
+
+func (d *Deployment) startEndpoints(settings Settings) {
+	median := settings.Median
+	if median == 0 {
+		median = 3 * time.Millisecond
+	}
+	d.Endpoints = start(d.t, "standin", "endpoint", "--folder", d.Folder, "--overlay", overlayFile,
+		"--control", string(d.endpointControl), "--median", median.String())
+	Eventually(d.t, readyTime, "the endpoints listen", func() bool {
+		return strings.Contains(d.Endpoints.Output(), "endpoints ")
+	})
+}
+
+func (d *Deployment) startPlatform() {
+	args := []string{
+		"platform", "--folder", d.Folder, "--listen", string(d.platformAddress), "--control", string(d.platformControl),
+	}
+	for _, n := range d.Nodes {
+		args = append(args, "--vm", n.Name+"=loopback="+string(n.Peer))
+	}
+	d.Platform = start(d.t, "standin", args...)
+	Eventually(d.t, readyTime, "the platform listens", func() bool {
+		return strings.Contains(d.Platform.Output(), "platform ")
+	})
+}
+
+// StartNode starts the process of an entry VM, the first time or again.
+func (d *Deployment) StartNode(n *Node) {
+	n.Process = start(d.t, "basilspan", "serve", "--node", n.Name, "--centre", "loopback",
+		"--caller", string(n.Caller), "--operator", string(n.Operator), "--peer", string(n.Peer),
+		"--platform", string(d.platformAddress))
+}
+
+// WaitReady waits until every entry VM is ready.
+func (d *Deployment) WaitReady() {
+	d.t.Helper()
+	for _, n := range d.Nodes {
+		Eventually(d.t, readyTime, n.Name+" is ready", func() bool { return n.Get("/ready") == http.StatusOK })
+	}
+}
+
+// Callers gives the callers' addresses of all entry VMs.
+func (d *Deployment) Callers() []unit.Address {
+	var all []unit.Address
+	for _, n := range d.Nodes {
+		all = append(all, n.Caller)
+	}
+	return all
+}
+
+// Get gives the status of a read from the operator port, or 0.
+func (n *Node) Get(path string) int {
+	resp, err := http.Get("http://" + string(n.Operator) + path)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// Read decodes a JSON answer of the operator port; it says false when there is none.
+func (n *Node) Read(path string, into any) bool {
+	resp, err := http.Get("http://" + string(n.Operator) + path)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return json.NewDecoder(resp.Body).Decode(into) == nil
+}
+
+// SetFaults changes one endpoint's behaviour.
+func (d *Deployment) SetFaults(id unit.EndpointID, faults endpoint.Faults) {
+	d.t.Helper()
+	body, err := json.Marshal(faults)
+	assert.NilError(d.t, err)
+	d.post(d.endpointControl, "/faults?endpoint="+url.QueryEscape(string(id)), body)
+}
+
+// Stats gives the counts of one endpoint, or of all when id is empty.
+func (d *Deployment) Stats(id unit.EndpointID) endpoint.Stats {
+	d.t.Helper()
+	var stats endpoint.Stats
+	resp, err := http.Get("http://" + string(d.endpointControl) + "/stats?endpoint=" + url.QueryEscape(string(id)))
+	assert.NilError(d.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	assert.NilError(d.t, json.NewDecoder(resp.Body).Decode(&stats))
+	return stats
+}
+
+// Steer changes the platform's behaviour, for example with "down=true", "frozen=true" or "vm=e1&state=leaving".
+func (d *Deployment) Steer(change string) {
+	d.t.Helper()
+	d.post(d.platformControl, "/platform?"+change, nil)
+}
+
+func (d *Deployment) post(to unit.Address, path string, body []byte) {
+	d.t.Helper()
+	resp, err := http.Post("http://"+string(to)+path, "application/json", bytes.NewReader(body))
+	assert.NilError(d.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	assert.Equal(d.t, resp.StatusCode, http.StatusOK)
+}
--- /dev/null
+++ b/internal/standin/proc/proc.go
@@ -0,0 +1,159 @@
+// Package proc runs a deployment as separate processes for tests: a platform, its endpoints and several entry VMs,
+// which a test can kill, freeze and stop. Only tests use it.
+package proc
+
+import (
+	"bytes"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilspan/internal/core/unit"
+)
+
+// stopTime bounds the wait for a process to end after a signal.
+const stopTime = 30 * time.Second
+
+var (
+	buildOnce sync.Once
+	buildDir  string
+	errBuild  error
+)
+
+// binary builds both programs once and gives the path of one.
+func binary(t testing.TB, name string) string {
+	t.Helper()
+	buildOnce.Do(func() {
+		if buildDir, errBuild = os.MkdirTemp("", "basilspan"); errBuild != nil {
+			return
+		}
+		build := exec.Command("go", "build", "-o", buildDir, "basilspan/cmd/...")
+		build.Stderr = os.Stderr
+		errBuild = build.Run()
+	})
+	assert.NilError(t, errBuild)
+	return filepath.Join(buildDir, name)
+}
+
+// Cleanup removes the built programs; a TestMain calls it at the end.
+func Cleanup() {
+	if buildDir != "" {
+		_ = os.RemoveAll(buildDir)
+	}
+}
+
+// Process is one running process.
+type Process struct {
+	t      testing.TB
+	cmd    *exec.Cmd
+	output *output
+	done   chan struct{}
+}
+
+// output collects what a process prints.
+type output struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write adds to the output.
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.Write(p)
+}
+
+// String gives the output so far.
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.String()
+}
+
+// start starts a program; it is killed at the end of the test.
+func start(t testing.TB, name string, args ...string) *Process {
+	t.Helper()
+	p := &Process{t: t, cmd: exec.Command(binary(t, name), args...), output: &output{}, done: make(chan struct{})}
+	p.cmd.Stdout = p.output
+	p.cmd.Stderr = p.output
+	assert.NilError(t, p.cmd.Start())
+	go func() {
+		defer close(p.done)
+		_ = p.cmd.Wait()
+	}()
+	t.Cleanup(func() {
+		p.Kill()
+		if t.Failed() {
+			t.Logf("%s %v printed:\n%s", name, args, p.Output())
+		}
+	})
+	return p
+}
+
+// Kill ends the process at once, as a lost VM does.
+func (p *Process) Kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Freeze stops the process where it stands, until Thaw.
+func (p *Process) Freeze() { p.signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (p *Process) Thaw() { p.signal(syscall.SIGCONT) }
+
+// Terminate asks the process for a planned stop.
+func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
+
+// Wait waits for the process's end and gives its exit code; a process that does not end fails the test.
+func (p *Process) Wait() int {
+	p.t.Helper()
+	select {
+	case <-p.done:
+	case <-time.After(stopTime):
+		p.t.Fatalf("the process has not ended; it printed:\n%s", p.Output())
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// Output gives what the process has printed so far.
+func (p *Process) Output() string { return p.output.String() }
+
+func (p *Process) signal(s syscall.Signal) {
+	select {
+	case <-p.done:
+	default:
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// FreePort gives an address of 127.0.0.1 that nothing listens at.
+func FreePort(t testing.TB) unit.Address {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	return unit.Address(l.Addr().String())
+}
+
+// Eventually waits until check says true, or fails the test after limit.
+func Eventually(t testing.TB, limit time.Duration, what string, check func() bool) {
+	t.Helper()
+	end := time.Now().Add(limit)
+	for !check() {
+		if time.Now().After(end) {
+			t.Fatalf("not within %s: %s", limit, what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func nodeName(i int) string { return "e" + strconv.Itoa(i+1) }
