Show extra load, wasted work and cut queries in the load sender

Cause: the load sender counted a refused connection as an unknown answer, had no figure for the extra load, waited for ever on a frozen entry VM, and could open any number of connections. It measured latency from when its goroutine got to run.

Before and after: TestRunSortsAnswers/cut and TestRunCountsRefusedConnections would have counted as unknown; TestLatencyCountsFromTheIntendedTime had no bound to wait at; TestRunBoundsWhatIsUnderWay none either.

--- a/internal/cmd/standin/load.go
+++ b/internal/cmd/standin/load.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -11,9 +13,13 @@
 
 	"basilspan/internal/cmd/stream"
 	"basilspan/internal/core/unit"
+	"basilspan/internal/standin/endpoint"
 	"basilspan/internal/standin/load"
 )
 
+// countTime bounds a read of the endpoints' counts.
+const countTime = 5 * time.Second
+
 // loadOptions are what the load command works with.
 type loadOptions struct {
 	streams  stream.Streams
@@ -21,6 +27,9 @@
 	flows    []string
 	duration time.Duration
 	run      string
+	limit    int
+	counts   string
+	json     bool
 }
 
 func newLoad(streams stream.Streams) *cli.Command {
@@ -37,13 +46,18 @@
 			},
 			&cli.DurationFlag{Name: "duration", Value: 10 * time.Second, Destination: &opts.duration},
 			&cli.StringFlag{Name: "run", Usage: "prefix of the request ids", Value: "run", Destination: &opts.run},
+			&cli.IntFlag{Name: "limit", Usage: "queries under way at once", Value: 2048, Destination: &opts.limit},
+			&cli.StringFlag{
+				Name: "endpoints", Usage: "control address of the endpoints, for their counts", Destination: &opts.counts,
+			},
+			&cli.BoolFlag{Name: "json", Usage: "print the report as JSON", Destination: &opts.json},
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error { return runLoad(ctx, opts) },
 	}
 }
 
 func runLoad(ctx context.Context, opts *loadOptions) error {
-	settings := load.Settings{Duration: opts.duration, Run: opts.run}
+	settings := load.Settings{Duration: opts.duration, Run: opts.run, Limit: opts.limit}
 	for _, e := range opts.entries {
 		settings.Entries = append(settings.Entries, unit.Address(e))
 	}
@@ -54,11 +68,18 @@
 		}
 		settings.Flows = append(settings.Flows, flow)
 	}
-	rows := load.Run(ctx, settings)
-	if err := load.Print(opts.streams.Out, rows); err != nil {
+	report, err := load.Measure(ctx, settings, counter(opts.counts))
+	if err != nil {
+		return err
+	}
+	printed := load.PrintReport
+	if opts.json {
+		printed = load.PrintJSON
+	}
+	if err := printed(opts.streams.Out, report); err != nil {
 		return err
 	}
-	for _, r := range rows {
+	for _, r := range report.Rows {
 		if r.Broken > 0 {
 			return stream.WithExit(errors.Newf("%d answers broke an invariant", r.Broken), stream.ExitNegative)
 		}
@@ -66,6 +87,23 @@
 	return nil
 }
 
+// counter gives a reader of the endpoints' counts, or nil without an address.
+func counter(address string) func() (endpoint.Stats, error) {
+	if address == "" {
+		return nil
+	}
+	client := &http.Client{Transport: &http.Transport{Proxy: nil}, Timeout: countTime}
+	return func() (stats endpoint.Stats, err error) {
+		resp, err := client.Get("http://" + address + "/stats")
+		if err != nil {
+			return stats, errors.Wrap(err, "read the endpoints' counts; check --endpoints")
+		}
+		defer func() { _ = resp.Body.Close() }()
+		err = json.NewDecoder(resp.Body).Decode(&stats)
+		return stats, errors.Wrap(err, "decode the endpoints' counts")
+	}
+}
+
 func parseFlow(text string) (load.Flow, error) {
 	fields := strings.Split(text, ",")
 	if len(fields) < 4 || len(fields) > 5 {
--- /dev/null
+++ b/internal/standin/load/check.go
@@ -0,0 +1,35 @@
+package load
+
+import (
+	"bytes"
+	"strconv"
+
+	"basilspan/internal/core/unit"
+	"basilspan/internal/standin/endpoint"
+)
+
+// broken says whether an answer breaks an invariant.
+func broken(answer wireAnswer, id string) bool {
+	if answer.ID != id {
+		return true
+	}
+	if unit.Code(answer.Code).Outcome() != unit.OutcomeAnswered {
+		return len(answer.Parts) > 0
+	}
+	if len(answer.Parts)+len(answer.Missing) != answer.Asked {
+		return true
+	}
+	if unit.Code(answer.Code) == unit.CodeWhole && len(answer.Missing) > 0 {
+		return true
+	}
+	seen := make(map[string]bool)
+	snapshot := strconv.FormatUint(answer.Snapshot, 10)
+	for _, p := range answer.Parts {
+		want := endpoint.Body(unit.RequestID(id), unit.ShardID(p.Shard), snapshot)
+		if seen[p.Shard] || !bytes.Equal(p.Body, want) {
+			return true
+		}
+		seen[p.Shard] = true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/standin/load/load_test.go
@@ -0,0 +1,245 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilspan/internal/core/unit"
+	"basilspan/internal/standin/endpoint"
+)
+
+// answerTo makes a whole answer of one shard to a query.
+func answerTo(id string) wireAnswer {
+	body := endpoint.Body(unit.RequestID(id), "s", "1")
+	return wireAnswer{
+		ID:       id,
+		Code:     int(unit.CodeWhole),
+		Snapshot: 1,
+		Asked:    1,
+		Parts:    []wirePart{{Shard: "s", Body: body}},
+		Extra:    wireExtra{Attempts: 1},
+	}
+}
+
+// serve starts a stand-in entry VM that answers as answer says.
+func serve(t *testing.T, answer func(w http.ResponseWriter, q wireQuery)) unit.Address {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var q wireQuery
+		if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		answer(w, q)
+	}))
+	t.Cleanup(s.Close)
+	return unit.Address(s.Listener.Addr().String())
+}
+
+func give(w http.ResponseWriter, answer wireAnswer) {
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func TestRunSortsAnswers(t *testing.T) {
+	changed := func(change func(a *wireAnswer)) func(w http.ResponseWriter, q wireQuery) {
+		return func(w http.ResponseWriter, q wireQuery) {
+			a := answerTo(q.ID)
+			change(&a)
+			give(w, a)
+		}
+	}
+	noParts := func(code unit.Code) func(w http.ResponseWriter, q wireQuery) {
+		return changed(func(a *wireAnswer) { a.Code, a.Parts = int(code), nil })
+	}
+	tests := []struct {
+		name   string
+		answer func(w http.ResponseWriter, q wireQuery)
+		want   Row
+	}{
+		{"whole", changed(func(*wireAnswer) {}), Row{Whole: 1, Extra: Extra{Attempts: 1}}},
+		{
+			"partial",
+			changed(func(a *wireAnswer) {
+				a.Code, a.Asked, a.Missing = int(unit.CodePartial), 2, []wireMissing{{Shard: "t"}}
+				a.Extra = wireExtra{Attempts: 4, Hedges: 1, Retries: 1}
+			}),
+			Row{Partial: 1, Extra: Extra{Attempts: 4, Hedges: 1, Retries: 1}},
+		},
+		{"not run", noParts(unit.CodeOverloaded), Row{NotRun: 1, Extra: Extra{Attempts: 1}}},
+		{"unknown", noParts(unit.CodeDeadline), Row{Unknown: 1, Extra: Extra{Attempts: 1}}},
+		{
+			"cut",
+			func(http.ResponseWriter, wireQuery) { panic(http.ErrAbortHandler) },
+			Row{Cut: 1},
+		},
+		{
+			"no JSON",
+			func(w http.ResponseWriter, _ wireQuery) { _, _ = w.Write([]byte("hello")) },
+			Row{Cut: 1},
+		},
+		{
+			"late",
+			func(w http.ResponseWriter, q wireQuery) {
+				time.Sleep(time.Duration(q.Timeout+1) * time.Millisecond)
+				give(w, answerTo(q.ID))
+			},
+			Row{Late: 1, Extra: Extra{Attempts: 1}},
+		},
+		{
+			"another request's answer",
+			changed(func(a *wireAnswer) { a.ID = "other" }),
+			Row{Whole: 1, Broken: 1, Extra: Extra{Attempts: 1}},
+		},
+		{
+			"a body of another snapshot",
+			changed(func(a *wireAnswer) { a.Snapshot = 2 }),
+			Row{Whole: 1, Broken: 1, Extra: Extra{Attempts: 1}},
+		},
+		{
+			"more shards asked than accounted for",
+			changed(func(a *wireAnswer) { a.Asked = 2 }),
+			Row{Whole: 1, Broken: 1, Extra: Extra{Attempts: 1}},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			timeout := 20 * time.Second
+			if tt.want.Late > 0 {
+				timeout = 50 * time.Millisecond
+			}
+			rows := Run(context.Background(), Settings{
+				Entries:  []unit.Address{serve(t, tt.answer)},
+				Flows:    []Flow{{Search: "x", Rank: "r", Rate: 1, Timeout: timeout}},
+				Duration: time.Second,
+			})
+			got := rows[0]
+			got.Flow, got.Latency = Flow{}, nil
+			tt.want.Sent = 1
+			assert.DeepEqual(t, got, tt.want)
+		})
+	}
+}
+
+// TestRunCountsRefusedConnections sends to an address that nothing listens at.
+func TestRunCountsRefusedConnections(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+	rows := Run(context.Background(), Settings{
+		Entries:  []unit.Address{unit.Address(l.Addr().String())},
+		Flows:    []Flow{{Rate: 100, Timeout: time.Second}},
+		Duration: 50 * time.Millisecond,
+	})
+	assert.Equal(t, rows[0].Cut, int64(5))
+	assert.Equal(t, rows[0].Sent, int64(5))
+}
+
+// TestLatencyCountsFromTheIntendedTime has room for one query at a time and an entry VM that takes its time, so that
+// the last query waits for all before it.
+func TestLatencyCountsFromTheIntendedTime(t *testing.T) {
+	const queries = 5
+	const took = 50 * time.Millisecond
+	entry := serve(t, func(w http.ResponseWriter, q wireQuery) {
+		time.Sleep(took)
+		give(w, answerTo(q.ID))
+	})
+	rows := Run(context.Background(), Settings{
+		Entries:  []unit.Address{entry},
+		Flows:    []Flow{{Rate: 1000, Timeout: 20 * time.Second}},
+		Duration: queries * time.Millisecond,
+		Limit:    1,
+	})
+	assert.Equal(t, rows[0].Whole, int64(queries))
+	assert.Assert(t, rows[0].Latency.Quantile(1) >= queries*took-2*queries*time.Millisecond)
+}
+
+// TestRunBoundsWhatIsUnderWay has an entry VM that answers nothing until the timeout of all queries has passed.
+func TestRunBoundsWhatIsUnderWay(t *testing.T) {
+	const limit = 3
+	var open, over atomic.Int64
+	entry := serve(t, func(w http.ResponseWriter, q wireQuery) {
+		if open.Add(1) > limit {
+			over.Add(1)
+		}
+		defer open.Add(-1)
+		time.Sleep(1500 * time.Millisecond)
+		give(w, answerTo(q.ID))
+	})
+	rows := Run(context.Background(), Settings{
+		Entries:  []unit.Address{entry},
+		Flows:    []Flow{{Rate: 500, Timeout: 200 * time.Millisecond}, {Rate: 500, Timeout: 200 * time.Millisecond}},
+		Duration: 20 * time.Millisecond,
+		Limit:    limit,
+	})
+	assert.Equal(t, over.Load(), int64(0))
+	total := int64(0)
+	for _, r := range rows {
+		assert.Equal(t, r.Sent+r.Unsent, int64(10))
+		total += r.Unsent
+	}
+	assert.Equal(t, total, int64(20-limit))
+}
+
+func TestMeasureSumsByRank(t *testing.T) {
+	entry := serve(t, func(w http.ResponseWriter, q wireQuery) {
+		a := answerTo(q.ID)
+		if q.Search == "b" {
+			a.Code, a.Parts = int(unit.CodeOverloaded), nil
+		}
+		give(w, a)
+	})
+	counts := []endpoint.Stats{{Runs: 10, Wasted: 1}, {Runs: 30, Wasted: 6, Refused: 2}}
+	report, err := Measure(context.Background(), Settings{
+		Entries: []unit.Address{entry},
+		Flows: []Flow{
+			{Search: "a", Rank: "desk", Rate: 100, Timeout: 10 * time.Second},
+			{Search: "b", Rank: "desk", Rate: 100, Timeout: 10 * time.Second},
+			{Search: "a", Rank: "archive", Rate: 50, Timeout: 10 * time.Second},
+		},
+		Duration: 100 * time.Millisecond,
+	}, func() (endpoint.Stats, error) {
+		next := counts[0]
+		counts = counts[1:]
+		return next, nil
+	})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, report.Ranks, []Rank{
+		{Name: "archive", Sent: 5, Good: 5, Goodput: 50},
+		{Name: "desk", Sent: 20, Good: 10, Goodput: 100},
+	})
+	assert.DeepEqual(t, *report.Endpoints, endpoint.Stats{Runs: 20, Wasted: 5, Refused: 2})
+	var table, text bytes.Buffer
+	assert.NilError(t, PrintReport(&table, report))
+	assert.Assert(t, strings.Contains(table.String(), "5 wasted (25.0%)"), table.String())
+	assert.NilError(t, PrintJSON(&text, report))
+	var wire wireReport
+	assert.NilError(t, json.Unmarshal(text.Bytes(), &wire))
+	assert.Equal(t, wire.Endpoints.Share, 0.25)
+	assert.Equal(t, wire.Flows[1].NotRun, int64(10))
+	assert.Assert(t, wire.Flows[0].P99 > 0)
+}
+
+func TestExtraShare(t *testing.T) {
+	tests := []struct {
+		name  string
+		extra Extra
+		want  float64
+	}{
+		{"none", Extra{}, 0},
+		{"no extra load", Extra{Attempts: 40}, 0},
+		{"hedges and retries", Extra{Attempts: 44, Hedges: 3, Retries: 1}, 0.1},
+	}
+	for _, tt := range tests {
+		assert.Equal(t, tt.extra.Share(), tt.want, tt.name)
+	}
+}
--- /dev/null
+++ b/internal/standin/load/row.go
@@ -0,0 +1,108 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"basilspan/internal/core/metric"
+	"basilspan/internal/core/unit"
+)
+
+// Row sums up one flow. Sent is the sum of Whole, Partial, NotRun, Unknown, Late and Cut.
+type Row struct {
+	Flow Flow
+	// Unsent are queries that found no room among the sender's own until their timeout had passed.
+	Unsent  int64
+	Sent    int64
+	Whole   int64
+	Partial int64
+	NotRun  int64
+	Unknown int64
+	// Late are whole answers that came after the timeout.
+	Late int64
+	// Cut are queries without an HTTP answer: the connection was refused or broke, or nothing came in time.
+	Cut int64
+	// Broken are answers that break an invariant: of another request, of two snapshots, or with false coverage.
+	Broken int64
+	Extra  Extra
+	// Latency is that of the answered queries, from the moment at which each was to be sent.
+	Latency *metric.Latency
+}
+
+// Extra sums up the attempts that the answers say they took.
+type Extra struct {
+	Attempts int64
+	Hedges   int64
+	Retries  int64
+}
+
+// First gives how many attempts were neither a hedge nor a retry.
+func (e Extra) First() int64 {
+	return e.Attempts - e.Hedges - e.Retries
+}
+
+// Share gives hedges and retries as a share of the first attempts.
+func (e Extra) Share() float64 {
+	return ratio(e.Hedges+e.Retries, e.First())
+}
+
+// ratio gives a part of a whole, and 0 for an empty whole.
+func ratio(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// row is a Row that several goroutines add to.
+type row struct {
+	mu  sync.Mutex
+	row Row
+}
+
+func newRow(flow Flow) *row {
+	return &row{row: Row{Flow: flow, Latency: metric.NewLatency()}}
+}
+
+func (r *row) unsent() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.row.Unsent++
+}
+
+func (r *row) cut() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.row.Sent++
+	r.row.Cut++
+}
+
+// answered counts an answer that came so long after the query was to be sent.
+func (r *row) answered(answer wireAnswer, id string, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sum := &r.row
+	sum.Sent++
+	if broken(answer, id) {
+		sum.Broken++
+	}
+	code := unit.Code(answer.Code)
+	switch {
+	case code == unit.CodeWhole && took > sum.Flow.Timeout:
+		sum.Late++
+	case code == unit.CodeWhole:
+		sum.Whole++
+	case code == unit.CodePartial:
+		sum.Partial++
+	case code.Outcome() == unit.OutcomeNotRun:
+		sum.NotRun++
+	default:
+		sum.Unknown++
+	}
+	sum.Extra.Attempts += answer.Extra.Attempts
+	sum.Extra.Hedges += answer.Extra.Hedges
+	sum.Extra.Retries += answer.Extra.Retries
+	if code.Outcome() == unit.OutcomeAnswered {
+		sum.Latency.Record(took)
+	}
+}
--- a/internal/standin/load/table.go
+++ b/internal/standin/load/table.go
@@ -1,22 +1,165 @@
 package load
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// The quantiles of a row, in the order of the table's columns.
+const (
+	median   = 0.5
+	ninety   = 0.9
+	ninety9  = 0.99
+	ninety99 = 0.999
 )
 
-// Print writes the rows as a table; latencies are in milliseconds.
+// Print writes the rows as a table; latencies are in milliseconds, hedges and retries in percent of the first
+// attempts.
 func Print(w io.Writer, rows []Row) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "search\trank\tsent\twhole\tpartial\tnot run\tunknown\tlate\tbroken\tp50\tp90\tp99\tp99.9\t")
+	fmt.Fprintln(t, "search\trank\tsent\twhole\tpartial\tnot run\tunknown\tlate\tcut\tunsent\tbroken\t"+
+		"p50\tp90\tp99\tp99.9\thedge%\tretry%\t")
 	for _, r := range rows {
-		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t", r.Flow.Search, r.Flow.Rank,
-			r.Sent, r.Whole, r.Partial, r.NotRun, r.Unknown, r.Late, r.Broken)
-		for _, q := range []float64{0.5, 0.9, 0.99, 0.999} {
-			fmt.Fprintf(t, "%.1f\t", float64(r.Latency.Quantile(q).Microseconds())/1000)
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t", r.Flow.Search, r.Flow.Rank,
+			r.Sent, r.Whole, r.Partial, r.NotRun, r.Unknown, r.Late, r.Cut, r.Unsent, r.Broken)
+		for _, q := range []float64{median, ninety, ninety9, ninety99} {
+			fmt.Fprintf(t, "%.1f\t", millis(r.Latency.Quantile(q)))
 		}
-		fmt.Fprintln(t)
+		first := r.Extra.First()
+		fmt.Fprintf(t, "%.1f\t%.1f\t\n", 100*ratio(r.Extra.Hedges, first), 100*ratio(r.Extra.Retries, first))
 	}
 	return t.Flush()
 }
+
+// PrintReport writes the table of the rows, that of the ranks, and what the endpoints counted.
+func PrintReport(w io.Writer, report Report) error {
+	if err := Print(w, report.Rows); err != nil {
+		return err
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "\nrank\tsent\twhole and timely\ta second\t")
+	for _, r := range report.Ranks {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%.1f\t\n", r.Name, r.Sent, r.Good, r.Goodput)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	if e := report.Endpoints; e != nil {
+		fmt.Fprintf(w, "\nendpoints: %d runs, %d wasted (%.1f%%), %d refused, %d given up in the queue, %d doubled\n",
+			e.Runs, e.Wasted, 100*ratio(e.Wasted, e.Runs), e.Refused, e.Late, e.Doubled)
+	}
+	return nil
+}
+
+type (
+	wireReport struct {
+		// Seconds is how long queries were sent.
+		Seconds   float64        `json:"seconds"`
+		Flows     []wireRow      `json:"flows"`
+		Ranks     []wireRank     `json:"ranks"`
+		Endpoints *wireEndpoints `json:"endpoints,omitempty"`
+	}
+
+	wireRow struct {
+		Search  string  `json:"search"`
+		Rank    string  `json:"rank"`
+		Rate    float64 `json:"rate"`
+		Timeout float64 `json:"timeout"`
+		Unsent  int64   `json:"unsent"`
+		Sent    int64   `json:"sent"`
+		Whole   int64   `json:"whole"`
+		Partial int64   `json:"partial"`
+		NotRun  int64   `json:"refused"`
+		Unknown int64   `json:"unknown"`
+		Late    int64   `json:"late"`
+		Cut     int64   `json:"cut"`
+		Broken  int64   `json:"broken"`
+		// The latencies are in milliseconds.
+		P50      float64 `json:"p50"`
+		P90      float64 `json:"p90"`
+		P99      float64 `json:"p99"`
+		P999     float64 `json:"p999"`
+		Max      float64 `json:"max"`
+		Attempts int64   `json:"attempts"`
+		Hedges   int64   `json:"hedges"`
+		Retries  int64   `json:"retries"`
+		// Extra is hedges and retries as a share of the first attempts.
+		Extra float64 `json:"extra"`
+	}
+
+	wireRank struct {
+		Rank    string  `json:"rank"`
+		Sent    int64   `json:"sent"`
+		Good    int64   `json:"good"`
+		Goodput float64 `json:"goodput"`
+	}
+
+	wireEndpoints struct {
+		Runs    int64   `json:"runs"`
+		Refused int64   `json:"refused"`
+		Wasted  int64   `json:"wasted"`
+		Doubled int64   `json:"doubled"`
+		Late    int64   `json:"late"`
+		Share   float64 `json:"share"`
+	}
+)
+
+// PrintJSON writes the report as JSON; latencies and timeouts are in milliseconds.
+func PrintJSON(w io.Writer, report Report) error {
+	wire := wireReport{Seconds: report.Duration.Seconds(), Flows: []wireRow{}, Ranks: []wireRank{}}
+	for _, r := range report.Rows {
+		wire.Flows = append(wire.Flows, encode(r))
+	}
+	for _, r := range report.Ranks {
+		wire.Ranks = append(wire.Ranks, wireRank{Rank: string(r.Name), Sent: r.Sent, Good: r.Good, Goodput: r.Goodput})
+	}
+	if e := report.Endpoints; e != nil {
+		wire.Endpoints = &wireEndpoints{
+			Runs:    e.Runs,
+			Refused: e.Refused,
+			Wasted:  e.Wasted,
+			Doubled: e.Doubled,
+			Late:    e.Late,
+			Share:   ratio(e.Wasted, e.Runs),
+		}
+	}
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return errors.Wrap(e.Encode(wire), "print the report")
+}
+
+func encode(r Row) wireRow {
+	return wireRow{
+		Search:   string(r.Flow.Search),
+		Rank:     string(r.Flow.Rank),
+		Rate:     r.Flow.Rate,
+		Timeout:  millis(r.Flow.Timeout),
+		Unsent:   r.Unsent,
+		Sent:     r.Sent,
+		Whole:    r.Whole,
+		Partial:  r.Partial,
+		NotRun:   r.NotRun,
+		Unknown:  r.Unknown,
+		Late:     r.Late,
+		Cut:      r.Cut,
+		Broken:   r.Broken,
+		P50:      millis(r.Latency.Quantile(median)),
+		P90:      millis(r.Latency.Quantile(ninety)),
+		P99:      millis(r.Latency.Quantile(ninety9)),
+		P999:     millis(r.Latency.Quantile(ninety99)),
+		Max:      millis(r.Latency.Quantile(1)),
+		Attempts: r.Extra.Attempts,
+		Hedges:   r.Extra.Hedges,
+		Retries:  r.Extra.Retries,
+		Extra:    r.Extra.Share(),
+	}
+}
+
+func millis(d time.Duration) float64 {
+	return float64(d.Microseconds()) / 1000
+}
