Finish every query in flight at a planned stop

Cause: a stop took 5 s when idle and cut off what ran longer. Hertz counts a kept connection as busy while it waits for its next request, so its shutdown waited for the 5 s of its exit time, and then the process ended, whatever ran. Ruled out: an idle time of 0, by which hertz gives idle connections back to the poller. Hertz then closes every connection after its answer without saying so: TestRollingPlannedStopCutsOffNothing saw 159 of 1,842 queries cut off with 'server closed idle connection'. Change: a tracer knows which connections have a request in flight. Shown failing: without WithExitWaitTime, go test -run PlannedStopFinishes ./internal/standin/proc fails in both rows with EOF.

--- a/internal/cmd/serve/serve.go
+++ b/internal/cmd/serve/serve.go
@@ -13,9 +13,13 @@
 
 	"basilspan/internal/cmd/stream"
 	"basilspan/internal/config/process"
+	"basilspan/internal/core/unit"
 	"basilspan/internal/serve/entry"
 )
 
+// defaultLag is the usual time for a balancer to notice that an entry VM is not ready.
+const defaultLag = 5 * time.Second
+
 // Options are what the command works with.
 type Options struct {
 	Streams  stream.Streams
@@ -61,10 +65,35 @@
 		text("operator", "address for operators and the balancer's check", "127.0.0.1:8081", (*string)(&s.Operator)),
 		text("peer", "address for the other entry VMs", "127.0.0.1:8082", (*string)(&s.Peer)),
 		text("platform", "address of the platform's service", "", (*string)(&s.Platform)),
+		&cli.StringSliceFlag{
+			Name:    "peers",
+			Usage:   "peer addresses of other entry VMs, for a start while the platform is down",
+			Sources: cli.EnvVars("BASILSPAN_PEERS"),
+			Action: func(_ context.Context, _ *cli.Command, peers []string) error {
+				s.Peers = addresses(peers)
+				return nil
+			},
+		},
+		&cli.DurationFlag{
+			Name:        "lag",
+			Usage:       "time for which the balancer may send callers on after a planned stop has begun",
+			Value:       defaultLag,
+			Sources:     cli.EnvVars("BASILSPAN_LAG"),
+			Destination: &s.Lag,
+		},
 		&cli.BoolFlag{Name: "log-json", Usage: "print log lines as JSON", Destination: &opts.LogJSON},
 	}
 }
 
+// addresses gives the texts as addresses; Settings.Check says which are wrong.
+func addresses(texts []string) []unit.Address {
+	all := make([]unit.Address, 0, len(texts))
+	for _, text := range texts {
+		all = append(all, unit.Address(text))
+	}
+	return all
+}
+
 // envName gives the environment variable's part for a flag, in upper case.
 func envName(flag string) string {
 	upper := []byte(flag)
--- a/internal/config/process/process.go
+++ b/internal/config/process/process.go
@@ -4,12 +4,16 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"basilspan/internal/core/unit"
 )
 
+// MaxLag is the longest time that a balancer may take to notice that an entry VM is not ready.
+const MaxLag = 5 * time.Minute
+
 // Settings are an entry VM's own settings.
 type Settings struct {
 	Node     unit.NodeID
@@ -18,6 +22,10 @@
 	Operator unit.Address
 	Peer     unit.Address
 	Platform unit.Address
+	// Peers are other entry VMs to ask when the platform's list cannot be read; it may be empty.
+	Peers []unit.Address
+	// Lag is how long the balancer may go on sending callers after this entry VM says that it is not ready.
+	Lag time.Duration
 }
 
 // Check gives an error that names each setting that is missing or wrong.
@@ -38,11 +46,20 @@
 		{"peer", s.Peer},
 		{"platform", s.Platform},
 	}
+	for _, p := range s.Peers {
+		addresses = append(addresses, struct {
+			name    string
+			address unit.Address
+		}{"peers", p})
+	}
 	for _, a := range addresses {
 		if _, err := netip.ParseAddrPort(string(a.address)); err != nil {
 			err := errors.Newf("%s: %q is no IP number and port; set --%s", a.name, a.address, a.name)
 			all = errors.CombineErrors(all, err)
 		}
 	}
+	if s.Lag < 0 || s.Lag > MaxLag {
+		all = errors.CombineErrors(all, errors.Newf("lag: must be from 0 to %s; set --lag", MaxLag))
+	}
 	return all
 }
--- a/internal/serve/caller/caller.go
+++ b/internal/serve/caller/caller.go
@@ -19,6 +19,7 @@
 	"basilspan/internal/core/query"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/policy/fanout"
+	"basilspan/internal/serve/keepalive"
 )
 
 const (
@@ -26,6 +27,8 @@
 	maxBody = 1 << 20
 	// readTime bounds the reading of one request, so that a half-open caller holds nothing for long.
 	readTime = 10 * time.Second
+	// stopSlack is how much longer than the longest query a shutdown may take.
+	stopSlack = 5 * time.Second
 	// maxID is the longest request id, in bytes.
 	maxID = 128
 )
@@ -81,12 +84,13 @@
 	listen   unit.Address
 	listener net.Listener
 	server   *server.Hertz
+	tracker  *keepalive.Tracker
 	done     chan struct{}
 }
 
 // Install registers the port with the kernel; it finds the query service there when it starts.
 func Install(k *kernel.Kernel, listen unit.Address, now func() time.Time) error {
-	s := &Server{Now: now, listen: listen, done: make(chan struct{})}
+	s := &Server{Now: now, listen: listen, tracker: keepalive.New(), done: make(chan struct{})}
 	return k.Register(kernel.Service{
 		Name:  kernel.ServiceCaller,
 		Value: s,
@@ -107,20 +111,26 @@
 	return unit.Address(s.listener.Addr().String())
 }
 
+// BeginDrain has each further answer ask its caller to close the connection; queries are served on.
+func (s *Server) BeginDrain() {
+	s.tracker.BeginDrain()
+}
+
 func (s *Server) start() error {
 	listener, err := net.Listen("tcp", string(s.listen))
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
 	s.listener = listener
-	s.server = server.New(
+	options := append(s.tracker.Options(),
 		server.WithListener(listener),
 		server.WithMaxRequestBodySize(maxBody),
 		server.WithReadTimeout(readTime),
-		server.WithSenseClientDisconnection(true),
+		server.WithExitWaitTime(query.MaxTimeout+stopSlack),
 		server.WithDisablePrintRoute(true),
 		config.Option{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
 	)
+	s.server = server.New(options...)
 	s.server.POST("/query", s.handle)
 	go func() {
 		defer close(s.done)
@@ -129,13 +139,17 @@
 	return nil
 }
 
+// close stops accepting connections and waits for the queries in flight.
 func (s *Server) close() error {
+	s.tracker.BeginDrain()
+	s.tracker.CloseIdle()
 	err := s.server.Shutdown(context.Background())
 	<-s.done
 	return errors.Wrap(err, "close the port for callers")
 }
 
 func (s *Server) handle(ctx context.Context, rc *app.RequestContext) {
+	defer s.tracker.EndConnection(rc)
 	q, code, message := decode(rc.Request.Body(), s.Now())
 	if code != 0 {
 		write(rc, fanout.Refuse(q.ID, code, message))
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -42,6 +42,8 @@
 	life     *life
 	drain    chan struct{}
 	once     sync.Once
+	// lag is how long the balancer may send callers on; it is set before drain is closed.
+	lag time.Duration
 }
 
 // New registers the services of an entry VM; nothing runs before Start.
@@ -108,7 +110,14 @@
 // BeginDrain asks for a planned stop; Draining tells whoever runs the entry.
 func (e *Entry) BeginDrain() {
 	e.once.Do(func() {
+		served := e.State() == operator.StateReady
 		e.life.fire(triggerDrain)
+		if port, err := kernel.Find[*caller.Server](e.kernel, kernel.ServiceCaller); err == nil {
+			port.BeginDrain()
+		}
+		if served {
+			e.lag = e.settings.Lag
+		}
 		close(e.drain)
 	})
 }
@@ -118,9 +127,12 @@
 	return e.drain
 }
 
-// Close finishes what is under way, ends every service and waits.
+// Close serves on through the balancer's lag, finishes what is in flight, ends every service and waits.
 func (e *Entry) Close() error {
 	e.BeginDrain()
+	lag := time.NewTimer(e.lag)
+	defer lag.Stop()
+	<-lag.C
 	err := e.kernel.Close()
 	e.life.fire(triggerStopped)
 	return err
--- a/internal/serve/operator/operator.go
+++ b/internal/serve/operator/operator.go
@@ -16,6 +16,7 @@
 	"basilspan/internal/core/metric"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/core/view"
+	"basilspan/internal/serve/keepalive"
 )
 
 type (
@@ -48,6 +49,7 @@
 	server   *server.Hertz
 	views    *view.Store
 	metrics  *metric.Set
+	tracker  *keepalive.Tracker
 	done     chan struct{}
 }
 
@@ -56,7 +58,10 @@
 
 // New makes the port.
 func New(node unit.NodeID, listen unit.Address, now func() time.Time, state func() string, drain func()) *Server {
-	return &Server{Now: now, State: state, Drain: drain, node: node, listen: listen, done: make(chan struct{})}
+	return &Server{
+		Now: now, State: state, Drain: drain, node: node, listen: listen,
+		tracker: keepalive.New(), done: make(chan struct{}),
+	}
 }
 
 // Install registers the port with the kernel; it finds the views and metrics there when it starts.
@@ -89,7 +94,12 @@
 		return errors.Wrap(err, "listen for operators")
 	}
 	s.listener = listener
-	s.server = server.New(server.WithListener(listener), server.WithDisablePrintRoute(true))
+	options := append(s.tracker.Options(), server.WithListener(listener), server.WithDisablePrintRoute(true))
+	s.server = server.New(options...)
+	s.server.Use(func(ctx context.Context, rc *app.RequestContext) {
+		rc.Next(ctx)
+		s.tracker.EndConnection(rc)
+	})
 	s.server.GET("/ready", s.ready)
 	s.server.GET("/status", s.status)
 	s.server.GET("/debug/vars", s.vars)
@@ -102,6 +112,8 @@
 }
 
 func (s *Server) close() error {
+	s.tracker.BeginDrain()
+	s.tracker.CloseIdle()
 	err := s.server.Shutdown(context.Background())
 	<-s.done
 	return errors.Wrap(err, "close the port for operators")
--- a/internal/standin/proc/deployment.go
+++ b/internal/standin/proc/deployment.go
@@ -23,6 +23,8 @@
 const (
 	// readyTime bounds the wait for a process to be ready.
 	readyTime = 20 * time.Second
+	// balancerLag is how long an entry VM serves on after it says that it is not ready.
+	balancerLag = 500 * time.Millisecond
 	// overlayFile is the file that moves the endpoints to loopback.
 	overlayFile = "90-loopback.json"
 	// fileMode is the mode of the files that a test publishes.
@@ -135,7 +137,7 @@
 func (d *Deployment) StartNode(n *Node) {
 	n.Process = start(d.t, "basilspan", "serve", "--node", n.Name, "--centre", "loopback",
 		"--caller", string(n.Caller), "--operator", string(n.Operator), "--peer", string(n.Peer),
-		"--platform", string(d.platformAddress))
+		"--platform", string(d.platformAddress), "--lag", balancerLag.String())
 }
 
 // WaitReady waits until every entry VM is ready.
