Check the folder strictly and report every problem at once

Cause: the folder was read by encoding/json, which takes keys in another case, lets the last of two equal keys win, gives no line, and stops at the first fault, so that an operator met faults one at a time.

Ruled out: encoding/json with DisallowUnknownFields (no duplicates, no lines, first fault only); a JSON schema library (another format to maintain beside the wire types).

Change: config/strict reads JSON into wire types with a line and field for every fault; config/folder keeps where each value came from, checks bounds, equal urgencies, floors, other tenants, shared addresses and ids, names, size and an empty configuration, and lists what differs between two folders. Build keeps its signature and counts errors only; Check adds warnings and places. A folder left without ranks or searches is refused, as a half-written one would be.

--- a/internal/config/folder/check.go
+++ b/internal/config/folder/check.go
@@ -5,140 +5,281 @@
 	"sort"
 	"strconv"
 
+	"basilspan/internal/config/strict"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/policy/catalog"
 )
 
+// The bounds of values; a value beyond them is a slip of the pen.
+const (
+	maxUrgency     = 1000
+	maxSlots       = 1024
+	maxConnections = 65535
+)
+
+// Result is what a check of a folder finds.
+type Result struct {
+	// Catalog is nil when there is any error.
+	Catalog *catalog.Catalog
+	// Problems are all errors and warnings, by file and line.
+	Problems []Problem
+
+	places *strict.Place
+}
+
+// Place gives where the field at that path comes from; ok is false when no file gives it.
+func (r Result) Place(path string) (place Place, ok bool) {
+	at, exact := r.places.Find(path)
+	return Place{File: at.File, Line: at.Line}, exact
+}
+
+// Errors gives the problems that make the configuration invalid.
+func (r Result) Errors() []Problem {
+	var all []Problem
+	for _, p := range r.Problems {
+		if p.Severity == SeverityError {
+			all = append(all, p)
+		}
+	}
+	return all
+}
+
+// Build merges the files in name order and checks the result. The catalog is nil when there is any error; warnings
+// are left out. It depends on nothing but the files, so every node decides alike.
+func Build(files []File) (*catalog.Catalog, []Problem) {
+	r := Check(files)
+	return r.Catalog, r.Errors()
+}
+
+// Check does what Build does and gives warnings and places as well.
+func Check(files []File) Result {
+	c := &checker{places: &strict.Place{}}
+	merged := c.merge(files)
+	built := c.catalog(merged)
+	r := Result{Catalog: built, Problems: c.problems, places: c.places}
+	sort.SliceStable(r.Problems, func(i, j int) bool {
+		a, b := r.Problems[i], r.Problems[j]
+		if a.File != b.File {
+			return a.File < b.File
+		}
+		return a.Line < b.Line
+	})
+	if len(r.Errors()) > 0 {
+		r.Catalog = nil
+	}
+	return r
+}
+
+// Place is where a value comes from.
+type Place struct {
+	File string
+	Line int
+}
+
 // checker builds a catalog from merged files and collects every problem on the way.
 type checker struct {
 	problems []Problem
+	places   *strict.Place
+	// partial says that a file couldn't be read, so that what seems to be missing may stand there.
+	partial bool
 }
 
-// Build merges the files in name order and checks the result. The catalog is nil when there is any problem.
-func Build(files []File) (*catalog.Catalog, []Problem) {
-	c := &checker{}
+// merge reads the files in name order and lays each over those before it.
+func (c *checker) merge(files []File) wireFile {
 	var merged wireFile
 	size := 0
-	for _, f := range byName(files) {
-		size += len(f.Content)
-		one, err := decode(f.Content)
-		if err != nil {
-			c.problems = append(c.problems, Problem{File: f.Name, Text: err.Error()})
-			continue
+	last := ""
+	for i, f := range byName(files) {
+		size += len(f.Name) + len(f.Content)
+		if i > 0 && f.Name == last {
+			c.problems = append(c.problems, Problem{File: f.Name, Text: "stands twice in the folder"})
 		}
-		mergeFile(&merged, one)
+		last = f.Name
+		one := decode(f)
+		for _, p := range one.Problems {
+			c.problems = append(c.problems, Problem{File: f.Name, Line: p.Line, Field: p.Field, Text: p.Text})
+		}
+		c.partial = c.partial || one.Broken
+		c.conflicts(merged, one)
+		c.removals(merged, one)
+		mergeFile(&merged, one.wire)
+		c.places.Merge(one.Place)
 	}
 	if size > MaxBytes {
-		c.add("", "all files together are over "+strconv.Itoa(MaxBytes)+" bytes")
+		text := "all files together have " + strconv.Itoa(size) + " bytes; at most " + strconv.Itoa(MaxBytes) + " may be"
+		c.problems = append(c.problems, Problem{Text: text})
 	}
-	built := c.catalog(merged)
-	if len(c.problems) > 0 {
-		return nil, c.problems
+	return merged
+}
+
+// conflicts reports a search that a later file gives to another tenant.
+func (c *checker) conflicts(merged wireFile, later decoded) {
+	for _, name := range names(later.wire.Searches) {
+		before, after := merged.Searches[name], later.wire.Searches[name]
+		if before == nil || after == nil || before.Tenant == nil || after.Tenant == nil {
+			continue
+		}
+		if *before.Tenant != *after.Tenant {
+			path := "searches." + name + ".tenant"
+			from, _ := c.places.Find(path)
+			at, _ := later.Place.Find(path)
+			text := "the search belongs to " + strconv.Quote(*before.Tenant) + " in " + from.File
+			c.problems = append(c.problems, Problem{File: at.File, Line: at.Line, Field: path, Text: text})
+		}
+	}
+}
+
+// removals warns of each null that removes nothing.
+func (c *checker) removals(merged wireFile, later decoded) {
+	for _, name := range names(later.wire.Ranks) {
+		c.removal(later, "ranks."+name, later.wire.Ranks[name] == nil && merged.Ranks[name] == nil)
+	}
+	for _, name := range names(later.wire.Searches) {
+		before, after := merged.Searches[name], later.wire.Searches[name]
+		c.removal(later, "searches."+name, before == nil && after == nil)
+		if after == nil {
+			continue
+		}
+		if before == nil {
+			before = &wireSearch{}
+		}
+		for _, id := range names(after.Snapshots) {
+			gone := after.Snapshots[id] == nil && before.Snapshots[id] == nil
+			c.removal(later, "searches."+name+".snapshots."+id, gone)
+		}
+		for _, id := range names(after.Endpoints) {
+			gone := after.Endpoints[id] == nil && before.Endpoints[id] == nil
+			c.removal(later, "searches."+name+".endpoints."+id, gone)
+		}
+	}
+}
+
+func (c *checker) removal(later decoded, path string, nothing bool) {
+	if !nothing {
+		return
 	}
-	return built, nil
+	at, _ := later.Place.Find(path)
+	c.problems = append(c.problems, Problem{
+		Severity: SeverityWarning, File: at.File, Line: at.Line, Field: path,
+		Text: "null removes nothing: no earlier file makes the entry",
+	})
 }
 
-func (c *checker) add(field, text string) {
-	c.problems = append(c.problems, Problem{Field: field, Text: text})
+// add reports an error of a value; one that follows from another problem is passed over.
+func (c *checker) add(path, text string) { c.report(SeverityError, path, text) }
+
+// warn reports a warning.
+func (c *checker) warn(path, text string) { c.report(SeverityWarning, path, text) }
+
+// lack reports an error of something that no file gives; it is passed over while a file couldn't be read.
+func (c *checker) lack(path, text string) {
+	if !c.partial {
+		c.report(SeverityError, path, text)
+	}
+}
+
+func (c *checker) report(severity Severity, path, text string) {
+	at, _ := c.places.Find(path)
+	if at.Bad {
+		return
+	}
+	c.problems = append(c.problems, Problem{
+		Severity: severity, File: at.File, Line: at.Line, Field: path, Text: text,
+	})
+}
+
+// bad says whether the value at that path has a problem already.
+func (c *checker) bad(path string) bool {
+	at, _ := c.places.Find(path)
+	return at.Bad
 }
 
 func (c *checker) catalog(f wireFile) *catalog.Catalog {
 	built := &catalog.Catalog{
-		Ranks:    make(map[unit.RankName]catalog.Rank),
+		Ranks:    c.ranks(f.Ranks),
 		Searches: make(map[unit.SearchName]*catalog.Search),
 	}
-	floors := 0.0
-	for _, name := range names(f.Ranks) {
-		rank := c.rank("ranks."+name, name, f.Ranks[name])
-		floors += float64(rank.Floor)
-		built.Ranks[rank.Name] = rank
-	}
-	if floors > 1 {
-		c.add("ranks", "the floors add up to more than 1")
+	if len(f.Searches) == 0 {
+		c.lack("searches", "at least one search must be configured")
 	}
 	for _, name := range names(f.Searches) {
 		built.Searches[unit.SearchName(name)] = c.search("searches."+name, name, f.Searches[name])
 	}
+	c.shared(built)
 	return built
 }
 
-func (c *checker) rank(field, name string, w *wireRank) catalog.Rank {
-	rank := catalog.Rank{Name: unit.RankName(name)}
-	if w.Urgency == nil || *w.Urgency < 1 {
-		c.add(field+".urgency", "must be at least 1")
-	} else {
-		rank.Urgency = unit.Urgency(*w.Urgency)
-	}
-	rank.Floor = c.share(field+".floor", w.Floor)
-	return rank
-}
-
-func (c *checker) search(field, name string, w *wireSearch) *catalog.Search {
-	s := &catalog.Search{
-		Name:    unit.SearchName(name),
-		Tenant:  unit.TenantName(value(w.Tenant)),
-		Aim:     catalog.Aim(value(w.Aim)),
-		Once:    value(w.Once),
-		Hedge:   value(w.Hedge),
-		Minimum: c.share(field+".minimum", w.Minimum),
-	}
-	if s.Aim != catalog.AimLatency && s.Aim != catalog.AimCoverage {
-		c.add(field+".aim", `must be "latency" or "coverage"`)
+func (c *checker) ranks(wire map[string]*wireRank) map[unit.RankName]catalog.Rank {
+	all := make(map[unit.RankName]catalog.Rank, len(wire))
+	if len(wire) == 0 {
+		c.lack("ranks", "at least one rank must be configured")
 	}
-	for _, id := range names(w.Snapshots) {
-		n, err := strconv.ParseUint(id, 10, 64)
-		if err != nil {
-			c.add(field+".snapshots."+id, "must be a whole number")
-		}
-		snapshot := catalog.Snapshot{ID: unit.SnapshotID(n)}
-		for _, shard := range w.Snapshots[id].Shards {
-			snapshot.Shards = append(snapshot.Shards, unit.ShardID(shard))
+	floors := 0.0
+	byUrgency := make(map[unit.Urgency]string)
+	for _, name := range names(wire) {
+		rank := c.rank("ranks."+name, name, wire[name])
+		floors += float64(rank.Floor)
+		if other, ok := byUrgency[rank.Urgency]; ok && rank.Urgency > 0 {
+			c.add("ranks."+name+".urgency", "rank "+strconv.Quote(other)+" has the same urgency; each rank needs its own")
 		}
-		s.Snapshots = append(s.Snapshots, snapshot)
+		byUrgency[rank.Urgency] = name
+		all[rank.Name] = rank
 	}
-	sort.Slice(s.Snapshots, func(i, j int) bool { return s.Snapshots[i].ID < s.Snapshots[j].ID })
-	for _, id := range names(w.Endpoints) {
-		s.Endpoints = append(s.Endpoints, c.endpoint(field+".endpoints."+id, id, w.Endpoints[id]))
+	// The sum of shares such as 0.7, 0.2 and 0.1 may be over 1 by a rounding.
+	if floors > 1+1e-9 {
+		c.add("ranks", "the floors add up to "+strconv.FormatFloat(floors, 'g', 6, 64)+"; at most 1 may be")
 	}
-	return s
+	return all
 }
 
-func (c *checker) endpoint(field, id string, w *wireEndpoint) catalog.Endpoint {
-	e := catalog.Endpoint{
-		ID:          unit.EndpointID(id),
-		Shard:       unit.ShardID(value(w.Shard)),
-		Address:     unit.Address(value(w.Address)),
-		Centre:      unit.CentreName(value(w.Centre)),
-		Slots:       unit.Slots(value(w.Slots)),
-		Connections: unit.Connections(value(w.Connections)),
-		Leaving:     value(w.Leaving),
-	}
-	if e.Shard == "" {
-		c.add(field+".shard", "must name a shard")
-	}
-	if _, err := netip.ParseAddrPort(string(e.Address)); err != nil {
-		c.add(field+".address", `must be an IP number and port, such as "10.0.0.7:8080"`)
+func (c *checker) rank(path, name string, w *wireRank) catalog.Rank {
+	rank := catalog.Rank{Name: unit.RankName(name), Floor: c.share(path+".floor", w.Floor)}
+	if w.Urgency == nil {
+		c.lack(path+".urgency", "is missing; 1 is the most urgent")
+		return rank
 	}
-	if e.Slots < 1 {
-		c.add(field+".slots", "must be at least 1")
+	rank.Urgency = unit.Urgency(c.count(path+".urgency", w.Urgency, maxUrgency))
+	return rank
+}
+
+// count gives a whole number from 1 to most.
+func (c *checker) count(path string, w *int, most int) int {
+	if w == nil {
+		c.lack(path, "is missing")
+		return 0
 	}
-	if e.Connections < 1 {
-		c.add(field+".connections", "must be at least 1")
+	if *w < 1 || *w > most {
+		c.add(path, "must be from 1 to "+strconv.Itoa(most)+", not "+strconv.Itoa(*w))
+		return 0
 	}
-	return e
+	return *w
 }
 
-func (c *checker) share(field string, w *float64) unit.Share {
+func (c *checker) share(path string, w *float64) unit.Share {
 	if w == nil {
 		return 0
 	}
 	if *w < 0 || *w > 1 {
-		c.add(field, "must be from 0 to 1")
+		c.add(path, "must be a share from 0 to 1, not "+strconv.FormatFloat(*w, 'g', 6, 64))
 		return 0
 	}
 	return unit.Share(*w)
 }
 
+// address checks an IP number and port.
+func (c *checker) address(path string, w *string) unit.Address {
+	if w == nil {
+		c.lack(path, "is missing")
+		return ""
+	}
+	parsed, err := netip.ParseAddrPort(*w)
+	if err != nil || parsed.Port() == 0 {
+		c.add(path, `must be an IP number and port, such as "10.0.0.7:8080", not `+strconv.Quote(*w))
+		return ""
+	}
+	return unit.Address(netip.AddrPortFrom(parsed.Addr().Unmap(), parsed.Port()).String())
+}
+
 // names gives the keys of a map in order.
 func names[T any](m map[string]T) []string {
 	all := make([]string, 0, len(m))
--- /dev/null
+++ b/internal/config/folder/flat.go
@@ -0,0 +1,111 @@
+package folder
+
+import (
+	"sort"
+	"strconv"
+	"strings"
+
+	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/catalog"
+)
+
+// Value is one setting of a configuration: its field path, such as "ranks.desk.urgency", and its value as JSON.
+type Value struct {
+	Path string
+	JSON string
+}
+
+// Change is one difference between two configurations; Old or New is empty when the setting is in one only.
+type Change struct {
+	Path string
+	Old  string
+	New  string
+}
+
+// Flatten lists every setting of a configuration in the order of the paths, defaults included. It gives nothing for
+// a nil catalog.
+func Flatten(c *catalog.Catalog) []Value {
+	f := &flattener{}
+	if c != nil {
+		for name, r := range c.Ranks {
+			f.rank("ranks."+string(name), r)
+		}
+		for name, s := range c.Searches {
+			f.search("searches."+string(name), s)
+		}
+	}
+	sort.Slice(f.values, func(i, j int) bool { return f.values[i].Path < f.values[j].Path })
+	return f.values
+}
+
+// Diff lists what differs between two lists of settings, in the order of the paths.
+func Diff(before, after []Value) []Change {
+	old := make(map[string]string, len(before))
+	for _, v := range before {
+		old[v.Path] = v.JSON
+	}
+	var all []Change
+	for _, v := range after {
+		if was, ok := old[v.Path]; !ok || was != v.JSON {
+			all = append(all, Change{Path: v.Path, Old: was, New: v.JSON})
+		}
+		delete(old, v.Path)
+	}
+	for path, was := range old {
+		all = append(all, Change{Path: path, Old: was})
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Path < all[j].Path })
+	return all
+}
+
+// flattener collects settings.
+type flattener struct {
+	values []Value
+}
+
+func (f *flattener) text(path, s string) { f.add(path, strconv.Quote(s)) }
+
+func (f *flattener) number(path string, n int) { f.add(path, strconv.Itoa(n)) }
+
+func (f *flattener) flag(path string, b bool) { f.add(path, strconv.FormatBool(b)) }
+
+func (f *flattener) share(path string, s unit.Share) {
+	f.add(path, strconv.FormatFloat(float64(s), 'g', -1, 64))
+}
+
+func (f *flattener) add(path, text string) {
+	f.values = append(f.values, Value{Path: path, JSON: text})
+}
+
+func (f *flattener) rank(path string, r catalog.Rank) {
+	f.number(path+".urgency", int(r.Urgency))
+	f.share(path+".floor", r.Floor)
+}
+
+func (f *flattener) search(path string, s *catalog.Search) {
+	f.text(path+".tenant", string(s.Tenant))
+	f.text(path+".aim", string(s.Aim))
+	f.flag(path+".once", s.Once)
+	f.flag(path+".hedge", s.Hedge)
+	f.share(path+".minimum", s.Minimum)
+	for _, snapshot := range s.Snapshots {
+		var shards []string
+		for _, shard := range snapshot.Shards {
+			shards = append(shards, strconv.Quote(string(shard)))
+		}
+		at := path + ".snapshots." + strconv.FormatUint(uint64(snapshot.ID), 10) + ".shards"
+		f.add(at, "["+strings.Join(shards, ", ")+"]")
+	}
+	for _, e := range s.Endpoints {
+		f.endpoint(path+".endpoints."+string(e.ID), e)
+	}
+}
+
+func (f *flattener) endpoint(path string, e catalog.Endpoint) {
+	f.text(path+".shard", string(e.Shard))
+	f.text(path+".address", string(e.Address))
+	f.text(path+".centre", string(e.Centre))
+	f.number(path+".slots", int(e.Slots))
+	f.number(path+".connections", int(e.Connections))
+	f.flag(path+".leaving", e.Leaving)
+}
--- a/internal/config/folder/folder.go
+++ b/internal/config/folder/folder.go
@@ -28,15 +28,36 @@
 	Content []byte
 }
 
+// Severity says what a problem does to a configuration.
+type Severity int
+
+// The severities.
+const (
+	// SeverityError makes every node refuse the configuration.
+	SeverityError Severity = iota
+	// SeverityWarning leaves the configuration valid; a check shows it.
+	SeverityWarning
+)
+
+// String gives the severity's word.
+func (s Severity) String() string {
+	if s == SeverityWarning {
+		return "warning"
+	}
+	return "error"
+}
+
 // Problem is one fault of a configuration.
 type Problem struct {
-	File  string
+	Severity Severity
+	File     string
+	// Line is 0 when the problem belongs to no line.
 	Line  int
 	Field string
 	Text  string
 }
 
-// String gives the problem as one line, "10-ranks.json:3: ranks.desk.urgency: must be at least 1".
+// String gives the problem as one line, "10-ranks.json:3: ranks.desk.urgency: must be from 1 to 1000".
 func (p Problem) String() string {
 	var b strings.Builder
 	if p.File != "" {
--- a/internal/config/folder/merge.go
+++ b/internal/config/folder/merge.go
@@ -1,9 +1,6 @@
 package folder
 
-import (
-	"bytes"
-	"encoding/json"
-)
+import "basilspan/internal/config/strict"
 
 // The wire types hold one file, or the merge of several. A nil field was not given; a null entry of a map removes
 // the entry that an earlier file made.
@@ -42,13 +39,21 @@
 	}
 )
 
+// decoded is one file as far as it could be read.
+type decoded struct {
+	strict.Result
+	wire wireFile
+}
+
 // decode reads one file strictly.
-func decode(content []byte) (wireFile, error) {
-	var f wireFile
-	d := json.NewDecoder(bytes.NewReader(content))
-	d.DisallowUnknownFields()
-	err := d.Decode(&f)
-	return f, err
+func decode(f File) decoded {
+	var one decoded
+	one.Result = strict.Decode(f.Content, &one.wire, strict.Options{
+		File: f.Name,
+		Name: strict.NameFault,
+		Null: "; null removes only a whole rank, search, snapshot or endpoint",
+	})
+	return one
 }
 
 // mergeFile lays the fields that from gives over those of to.
--- /dev/null
+++ b/internal/config/folder/search.go
@@ -0,0 +1,150 @@
+package folder
+
+import (
+	"sort"
+	"strconv"
+
+	"basilspan/internal/config/strict"
+	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/catalog"
+)
+
+func (c *checker) search(path, name string, w *wireSearch) *catalog.Search {
+	s := &catalog.Search{
+		Name:      unit.SearchName(name),
+		Tenant:    unit.TenantName(c.name(path+".tenant", w.Tenant)),
+		Aim:       c.aim(path+".aim", w.Aim),
+		Once:      value(w.Once),
+		Hedge:     value(w.Hedge),
+		Minimum:   c.share(path+".minimum", w.Minimum),
+		Snapshots: c.snapshots(path+".snapshots", w.Snapshots),
+	}
+	for _, id := range names(w.Endpoints) {
+		s.Endpoints = append(s.Endpoints, c.endpoint(path+".endpoints."+id, id, w.Endpoints[id]))
+	}
+	if s.Once && s.Hedge {
+		c.warn(path+".hedge", "has no effect, since once is true")
+	}
+	c.shards(path, s)
+	return s
+}
+
+// name gives a name that may be left out.
+func (c *checker) name(path string, w *string) string {
+	if w != nil && strict.NameFault(*w) != "" {
+		c.add(path, strict.NameRule)
+	}
+	return value(w)
+}
+
+func (c *checker) aim(path string, w *string) catalog.Aim {
+	if w == nil {
+		c.lack(path, `is missing; it must be "latency" or "coverage"`)
+		return ""
+	}
+	aim := catalog.Aim(*w)
+	if aim != catalog.AimLatency && aim != catalog.AimCoverage {
+		c.add(path, `must be "latency" or "coverage", not `+strconv.Quote(*w))
+	}
+	return aim
+}
+
+func (c *checker) snapshots(path string, wire map[string]*wireSnapshot) []catalog.Snapshot {
+	var all []catalog.Snapshot
+	for _, id := range names(wire) {
+		n, err := strconv.ParseUint(id, 10, 64)
+		if err != nil || n == 0 || strconv.FormatUint(n, 10) != id {
+			c.add(path+"."+id, "a snapshot is named by a whole number from 1, without leading zeros")
+			continue
+		}
+		snapshot := catalog.Snapshot{ID: unit.SnapshotID(n)}
+		for _, shard := range wire[id].Shards {
+			snapshot.Shards = append(snapshot.Shards, unit.ShardID(shard))
+		}
+		if len(snapshot.Shards) == 0 {
+			c.warn(path+"."+id+".shards", "the snapshot has no shards; its answers hold nothing")
+		}
+		all = append(all, snapshot)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+	return all
+}
+
+func (c *checker) endpoint(path, id string, w *wireEndpoint) catalog.Endpoint {
+	e := catalog.Endpoint{
+		ID:          unit.EndpointID(id),
+		Shard:       unit.ShardID(c.name(path+".shard", w.Shard)),
+		Address:     c.address(path+".address", w.Address),
+		Centre:      unit.CentreName(c.name(path+".centre", w.Centre)),
+		Slots:       unit.Slots(c.count(path+".slots", w.Slots, maxSlots)),
+		Connections: unit.Connections(c.count(path+".connections", w.Connections, maxConnections)),
+		Leaving:     value(w.Leaving),
+	}
+	if w.Shard == nil {
+		c.lack(path+".shard", "is missing")
+	}
+	if e.Connections > 0 && int(e.Connections) < int(e.Slots) {
+		c.warn(path+".connections", "fewer connections than slots leave slots unused")
+	}
+	return e
+}
+
+// shards warns where snapshots and endpoints don't match. These are no errors: a repartitioning passes through such
+// states one small file at a time, and the answers state the lower coverage.
+func (c *checker) shards(path string, s *catalog.Search) {
+	if c.partial {
+		return
+	}
+	if len(s.Snapshots) == 0 {
+		c.warn(path+".snapshots", "the search has no snapshot; every query gets code 209")
+	}
+	serving, leaving := make(map[unit.ShardID]bool), make(map[unit.ShardID]bool)
+	for _, e := range s.Endpoints {
+		serving[e.Shard] = serving[e.Shard] || !e.Leaving
+		leaving[e.Shard] = true
+	}
+	known, murky := make(map[unit.ShardID]bool), false
+	for _, snapshot := range s.Snapshots {
+		at := path + ".snapshots." + strconv.FormatUint(uint64(snapshot.ID), 10) + ".shards"
+		murky = murky || c.bad(at)
+		for _, shard := range snapshot.Shards {
+			known[shard] = true
+			switch {
+			case serving[shard]:
+			case leaving[shard]:
+				c.warn(at, "every endpoint of shard "+strconv.Quote(string(shard))+" is leaving; it will be missing from answers")
+			default:
+				c.warn(at, "shard "+strconv.Quote(string(shard))+" has no endpoint; it will be missing from answers")
+			}
+		}
+	}
+	for _, e := range s.Endpoints {
+		if !known[e.Shard] && e.Shard != "" && !murky {
+			at := path + ".endpoints." + string(e.ID) + ".shard"
+			c.warn(at, "shard "+strconv.Quote(string(e.Shard))+" is in no snapshot; the endpoint gets no work")
+		}
+	}
+}
+
+// shared reports endpoints of any searches that have one address or one id.
+func (c *checker) shared(built *catalog.Catalog) {
+	byAddress := make(map[unit.Address]string)
+	byID := make(map[unit.EndpointID]string)
+	searches := make([]string, 0, len(built.Searches))
+	for name := range built.Searches {
+		searches = append(searches, string(name))
+	}
+	sort.Strings(searches)
+	for _, name := range searches {
+		for _, e := range built.Searches[unit.SearchName(name)].Endpoints {
+			path := "searches." + name + ".endpoints." + string(e.ID)
+			if other, ok := byAddress[e.Address]; ok && e.Address != "" {
+				c.add(path+".address", "is the address of "+other+" too")
+			}
+			if other, ok := byID[e.ID]; ok {
+				c.add(path, "has the id of "+other+"; an endpoint's id is unique in the folder")
+			}
+			byAddress[e.Address], byID[e.ID] = path, path
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/strict/strict.go
@@ -0,0 +1,256 @@
+// Package strict reads JSON into wire types and refuses what encoding/json passes over: unknown and repeated keys, keys
+// in another case, nulls, and what follows the end. It reports every problem at once, with its line and field.
+package strict
+
+import (
+	"encoding/base64"
+	"fmt"
+	"reflect"
+	"sort"
+	"strconv"
+	"strings"
+)
+
+// Problem is one fault of a text.
+type Problem struct {
+	Line int
+	// Field is the path of the value, such as "ranks.desk.urgency"; it is empty for the text as a whole.
+	Field string
+	Text  string
+}
+
+// Options are what a format adds to the rules. Every field may be left out.
+type Options struct {
+	// File is put into every place.
+	File string
+	// Name gives the fault of a map's key or of a list's item, or "".
+	Name func(name string) string
+	// Null is added to the text of a problem with null.
+	Null string
+}
+
+// Result is what was read.
+type Result struct {
+	Place    *Place
+	Problems []Problem
+	// Broken says that the text is no JSON, so that nothing of it is known.
+	Broken bool
+}
+
+// decoder collects the problems of one text.
+type decoder struct {
+	options  Options
+	problems []Problem
+	// keys holds the keys of the wire types met so far.
+	keys map[reflect.Type]map[string]int
+}
+
+// Decode reads content into what the pointer into points to. Wire types are structs with a JSON key on each field,
+// maps and pointers of them, lists of strings, bytes in base64, and plain values.
+func Decode(content []byte, into any, options Options) Result {
+	root, syntax := parse(content)
+	if syntax != nil {
+		p := Problem{Line: syntax.line, Text: "is not valid JSON: " + syntax.Error()}
+		return Result{Place: &Place{}, Problems: []Problem{p}, Broken: true}
+	}
+	d := &decoder{options: options, keys: make(map[reflect.Type]map[string]int)}
+	place := &Place{}
+	d.fill(root, reflect.ValueOf(into).Elem(), "", place)
+	return Result{Place: place, Problems: d.problems}
+}
+
+func (d *decoder) add(line int, path, format string, args ...any) {
+	d.problems = append(d.problems, Problem{Line: line, Field: path, Text: fmt.Sprintf(format, args...)})
+}
+
+// name says whether a name keeps to the format's rule and reports it if not.
+func (d *decoder) name(line int, path, name string) bool {
+	if d.options.Name == nil {
+		return true
+	}
+	fault := d.options.Name(name)
+	if fault != "" {
+		d.add(line, path, "%s", fault)
+	}
+	return fault == ""
+}
+
+// fill sets the value that into stands for from n.
+func (d *decoder) fill(n *node, into reflect.Value, path string, at *Place) {
+	at.File, at.Line = d.options.File, n.line
+	switch into.Kind() {
+	case reflect.Pointer:
+		into.Set(reflect.New(into.Type().Elem()))
+		d.fill(n, into.Elem(), path, at)
+	case reflect.Struct:
+		if d.expect(n, kindObject, path, at) {
+			d.fillStruct(n, into, path, at)
+		}
+	case reflect.Map:
+		if d.expect(n, kindObject, path, at) {
+			d.fillMap(n, into, path, at)
+		}
+	case reflect.Slice:
+		d.fillSlice(n, into, path, at)
+	case reflect.String:
+		if d.expect(n, kindString, path, at) {
+			into.SetString(n.text)
+		}
+	case reflect.Bool:
+		if d.expect(n, kindBool, path, at) {
+			into.SetBool(n.flag)
+		}
+	default:
+		if d.expect(n, kindNumber, path, at) {
+			d.fillNumber(n, into, path, at)
+		}
+	}
+}
+
+// expect says whether n is of that kind and reports it if not.
+func (d *decoder) expect(n *node, kind nodeKind, path string, at *Place) bool {
+	switch {
+	case n.kind == kind:
+		return true
+	case n.kind == kindNull:
+		d.add(n.line, path, "must be %s, not null%s", kind, d.options.Null)
+	default:
+		d.add(n.line, path, "must be %s, not %s", kind, n.kind)
+	}
+	at.Bad = true
+	return false
+}
+
+func (d *decoder) fillStruct(n *node, into reflect.Value, path string, at *Place) {
+	known := d.keys[into.Type()]
+	if known == nil {
+		known = Keys(into.Type())
+		d.keys[into.Type()] = known
+	}
+	for _, f := range d.unique(n, path) {
+		i, ok := known[f.key]
+		if !ok {
+			d.add(f.line, join(path, f.key), "unknown key; the keys here are %s", list(known))
+			continue
+		}
+		d.fill(f.value, into.Field(i), join(path, f.key), at.child(f.key))
+	}
+}
+
+func (d *decoder) fillMap(n *node, into reflect.Value, path string, at *Place) {
+	into.Set(reflect.MakeMap(into.Type()))
+	for _, f := range d.unique(n, path) {
+		name := join(path, f.key)
+		if !d.name(f.line, name, f.key) {
+			continue
+		}
+		entry := reflect.Zero(into.Type().Elem())
+		if f.value.kind == kindNull {
+			at.child(f.key).Removed = true
+		} else {
+			entry = reflect.New(into.Type().Elem()).Elem()
+			d.fill(f.value, entry, name, at.child(f.key))
+		}
+		at.child(f.key).File, at.child(f.key).Line = d.options.File, f.line
+		into.SetMapIndex(reflect.ValueOf(f.key), entry)
+	}
+}
+
+// fillSlice reads bytes in base64, or a list of names.
+func (d *decoder) fillSlice(n *node, into reflect.Value, path string, at *Place) {
+	if into.Type().Elem().Kind() != reflect.Uint8 {
+		if d.expect(n, kindArray, path, at) {
+			d.fillNames(n, into, path, at)
+		}
+		return
+	}
+	if !d.expect(n, kindString, path, at) {
+		return
+	}
+	content, err := base64.StdEncoding.DecodeString(n.text)
+	if err != nil {
+		d.add(n.line, path, "must be bytes in base64: %v", err)
+		at.Bad = true
+	}
+	into.SetBytes(content)
+}
+
+// fillNames reads a list of names without repeats.
+func (d *decoder) fillNames(n *node, into reflect.Value, path string, at *Place) {
+	all := make([]string, 0, len(n.items))
+	seen := make(map[string]bool, len(n.items))
+	for i, item := range n.items {
+		name := path + "[" + strconv.Itoa(i) + "]"
+		if !d.expect(item, kindString, name, at) {
+			// The list is marked as bad, so that nothing more is said of what it lacks.
+			continue
+		}
+		d.name(item.line, name, item.text)
+		if seen[item.text] {
+			d.add(item.line, name, "%q stands in the list already", item.text)
+		}
+		seen[item.text] = true
+		all = append(all, item.text)
+	}
+	into.Set(reflect.ValueOf(all))
+}
+
+func (d *decoder) fillNumber(n *node, into reflect.Value, path string, at *Place) {
+	if into.Kind() == reflect.Float64 {
+		x, err := strconv.ParseFloat(n.text, 64)
+		if err != nil {
+			d.add(n.line, path, "%s is not a number that can be held", n.text)
+			at.Bad = true
+		}
+		into.SetFloat(x)
+		return
+	}
+	x, err := strconv.ParseInt(n.text, 10, into.Type().Bits())
+	if err != nil {
+		d.add(n.line, path, "must be a whole number, not %s", n.text)
+		at.Bad = true
+	}
+	into.SetInt(x)
+}
+
+// unique gives the fields of an object without repeats and reports each repeat.
+func (d *decoder) unique(n *node, path string) []field {
+	first := make(map[string]int, len(n.fields))
+	all := make([]field, 0, len(n.fields))
+	for _, f := range n.fields {
+		if line, ok := first[f.key]; ok {
+			d.add(f.line, join(path, f.key), "the key stands twice, first on line %d", line)
+			continue
+		}
+		first[f.key] = f.line
+		all = append(all, f)
+	}
+	return all
+}
+
+// Keys gives the JSON keys of a wire type with the index of each field.
+func Keys(t reflect.Type) map[string]int {
+	all := make(map[string]int, t.NumField())
+	for i := range t.NumField() {
+		key, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		all[key] = i
+	}
+	return all
+}
+
+// list gives the names of a set, quoted and in order.
+func list(set map[string]int) string {
+	var all []string
+	for name := range set {
+		all = append(all, strconv.Quote(name))
+	}
+	sort.Strings(all)
+	return strings.Join(all, ", ")
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
