--- a/internal/standin/record/record_test.go
+++ b/internal/standin/record/record_test.go
@@ -51,9 +51,9 @@
 	for i := range shards {
 		shard := "s" + strconv.Itoa(i)
 		names = append(names, `"`+shard+`"`)
-		for _, replica := range []string{"a", "b"} {
+		for j, replica := range []string{"a", "b"} {
 			endpoints = append(endpoints, `"`+shard+replica+`": {"shard": "`+shard+
-				`", "address": "10.0.0.1:80", "centre": "loopback", "slots": 2, "connections": 25}`)
+				`", "address": "10.0.0.`+strconv.Itoa(2*i+j+1)+`:80", "centre": "loopback", "slots": 2, "connections": 25}`)
 		}
 	}
 	list := strings.Join(names, ", ")
