--- a/internal/serve/operator/operator.go
+++ b/internal/serve/operator/operator.go
@@ -14,9 +14,11 @@
 
 	"basilspan/internal/core/kernel"
 	"basilspan/internal/core/metric"
+	"basilspan/internal/core/trace"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/core/view"
 	"basilspan/internal/serve/keepalive"
+	traceport "basilspan/internal/serve/trace"
 )
 
 type (
@@ -50,6 +52,7 @@
 	views    *view.Store
 	metrics  *metric.Set
 	tracker  *keepalive.Tracker
+	traces   *traceport.Port
 	done     chan struct{}
 }
 
@@ -77,6 +80,11 @@
 			if s.metrics, err = kernel.Find[*metric.Set](k, kernel.ServiceMetrics); err != nil {
 				return err
 			}
+			recorder, err := kernel.Find[*trace.Recorder](k, kernel.ServiceTrace)
+			if err != nil {
+				return err
+			}
+			s.traces = traceport.New(recorder)
 			return s.start()
 		},
 		Close: s.close,
@@ -104,6 +112,7 @@
 	s.server.GET("/status", s.status)
 	s.server.GET("/debug/vars", s.vars)
 	s.server.POST("/drain", s.drain)
+	s.server.GET(traceport.Path, s.traces.Handle)
 	go func() {
 		defer close(s.done)
 		_ = s.server.Run()
@@ -114,6 +123,7 @@
 func (s *Server) close() error {
 	s.tracker.BeginDrain()
 	s.tracker.CloseIdle()
+	s.traces.Close()
 	err := s.server.Shutdown(context.Background())
 	<-s.done
 	return errors.Wrap(err, "close the port for operators")
