--- a/internal/serve/operator/operator.go
+++ b/internal/serve/operator/operator.go
@@ -51,8 +51,8 @@
 	server   *server.Hertz
 	views    *view.Store
 	metrics  *metric.Set
-	traces   *traceport.Port
 	tracker  *keepalive.Tracker
+	traces   *traceport.Port
 	done     chan struct{}
 }
 
@@ -121,9 +121,9 @@
 }
 
 func (s *Server) close() error {
-	s.traces.Close()
 	s.tracker.BeginDrain()
 	s.tracker.CloseIdle()
+	s.traces.Close()
 	err := s.server.Shutdown(context.Background())
 	<-s.done
 	return errors.Wrap(err, "close the port for operators")
