Hedge, retry, restart and settle under one budget

Ruled out: a budget that the machine asks for each hedge, since a replay would then need its answers; the allowance is set aside at the start instead and the unused part given back.

New codes: 215 (given up before the request was sent), 306 (below the search's minimum, parts withheld).

--- a/internal/core/query/driver.go
+++ b/internal/core/query/driver.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 
 	"basilspan/internal/core/unit"
 	"basilspan/internal/link/endpoint"
@@ -18,15 +17,15 @@
 	// replies has room for every attempt, so that a late one never blocks its sender.
 	replies chan fanout.Reply
 	cancels map[unit.AttemptID]context.CancelFunc
-	wg      sync.WaitGroup
 }
 
-func newDriver(r *Runner, q fanout.Query, search *catalog.Search) *driver {
+// newDriver makes the driver of a query that makes at most that many attempts.
+func newDriver(r *Runner, q fanout.Query, search *catalog.Search, attempts int) *driver {
 	d := &driver{
 		runner:    r,
 		query:     q,
 		endpoints: make(map[unit.EndpointID]catalog.Endpoint, len(search.Endpoints)),
-		replies:   make(chan fanout.Reply, len(search.Endpoints)),
+		replies:   make(chan fanout.Reply, attempts),
 		cancels:   make(map[unit.AttemptID]context.CancelFunc),
 	}
 	for _, e := range search.Endpoints {
@@ -47,14 +46,16 @@
 	}
 }
 
+// send starts an attempt. The runner waits for its end, also when the query has its answer before.
 func (d *driver) send(ctx context.Context, attempt fanout.Attempt) {
 	ctx, d.cancels[attempt.ID] = context.WithCancel(ctx)
 	e := d.endpoints[attempt.Endpoint]
 	call := endpoint.Call{Query: d.query, Attempt: attempt, Address: e.Address, MaxConns: e.Connections}
-	d.wg.Add(1)
+	d.runner.fleet.sent(d.runner.Now(), call)
+	d.runner.wg.Add(1)
 	go func() {
-		defer d.wg.Done()
-		d.replies <- d.runner.Send(ctx, call)
+		defer d.runner.wg.Done()
+		d.replies <- d.runner.attempt(ctx, call)
 	}()
 }
 
--- a/internal/core/query/query.go
+++ b/internal/core/query/query.go
@@ -11,7 +11,6 @@
 	"basilspan/internal/core/unit"
 	"basilspan/internal/core/view"
 	"basilspan/internal/link/endpoint"
-	"basilspan/internal/policy/catalog"
 	"basilspan/internal/policy/fanout"
 )
 
@@ -26,8 +25,13 @@
 	// Send makes one attempt and waits for its end.
 	Send func(ctx context.Context, call endpoint.Call) fanout.Reply
 
+	// Draining, when set, is told of each endpoint that answers that it is leaving.
+	Draining func(id unit.EndpointID)
+
 	gates gates
-	wg    sync.WaitGroup
+	fleet fleet
+	// wg counts the queries and attempts under way.
+	wg sync.WaitGroup
 }
 
 // Run answers one query; it returns by the query's deadline.
@@ -40,7 +44,7 @@
 	return answer
 }
 
-// Close waits for the queries under way.
+// Close waits for the queries and attempts under way.
 func (r *Runner) Close() error {
 	r.wg.Wait()
 	return nil
@@ -60,13 +64,14 @@
 		return fanout.Refuse(q.ID, code, code.String())
 	}
 	defer func() { r.gates.leave(r.Now(), q.Search) }()
-	plan, ok := fanout.Choose(search, func(e catalog.Endpoint) fanout.Condition {
-		return fanout.Condition{Leaving: v.Leaving[e.ID]}
-	})
+	plan, ok := r.fleet.plan(r.Now(), v, q)
 	if !ok {
 		return fanout.Refuse(q.ID, unit.CodeNoEndpoint, "the search has no snapshot")
 	}
-	return r.drive(ctx, fanout.New(q, plan), q, search)
+	answer := r.drive(ctx, fanout.New(q, plan), newDriver(r, q, search, plan.MaxAttempts()))
+	r.fleet.refund(q.Search, plan.Terms.Allowance-answer.Extra.Spent)
+	r.count(answer)
+	return answer
 }
 
 // check gives the reason to refuse a query, or 0.
@@ -88,26 +93,47 @@
 }
 
 // drive carries out the machine's actions until the answer is final.
-func (r *Runner) drive(ctx context.Context, m *fanout.Machine, q fanout.Query, search *catalog.Search) fanout.Answer {
-	d := newDriver(r, q, search)
+func (r *Runner) drive(ctx context.Context, m *fanout.Machine, d *driver) fanout.Answer {
 	defer d.close()
 	d.do(ctx, m.Start(r.Now()))
-	timer := time.NewTimer(time.Until(m.Wake()))
+	timer := time.NewTimer(m.Wake().Sub(r.Now()))
 	defer timer.Stop()
+	ended := ctx.Done()
 	for !m.Done() {
 		select {
 		case reply := <-d.replies:
 			d.do(ctx, m.Reply(r.Now(), reply))
 		case <-timer.C:
 			d.do(ctx, m.Tick(r.Now()))
-		case <-ctx.Done():
+		case <-ended:
+			ended = nil
 			d.do(ctx, m.Stop(stopCode(ctx)))
 		}
-		timer.Reset(time.Until(m.Wake()))
+		timer.Reset(m.Wake().Sub(r.Now()))
 	}
 	return m.Answer()
 }
 
+// attempt makes one attempt, waits for its end and has the fleet learn from it.
+func (r *Runner) attempt(ctx context.Context, call endpoint.Call) fanout.Reply {
+	began := r.Now()
+	reply := r.Send(ctx, call)
+	r.fleet.ended(r.Now(), began, call, reply.Code)
+	if reply.Code == unit.CodeDraining && r.Draining != nil {
+		r.Draining(call.Attempt.Endpoint)
+	}
+	return reply
+}
+
+// count adds up what a query's attempts cost.
+func (r *Runner) count(answer fanout.Answer) {
+	r.Metrics.Add("fanout.attempts", int64(answer.Extra.Attempts))
+	r.Metrics.Add("fanout.hedges", int64(answer.Extra.Hedges))
+	r.Metrics.Add("fanout.retries", int64(answer.Extra.Retries))
+	r.Metrics.Add("fanout.restarts", int64(answer.Extra.Restarts))
+	r.Metrics.Add("fanout.late", int64(answer.Extra.Late))
+}
+
 // stopCode gives the reason for a query that ends with its context.
 func stopCode(ctx context.Context) unit.Code {
 	if ctx.Err() == context.DeadlineExceeded {
--- a/internal/core/unit/code.go
+++ b/internal/core/unit/code.go
@@ -38,6 +38,7 @@
 	CodeDraining       Code = 212
 	CodeNotConnected   Code = 213
 	CodeStaleView      Code = 214
+	CodeNotSent        Code = 215
 
 	CodeDeadline      Code = 300
 	CodeConnection    Code = 301
@@ -45,6 +46,7 @@
 	CodeBadReply      Code = 303
 	CodeEndpointError Code = 304
 	CodeOwnerLost     Code = 305
+	CodeBelowMinimum  Code = 306
 )
 
 // codeText gives the short text of each code.
@@ -66,11 +68,13 @@
 	CodeDraining:       "the endpoint is leaving",
 	CodeNotConnected:   "no connection to the endpoint could be made",
 	CodeStaleView:      "this entry VM's view is too old to send work",
+	CodeNotSent:        "given up before the request was sent",
 	CodeDeadline:       "the deadline passed after the request was sent",
 	CodeConnection:     "the connection failed after the request was sent",
 	CodeCancelled:      "cancelled after the request was sent",
 	CodeBadReply:       "the endpoint's reply is not valid",
 	CodeEndpointError:  "the endpoint failed while it ran the request",
+	CodeBelowMinimum:   "the coverage is below the minimum of the search, so its parts are withheld",
 	CodeOwnerLost:      "the entry VM that owns the endpoint was lost after the request was sent",
 }
 
--- a/internal/link/endpoint/endpoint.go
+++ b/internal/link/endpoint/endpoint.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,6 +33,8 @@
 const (
 	// maxReply is the largest reply body that is read.
 	maxReply = 1 << 20
+	// maxHeader is the largest reply header that is read.
+	maxHeader = 1 << 16
 	// idleTime is how long an unused connection is kept warm.
 	idleTime = 90 * time.Second
 	// dialTime bounds the making of a connection.
@@ -61,12 +62,19 @@
 	return &Client{
 		Now: now,
 		transport: &http.Transport{
-			Proxy:               nil,
-			DialContext:         dialer.DialContext,
-			MaxConnsPerHost:     int(connections),
-			MaxIdleConnsPerHost: int(connections),
-			IdleConnTimeout:     idleTime,
-			DisableCompression:  true,
+			Proxy: nil,
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				c, err := dialer.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return &conn{Conn: c}, nil
+			},
+			MaxConnsPerHost:        int(connections),
+			MaxIdleConnsPerHost:    int(connections),
+			MaxResponseHeaderBytes: maxHeader,
+			IdleConnTimeout:        idleTime,
+			DisableCompression:     true,
 		},
 	}
 }
@@ -77,21 +85,21 @@
 	return nil
 }
 
-// Send makes one attempt and waits for its end. The outcome is "not run" only while no byte of the request can have
-// left, or when the endpoint says that it refused; a failure after that is unknown.
+// Send makes one attempt and waits for its end. The outcome is "not run" only when no byte of the request has left
+// and none will, or when the endpoint says that it refused; a failure after that is unknown.
 func (c *Client) Send(ctx context.Context, call Call) fanout.Reply {
 	reply := fanout.Reply{Attempt: call.Attempt.ID}
 	ctx, cancel := context.WithDeadline(ctx, call.Query.Deadline)
 	defer cancel()
-	var sent atomic.Bool
-	req, err := c.request(ctx, call, &sent)
+	g := &gate{now: c.Now, deadline: call.Query.Deadline}
+	req, err := c.request(ctx, call, g)
 	if err != nil {
 		reply.Code = unit.CodeNotConnected
 		return reply
 	}
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
-		reply.Code = failure(ctx, err, sent.Load())
+		reply.Code = failure(ctx, err, g.close())
 		return reply
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -100,21 +108,17 @@
 		reply.Code = failure(ctx, err, true)
 		return reply
 	}
-	reply.Code = status(resp, len(body))
-	reply.Body = body
-	reply.Shard = unit.ShardID(resp.Header.Get(headerShard))
-	n, err := strconv.ParseUint(resp.Header.Get(headerSnapshot), 10, 64)
-	if err != nil && reply.Code == unit.CodeWhole {
-		reply.Code = unit.CodeBadReply
-	}
-	reply.Snapshot = unit.SnapshotID(n)
-	return reply
+	return decode(reply, call, resp, body)
 }
 
-// request builds the HTTP request; sent becomes true once a connection is at hand and bytes may leave.
-func (c *Client) request(ctx context.Context, call Call, sent *atomic.Bool) (*http.Request, error) {
+// request builds the HTTP request; its bytes pass g on whatever connection it is given.
+func (c *Client) request(ctx context.Context, call Call, g *gate) (*http.Request, error) {
 	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			if gated, ok := info.Conn.(*conn); ok {
+				gated.gate.Store(g)
+			}
+		},
 	}
 	ctx = httptrace.WithClientTrace(ctx, trace)
 	url := "http://" + string(call.Address) + "/leaf"
@@ -136,11 +140,30 @@
 	return req, nil
 }
 
+// decode gives the reply that a whole response means.
+func decode(reply fanout.Reply, call Call, resp *http.Response, body []byte) fanout.Reply {
+	reply.Code = status(resp, len(body))
+	if reply.Code != unit.CodeWhole {
+		return reply
+	}
+	n, err := strconv.ParseUint(resp.Header.Get(headerSnapshot), 10, 64)
+	if err != nil || resp.Header.Get(headerRequest) != string(call.Query.ID) {
+		reply.Code = unit.CodeBadReply
+		return reply
+	}
+	reply.Body = body
+	reply.Shard = unit.ShardID(resp.Header.Get(headerShard))
+	reply.Snapshot = unit.SnapshotID(n)
+	return reply
+}
+
 // status gives the code of a reply that has come whole.
 func status(resp *http.Response, size int) unit.Code {
 	switch resp.StatusCode {
 	case http.StatusOK:
-		if size > maxReply {
+		// A body that ends with its connection does not show whether it was cut.
+		endless := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+		if size > maxReply || endless {
 			return unit.CodeBadReply
 		}
 		return unit.CodeWhole
@@ -155,17 +178,20 @@
 	}
 }
 
-// failure gives the code of a call that has no reply.
+// failure gives the code of a call that has no reply; sent says whether a byte of it may have left.
 func failure(ctx context.Context, err error, sent bool) unit.Code {
-	late := errors.Is(err, context.DeadlineExceeded) || errors.Is(ctx.Err(), context.DeadlineExceeded)
+	late := errors.Is(err, errTooLate) || errors.Is(ctx.Err(), context.DeadlineExceeded)
+	cancelled := errors.Is(ctx.Err(), context.Canceled)
 	switch {
 	case !sent && late:
 		return unit.CodeTooLate
+	case !sent && cancelled:
+		return unit.CodeNotSent
 	case !sent:
 		return unit.CodeNotConnected
 	case late:
 		return unit.CodeDeadline
-	case errors.Is(err, context.Canceled):
+	case cancelled:
 		return unit.CodeCancelled
 	default:
 		return unit.CodeConnection
--- a/internal/policy/fanout/machine_test.go
+++ b/internal/policy/fanout/machine_test.go
@@ -12,7 +12,7 @@
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func twoShards() Plan {
-	return Plan{Snapshot: 7, Shards: []Shard{
+	return Plan{Snapshot: 7, Terms: Terms{Allowance: 2}, Shards: []Shard{
 		{ID: "a", Replicas: []unit.EndpointID{"a1", "a2"}},
 		{ID: "b", Replicas: []unit.EndpointID{"b1", "b2"}},
 	}}
@@ -98,5 +98,7 @@
 	m.Start(start)
 	actions := m.Tick(start.Add(time.Second))
 	assert.Equal(t, len(actions), 2)
+	m.Tick(m.Wake())
+	assert.Assert(t, m.Done())
 	assert.Equal(t, m.Answer().Code, unit.CodeDeadline)
 }
--- a/internal/policy/fanout/plan.go
+++ b/internal/policy/fanout/plan.go
@@ -1,10 +1,24 @@
 package fanout
 
 import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
 	"basilspan/internal/core/unit"
 	"basilspan/internal/policy/catalog"
 )
 
+const (
+	// maxVersions is how many snapshots one query may try.
+	maxVersions = 3
+	// alike is the ratio of costs up to which two replicas count as equally good.
+	alike = 1.5
+	// unmeasured stands for the latency of an endpoint that has not answered yet.
+	unmeasured = 5 * time.Millisecond
+)
+
 // Condition is what an entry VM knows of an endpoint from its own calls and from its peers.
 type Condition struct {
 	// Leaving endpoints get no new work.
@@ -15,53 +29,146 @@
 	Near bool
 	// Busy is how many attempts this entry VM has open there.
 	Busy int
+	// Latency is the recent latency of its replies; 0 means that there is none.
+	Latency time.Duration
+	// Lacks are the snapshots that it has lately said it does not hold.
+	Lacks []unit.SnapshotID
 }
 
-// Choose makes the plan for a search: its newest snapshot, that snapshot's shards, and each shard's replicas in the
-// order in which they are asked. ok is false when the search has no snapshot.
-func Choose(search *catalog.Search, condition func(catalog.Endpoint) Condition) (plan Plan, ok bool) {
-	snapshot, ok := search.Newest()
-	if !ok {
+// candidate is an endpoint that may be asked, with its condition.
+type candidate struct {
+	endpoint  catalog.Endpoint
+	condition Condition
+	// turn orders candidates that are equally good, differently for each request.
+	turn uint64
+}
+
+// Choose makes the plan for a request: the snapshot of which most shards can be asked and of those the newest, that
+// snapshot's shards, and each shard's replicas in the order in which they are asked. The other snapshots that can be
+// asked as well become the plan's fallback. ok is false when the search has no snapshot.
+func Choose(
+	search *catalog.Search, id unit.RequestID, condition func(catalog.Endpoint) Condition,
+) (plan Plan, ok bool) {
+	if len(search.Snapshots) == 0 {
 		return Plan{}, false
 	}
-	plan = Plan{Snapshot: snapshot.ID, Shards: make([]Shard, 0, len(snapshot.Shards))}
-	for _, id := range snapshot.Shards {
-		shard := Shard{ID: id, Replicas: order(search.Replicas(id), condition)}
-		plan.Shards = append(plan.Shards, shard)
+	byShard := candidates(search, id, condition)
+	versions := make([]Version, 0, maxVersions)
+	for i := len(search.Snapshots) - 1; i >= 0 && len(versions) < maxVersions; i-- {
+		versions = append(versions, version(search.Snapshots[i], byShard))
+	}
+	slices.SortStableFunc(versions, func(a, b Version) int { return b.rating() - a.rating() })
+	first := versions[0]
+	return Plan{Snapshot: first.Snapshot, Shards: first.Shards, Fallback: askable(versions[1:])}, true
+}
+
+// rating gives the share of the shards that can be asked, in thousandths rounded down; only a whole version has 1000.
+func (v Version) rating() int {
+	if len(v.Shards) == 0 {
+		return 0
+	}
+	n := 0
+	for _, s := range v.Shards {
+		if len(s.Replicas) > 0 {
+			n++
+		}
+	}
+	return 1000 * n / len(v.Shards)
+}
+
+// askable leaves out the versions of which no shard can be asked.
+func askable(versions []Version) []Version {
+	var kept []Version
+	for _, v := range versions {
+		if v.rating() > 0 {
+			kept = append(kept, v)
+		}
 	}
-	return plan, true
+	return kept
 }
 
-// order sorts replicas: not ejected before ejected, then the less busy, then the nearer; leaving ones are left out.
-func order(replicas []catalog.Endpoint, condition func(catalog.Endpoint) Condition) []unit.EndpointID {
-	var ids []unit.EndpointID
-	var conditions []Condition
-	for _, e := range replicas {
+// candidates groups the endpoints that may get work by shard, the best first.
+func candidates(
+	search *catalog.Search, id unit.RequestID, condition func(catalog.Endpoint) Condition,
+) map[unit.ShardID][]candidate {
+	byShard := make(map[unit.ShardID][]candidate)
+	for _, e := range search.Endpoints {
 		c := condition(e)
 		if c.Leaving || e.Leaving {
 			continue
 		}
-		at := len(ids)
-		for at > 0 && before(c, conditions[at-1]) {
-			at--
+		turn := xxhash.Sum64String(string(id) + "/" + string(e.ID))
+		byShard[e.Shard] = append(byShard[e.Shard], candidate{endpoint: e, condition: c, turn: turn})
+	}
+	for _, all := range byShard {
+		slices.SortFunc(all, byTurn)
+		best := cost(all[0].condition)
+		for _, c := range all {
+			best = min(best, cost(c.condition))
 		}
-		ids = append(ids, "")
-		conditions = append(conditions, Condition{})
-		copy(ids[at+1:], ids[at:])
-		copy(conditions[at+1:], conditions[at:])
-		ids[at] = e.ID
-		conditions[at] = c
+		slices.SortStableFunc(all, func(a, b candidate) int { return compare(a, b, best) })
+	}
+	return byShard
+}
+
+func byTurn(a, b candidate) int {
+	if a.turn < b.turn {
+		return -1
+	}
+	return 1
+}
+
+// compare orders the candidates of one shard: not ejected before ejected; then those with a cost alike to the best
+// one, the near before the far; then by cost.
+func compare(a, b candidate, best float64) int {
+	if a.condition.Ejected != b.condition.Ejected {
+		return order(b.condition.Ejected)
+	}
+	costA, costB := cost(a.condition), cost(b.condition)
+	goodA, goodB := costA <= alike*best, costB <= alike*best
+	switch {
+	case goodA != goodB:
+		return order(goodA)
+	case goodA && a.condition.Near != b.condition.Near:
+		return order(a.condition.Near)
+	case goodA || costA == costB:
+		return 0
+	default:
+		return order(costA < costB)
 	}
-	return ids
 }
 
-// before says whether a is to be asked before b.
-func before(a, b Condition) bool {
-	if a.Ejected != b.Ejected {
-		return b.Ejected
+func order(first bool) int {
+	if first {
+		return -1
 	}
-	if a.Busy != b.Busy {
-		return a.Busy < b.Busy
+	return 1
+}
+
+// cost is the latency that a further attempt may expect, in seconds.
+func cost(c Condition) float64 {
+	latency := c.Latency
+	if latency <= 0 {
+		latency = unmeasured
+	}
+	return latency.Seconds() * float64(c.Busy+1)
+}
+
+// version gives a snapshot's shards with the replicas that are not known to lack it.
+func version(snapshot catalog.Snapshot, byShard map[unit.ShardID][]candidate) Version {
+	v := Version{Snapshot: snapshot.ID, Shards: make([]Shard, 0, len(snapshot.Shards))}
+	for _, id := range snapshot.Shards {
+		shard := Shard{ID: id}
+		for _, c := range byShard[id] {
+			if slices.Contains(c.condition.Lacks, snapshot.ID) {
+				continue
+			}
+			shard.Replicas = append(shard.Replicas, c.endpoint.ID)
+			if !c.condition.Ejected {
+				shard.Healthy++
+			}
+		}
+		v.Shards = append(v.Shards, shard)
 	}
-	return a.Near && !b.Near
+	return v
 }
--- a/internal/policy/fanout/query.go
+++ b/internal/policy/fanout/query.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/catalog"
 )
 
 // Query is one caller's request.
@@ -23,12 +24,53 @@
 type Shard struct {
 	ID       unit.ShardID
 	Replicas []unit.EndpointID
+	// Healthy is how many of the first Replicas are not ejected; only these are hedged to.
+	Healthy int
+}
+
+// Version is one snapshot with the shards of its partitioning.
+type Version struct {
+	Snapshot unit.SnapshotID
+	Shards   []Shard
+}
+
+// Terms bound what a query may do beyond the first attempt at each shard.
+type Terms struct {
+	Aim catalog.Aim
+	// Minimum is the coverage below which the parts are withheld.
+	Minimum unit.Share
+	// HedgeAfter is the age at which an attempt is hedged; 0 means never.
+	HedgeAfter time.Duration
+	// Allowance is how many hedges and retries the budget has set aside for this query.
+	Allowance int
+	// Expected is the time that a repeat of the whole query is expected to need.
+	Expected time.Duration
 }
 
 // Plan is what a query is to be asked, and of whom.
 type Plan struct {
 	Snapshot unit.SnapshotID
 	Shards   []Shard
+	Terms    Terms
+	// Fallback are the versions that the whole query may be repeated on, the preferred one first.
+	Fallback []Version
+}
+
+// MaxAttempts is the largest number of attempts that a machine makes for the plan.
+func (p Plan) MaxAttempts() int {
+	n := maxAttempts(p.Shards)
+	for _, v := range p.Fallback {
+		n += maxAttempts(v.Shards)
+	}
+	return n
+}
+
+func maxAttempts(shards []Shard) int {
+	n := 0
+	for _, s := range shards {
+		n += len(s.Replicas) + secondPass
+	}
+	return n
 }
 
 // Part is one shard's share of an answer.
@@ -49,7 +91,12 @@
 	Attempts int
 	Hedges   int
 	Retries  int
-	Late     int
+	// Restarts are the repeats of the whole query on another snapshot.
+	Restarts int
+	// Late are the replies to attempts that had ended already.
+	Late int
+	// Spent is how much of the allowance was used.
+	Spent int
 }
 
 // Answer is the end of a query.
--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/standin/endpoint/endpoint.go
@@ -247,6 +247,7 @@
 func (s *Server) reply(w http.ResponseWriter, r *http.Request, faults Faults) {
 	snapshot := r.Header.Get(headerSnapshot)
 	body := Body(unit.RequestID(r.Header.Get(headerRequest)), s.settings.Shard, snapshot)
+	w.Header().Set(headerRequest, r.Header.Get(headerRequest))
 	w.Header().Set(headerShard, string(s.settings.Shard))
 	w.Header().Set(headerSnapshot, snapshot)
 	switch {
