Judge the recording test by replay alone

Ruled out: a fault on both replicas (a hedge could then not help). Change: that a scenario showed its fault is asked only when traces are recorded to be kept; every run still replays its whole recording without a difference. Conclusion: the verdict no longer depends on speed.

--- a/internal/standin/record/record_test.go
+++ b/internal/standin/record/record_test.go
@@ -291,6 +291,10 @@
 				send(d, tt.name, 20, 500*time.Millisecond, tt.timeout, tt.once)
 			})
 			check(t, records)
+			if *recordDir == "" {
+				// Which replica a query goes to follows measured latencies, so that not every run meets the fault.
+				return
+			}
 			kept, ok := Cut(records, tt.matters)
 			assert.Assert(t, ok, "no query showed what the scenario is for: %s", summary(records))
 			check(t, append(kept, replay.Record{Kind: replay.KindEnd}))
