--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/standin/endpoint/endpoint.go
@@ -5,6 +5,7 @@
 package endpoint
 
 import (
+	"bytes"
 	"net"
 	"net/http"
 	"strconv"
@@ -38,6 +39,8 @@
 	ConnectTime time.Duration
 	// ServiceTime gives how long the next call runs.
 	ServiceTime func() time.Duration
+	// Ran takes the run of a request at a shard and says whether it has run there before, at any replica.
+	Ran func(shard unit.ShardID, id unit.RequestID) bool
 }
 
 // Faults change an endpoint's behaviour while it runs.
@@ -52,6 +55,14 @@
 	CutAfterRun bool `json:"cut,omitempty"`
 	// Truncate ends the reply's body early.
 	Truncate bool `json:"truncate,omitempty"`
+	// Hang runs the call and then says nothing until the caller goes.
+	Hang bool `json:"hang,omitempty"`
+	// Stray replies for another shard.
+	Stray bool `json:"stray,omitempty"`
+	// Old replies with the snapshot before the one that was asked for.
+	Old bool `json:"old,omitempty"`
+	// Double sends the whole reply twice.
+	Double bool `json:"double,omitempty"`
 }
 
 // Stats count what an endpoint has seen.
@@ -62,7 +73,7 @@
 	Refused int64 `json:"refused"`
 	// Wasted are the calls that ran and whose caller had gone by their end.
 	Wasted int64 `json:"wasted"`
-	// Doubled are the runs of a request that had run here before and may run only once.
+	// Doubled are the runs of a request that had run at the shard before and may run only once.
 	Doubled int64 `json:"doubled"`
 	// Late are the calls whose deadline passed, or whose caller went, while they waited for a slot.
 	Late int64 `json:"late"`
@@ -78,7 +89,6 @@
 	faults   Faults
 	stats    Stats
 	waiting  int
-	once     map[string]bool
 	slots    chan struct{}
 	listener net.Listener
 	server   *http.Server
@@ -89,7 +99,6 @@
 func New(settings Settings) *Server {
 	s := &Server{
 		settings: settings,
-		once:     make(map[string]bool),
 		slots:    make(chan struct{}, settings.Slots),
 		done:     make(chan struct{}),
 	}
@@ -210,12 +219,9 @@
 		return false
 	}
 	s.stats.Runs++
-	if r.Header.Get(headerOnce) != "" {
-		id := r.Header.Get(headerRequest)
-		if s.once[id] {
-			s.stats.Doubled++
-		}
-		s.once[id] = true
+	id := unit.RequestID(r.Header.Get(headerRequest))
+	if r.Header.Get(headerOnce) != "" && s.settings.Ran(s.settings.Shard, id) {
+		s.stats.Doubled++
 	}
 	return true
 }
@@ -246,21 +252,55 @@
 // reply writes a body that names what it answers, so that the load sender can check whose answer it got.
 func (s *Server) reply(w http.ResponseWriter, r *http.Request, faults Faults) {
 	snapshot := r.Header.Get(headerSnapshot)
-	body := Body(unit.RequestID(r.Header.Get(headerRequest)), s.settings.Shard, snapshot)
+	shard := s.settings.Shard
+	if faults.Stray {
+		shard += "-stray"
+	}
+	if faults.Old {
+		snapshot = before(snapshot)
+	}
+	body := Body(unit.RequestID(r.Header.Get(headerRequest)), shard, snapshot)
 	w.Header().Set(headerRequest, r.Header.Get(headerRequest))
-	w.Header().Set(headerShard, string(s.settings.Shard))
+	w.Header().Set(headerShard, string(shard))
 	w.Header().Set(headerSnapshot, snapshot)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	switch {
 	case faults.CutAfterRun:
 		panic(http.ErrAbortHandler)
 	case faults.Truncate:
-		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		_, _ = w.Write(body[:len(body)/2])
 		panic(http.ErrAbortHandler)
+	case faults.Hang:
+		<-r.Context().Done()
+		return
+	case faults.Double:
+		double(w, body)
+		return
 	}
 	_, _ = w.Write(body)
 }
 
+// before gives the number of the snapshot before.
+func before(snapshot string) string {
+	n, _ := strconv.ParseUint(snapshot, 10, 64)
+	return strconv.FormatUint(n-1, 10)
+}
+
+// double writes the whole reply twice to the connection.
+func double(w http.ResponseWriter, body []byte) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	var text bytes.Buffer
+	text.WriteString("HTTP/1.1 200 OK\r\n")
+	_ = w.Header().Write(&text)
+	text.WriteString("\r\n")
+	text.Write(body)
+	_, _ = c.Write(bytes.Repeat(text.Bytes(), 2))
+}
+
 // Body gives the body that a stand-in endpoint answers with.
 func Body(request unit.RequestID, shard unit.ShardID, snapshot string) []byte {
 	return []byte(string(request) + "/" + string(shard) + "/" + snapshot)
--- a/internal/standin/endpoint/fleet.go
+++ b/internal/standin/endpoint/fleet.go
@@ -41,9 +41,10 @@
 func StartFleet(built *catalog.Catalog, settings FleetSettings) (*Fleet, error) {
 	f := &Fleet{servers: make(map[unit.EndpointID]*Server)}
 	draw := lognormal(settings)
+	ran := ledger()
 	for _, search := range built.Searches {
 		for _, e := range search.Endpoints {
-			s := New(fleetMember(e, settings, draw))
+			s := New(fleetMember(e, settings, draw, ran))
 			if err := s.Start(); err != nil {
 				return nil, errors.CombineErrors(err, f.Close())
 			}
@@ -53,7 +54,9 @@
 	return f, nil
 }
 
-func fleetMember(e catalog.Endpoint, settings FleetSettings, draw func() time.Duration) Settings {
+func fleetMember(
+	e catalog.Endpoint, settings FleetSettings, draw func() time.Duration, ran func(unit.ShardID, unit.RequestID) bool,
+) Settings {
 	one := Settings{
 		ID:          e.ID,
 		Shard:       e.Shard,
@@ -63,6 +66,7 @@
 		Queue:       fleetQueue,
 		ConnectTime: connectSmall,
 		ServiceTime: draw,
+		Ran:         ran,
 	}
 	if e.Connections <= largeConnections {
 		one.ConnectTime = connectLarge
@@ -73,6 +77,24 @@
 	return one
 }
 
+// ledger gives a function that remembers which requests have run at which shard, over all replicas; several goroutines
+// may use it.
+func ledger() func(unit.ShardID, unit.RequestID) bool {
+	type run struct {
+		shard unit.ShardID
+		id    unit.RequestID
+	}
+	var mu sync.Mutex
+	runs := make(map[run]bool)
+	return func(shard unit.ShardID, id unit.RequestID) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		again := runs[run{shard, id}]
+		runs[run{shard, id}] = true
+		return again
+	}
+}
+
 // lognormal gives a source of service times that several goroutines may use.
 func lognormal(settings FleetSettings) func() time.Duration {
 	var mu sync.Mutex
--- /dev/null
+++ b/internal/standin/proc/answer_test.go
@@ -0,0 +1,257 @@
+package proc
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilspan/internal/config/folder"
+	"basilspan/internal/core/unit"
+	"basilspan/internal/standin/endpoint"
+	"basilspan/internal/standin/load"
+)
+
+// longTime is a timeout that no query without a fault comes near.
+const longTime = 20 * time.Second
+
+type (
+	// question is a query as a caller sends it.
+	question struct {
+		ID      string `json:"id"`
+		Search  string `json:"search"`
+		Rank    string `json:"rank"`
+		Timeout int64  `json:"timeout"`
+		Once    bool   `json:"once"`
+		Body    []byte `json:"body"`
+	}
+
+	// reply is an answer as a caller gets it.
+	reply struct {
+		ID       string `json:"id"`
+		Code     int    `json:"code"`
+		Snapshot uint64 `json:"snapshot"`
+		Asked    int    `json:"asked"`
+		Parts    []struct {
+			Shard string `json:"shard"`
+			Body  []byte `json:"body"`
+		} `json:"parts"`
+		Missing []struct {
+			Shard string `json:"shard"`
+			Code  int    `json:"code"`
+		} `json:"missing"`
+		Extra struct {
+			Attempts int `json:"attempts"`
+		} `json:"extra"`
+	}
+)
+
+// small is a configuration of the searches "desk", which hedges, "whole", which withholds anything less than full
+// coverage, and "stock", which runs once. Each has the shards a, b and c with two endpoints, and holds the snapshots.
+func small(snapshots ...int) []folder.File {
+	kinds := []string{
+		`"desk": {"tenant": "t", "aim": "coverage", "once": false, "hedge": true, "minimum": 0`,
+		`"whole": {"tenant": "t", "aim": "latency", "once": false, "hedge": false, "minimum": 1`,
+		`"stock": {"tenant": "t", "aim": "coverage", "once": true, "hedge": true, "minimum": 0`,
+	}
+	var searches []string
+	for i, kind := range kinds {
+		prefix := string(rune('d' + i))
+		var endpoints, versions []string
+		for n, shard := range []string{"a", "b", "c"} {
+			for m, replica := range []string{"1", "2"} {
+				endpoints = append(endpoints, fmt.Sprintf(
+					`"%s%s%s": {"shard": "%s%s", "address": "10.0.%d.%d:80", "centre": "loopback", "slots": 2, "connections": 100}`,
+					prefix, shard, replica, prefix, shard, i, 10*n+m+1))
+			}
+		}
+		for _, id := range snapshots {
+			versions = append(versions, fmt.Sprintf(`"%d": {"shards": ["%sa", "%sb", "%sc"]}`, id, prefix, prefix, prefix))
+		}
+		searches = append(searches, fmt.Sprintf(`%s, "snapshots": {%s}, "endpoints": {%s}}`,
+			kind, strings.Join(versions, ", "), strings.Join(endpoints, ", ")))
+	}
+	content := fmt.Sprintf(`{"ranks": {"first": {"urgency": 1, "floor": 0.1}}, "searches": {%s}}`, strings.Join(searches, ", "))
+	return []folder.File{{Name: "10-small.json", Content: []byte(content)}}
+}
+
+// ask sends one query and gives its answer; ok is false when there is none.
+func ask(ctx context.Context, t *testing.T, to unit.Address, q question) (answer reply, ok bool) {
+	t.Helper()
+	q.Rank = "first"
+	if q.Timeout == 0 {
+		q.Timeout = longTime.Milliseconds()
+	}
+	body, err := json.Marshal(q)
+	assert.NilError(t, err)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(to)+"/query", bytes.NewReader(body))
+	assert.NilError(t, err)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{}, false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		return reply{}, false
+	}
+	verify(t, q, answer)
+	return answer, true
+}
+
+// verify checks that an answer is its own request's, of one snapshot and with true coverage.
+func verify(t *testing.T, q question, answer reply) {
+	t.Helper()
+	assert.Equal(t, answer.ID, q.ID)
+	answered := unit.Code(answer.Code).Outcome() == unit.OutcomeAnswered
+	assert.Assert(t, !answered || len(answer.Parts)+len(answer.Missing) == answer.Asked)
+	assert.Assert(t, answered || len(answer.Parts) == 0)
+	for _, p := range answer.Parts {
+		want := endpoint.Body(unit.RequestID(q.ID), unit.ShardID(p.Shard), strconv.FormatUint(answer.Snapshot, 10))
+		assert.Equal(t, string(p.Body), string(want))
+	}
+}
+
+// missing gives the code of a missing shard, or 0.
+func (r reply) missing(shard string) unit.Code {
+	for _, m := range r.Missing {
+		if m.Shard == shard {
+			return unit.Code(m.Code)
+		}
+	}
+	return 0
+}
+
+// warm sends queries of that name one after the other until hedges have a distribution to follow.
+func warm(t *testing.T, d *Deployment, search, name string) {
+	t.Helper()
+	for i := range 30 {
+		answer, ok := ask(context.Background(), t, d.Nodes[0].Caller, question{ID: fmt.Sprintf("warm-%s-%d", name, i), Search: search})
+		assert.Assert(t, ok)
+		assert.Equal(t, unit.Code(answer.Code), unit.CodeWhole)
+	}
+}
+
+// TestAnswersUnderEndpointFaults sets a fault at one or all endpoints of a shard and states the answer.
+func TestAnswersUnderEndpointFaults(t *testing.T) {
+	one, both := []unit.EndpointID{"da1"}, []unit.EndpointID{"da1", "da2"}
+	tests := []struct {
+		name   string
+		search string
+		where  []unit.EndpointID
+		faults endpoint.Faults
+		code   unit.Code
+		shard  unit.Code
+	}{
+		{"one replica cuts", "desk", one, endpoint.Faults{CutAfterRun: true}, unit.CodeWhole, 0},
+		{"one replica truncates", "desk", one, endpoint.Faults{Truncate: true}, unit.CodeWhole, 0},
+		{"one replica hangs", "desk", one, endpoint.Faults{Hang: true}, unit.CodeWhole, 0},
+		{"one replica drains", "desk", one, endpoint.Faults{Draining: true}, unit.CodeWhole, 0},
+		{"one replica answers for another shard", "desk", one, endpoint.Faults{Stray: true}, unit.CodeWhole, 0},
+		{"one replica answers from an old snapshot", "desk", one, endpoint.Faults{Old: true}, unit.CodeWhole, 0},
+		{"both replicas reply twice", "desk", both, endpoint.Faults{Double: true}, unit.CodeWhole, 0},
+		{"both cut", "desk", both, endpoint.Faults{CutAfterRun: true}, unit.CodePartial, unit.CodeConnection},
+		{"both truncate", "desk", both, endpoint.Faults{Truncate: true}, unit.CodePartial, unit.CodeConnection},
+		{"both answer from an old snapshot", "desk", both, endpoint.Faults{Old: true}, unit.CodePartial, unit.CodeBadReply},
+		{"both drain", "desk", both, endpoint.Faults{Draining: true}, unit.CodePartial, unit.CodeDraining},
+		{"both hang", "desk", both, endpoint.Faults{Hang: true}, unit.CodePartial, unit.CodeDeadline},
+		{
+			"below the minimum", "whole",
+			[]unit.EndpointID{"ea1", "ea2"},
+			endpoint.Faults{Truncate: true},
+			unit.CodeBelowMinimum, unit.CodeConnection,
+		},
+	}
+	d := Start(t, Settings{Files: small(2), Entries: 1})
+	for i, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			warm(t, d, tt.search, tt.name)
+			for _, id := range tt.where {
+				d.SetFaults(id, tt.faults)
+				defer d.SetFaults(id, endpoint.Faults{})
+			}
+			timeout := longTime
+			if tt.shard == unit.CodeDeadline {
+				timeout = time.Second
+			}
+			for n := range 4 {
+				q := question{ID: fmt.Sprintf("q-%d-%d", i, n), Search: tt.search, Timeout: timeout.Milliseconds()}
+				answer, ok := ask(context.Background(), t, d.Nodes[0].Caller, q)
+				assert.Assert(t, ok)
+				assert.Equal(t, unit.Code(answer.Code), tt.code)
+				assert.Equal(t, answer.missing(string(tt.where[0][:2])), tt.shard)
+			}
+		})
+	}
+}
+
+// TestAnswersWhenAllEndpointsDrain states that nothing ran when every endpoint has refused.
+func TestAnswersWhenAllEndpointsDrain(t *testing.T) {
+	d := Start(t, Settings{Files: small(2), Entries: 1})
+	for _, id := range []unit.EndpointID{"da1", "da2", "db1", "db2", "dc1", "dc2"} {
+		d.SetFaults(id, endpoint.Faults{Draining: true})
+	}
+	answer, ok := ask(context.Background(), t, d.Nodes[0].Caller, question{ID: "q", Search: "desk"})
+	assert.Assert(t, ok)
+	assert.Equal(t, unit.Code(answer.Code), unit.CodeDraining)
+	assert.Equal(t, d.Stats("").Runs, int64(0))
+}
+
+// TestAnswersWhenEndpointsFreezeAndDie freezes the endpoints under a query, wakes them, and kills them.
+func TestAnswersWhenEndpointsFreezeAndDie(t *testing.T) {
+	d := Start(t, Settings{Files: small(2), Entries: 1})
+	warm(t, d, "desk", "desk")
+	d.Endpoints.Freeze()
+	frozen := question{ID: "frozen", Search: "desk", Timeout: 500}
+	answer, ok := ask(context.Background(), t, d.Nodes[0].Caller, frozen)
+	assert.Assert(t, ok)
+	assert.Equal(t, unit.Code(answer.Code), unit.CodeDeadline)
+	d.Endpoints.Thaw()
+	Eventually(t, longTime, "the endpoints answer again", func() bool {
+		answer, ok := ask(context.Background(), t, d.Nodes[0].Caller, question{ID: "thawed", Search: "desk"})
+		return ok && unit.Code(answer.Code) == unit.CodeWhole
+	})
+	d.Endpoints.Kill()
+	Eventually(t, longTime, "the closed connections are noticed", func() bool {
+		answer, ok = ask(context.Background(), t, d.Nodes[0].Caller, question{ID: "dead", Search: "desk"})
+		return ok && unit.Code(answer.Code) == unit.CodeNotConnected
+	})
+	assert.Equal(t, len(answer.Missing), 3)
+}
+
+// TestCancellationReachesEndpoints has a caller go while its query runs.
+func TestCancellationReachesEndpoints(t *testing.T) {
+	d := Start(t, Settings{Files: small(2), Entries: 1, Median: time.Minute})
+	ctx, cancel := context.WithCancel(context.Background())
+	gone := make(chan bool)
+	go func() {
+		_, ok := ask(ctx, t, d.Nodes[0].Caller, question{ID: "q", Search: "desk"})
+		gone <- ok
+	}()
+	Eventually(t, longTime, "the query runs", func() bool { return d.Stats("").Runs == 3 })
+	cancel()
+	assert.Assert(t, !<-gone)
+	Eventually(t, longTime, "the endpoints stop", func() bool { return d.Stats("").Wasted == 3 })
+}
+
+// TestLoadWithTwoFaults keeps every answer true while one endpoint is slow, one truncates and one hangs.
+func TestLoadWithTwoFaults(t *testing.T) {
+	d := Start(t, Settings{Files: small(1, 2), Entries: 2})
+	d.SetFaults("da1", endpoint.Faults{Slow: 10})
+	d.SetFaults("db1", endpoint.Faults{Truncate: true})
+	d.SetFaults("dc1", endpoint.Faults{Hang: true})
+	rows := load.Run(context.Background(), load.Settings{
+		Entries:  d.Callers(),
+		Flows:    []load.Flow{{Search: "desk", Rank: "first", Rate: 50, Timeout: longTime}},
+		Duration: 3 * time.Second,
+		Run:      "faults",
+	})
+	assert.Equal(t, rows[0].Broken, int64(0))
+	assert.Equal(t, rows[0].Whole+rows[0].Partial, rows[0].Sent)
+}
--- /dev/null
+++ b/internal/standin/proc/once_test.go
@@ -0,0 +1,122 @@
+package proc
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilspan/internal/core/unit"
+	"basilspan/internal/standin/endpoint"
+	"basilspan/internal/standin/load"
+)
+
+// askOnce sends a query that may run once, and gives its answer on a channel; a lost one has code 0.
+func askOnce(t *testing.T, to unit.Address, id string, timeout time.Duration) <-chan reply {
+	answers := make(chan reply, 1)
+	go func() {
+		q := question{ID: id, Search: "stock", Once: true, Timeout: timeout.Milliseconds()}
+		answer, _ := ask(context.Background(), t, to, q)
+		answers <- answer
+	}()
+	return answers
+}
+
+// TestOnceUnderFaults sends a query that may run once, on a search that hedges, while replicas fail after it has run.
+func TestOnceUnderFaults(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults endpoint.Faults
+		code   unit.Code
+	}{
+		{"cut after the run", endpoint.Faults{CutAfterRun: true}, unit.CodeConnection},
+		{"truncated", endpoint.Faults{Truncate: true}, unit.CodeConnection},
+		{"another shard's reply", endpoint.Faults{Stray: true}, unit.CodeBadReply},
+		{"silent until the deadline", endpoint.Faults{Hang: true}, unit.CodeDeadline},
+	}
+	d := Start(t, Settings{Files: small(1, 2), Entries: 1})
+	for i, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			warm(t, d, "stock", tt.name)
+			for _, id := range []unit.EndpointID{"fa1", "fa2"} {
+				d.SetFaults(id, tt.faults)
+				defer d.SetFaults(id, endpoint.Faults{})
+			}
+			before := d.Stats("fa1").Runs + d.Stats("fa2").Runs
+			answer := <-askOnce(t, d.Nodes[0].Caller, fmt.Sprintf("once-%d", i), time.Second)
+			assert.Equal(t, unit.Code(answer.Code), unit.CodePartial)
+			assert.Equal(t, answer.missing("fa"), tt.code)
+			assert.Equal(t, d.Stats("fa1").Runs+d.Stats("fa2").Runs, before+1)
+			assert.Equal(t, d.Stats("").Doubled, int64(0))
+		})
+	}
+}
+
+// TestOnceRefusedIsSentElsewhere retries only what an endpoint has refused.
+func TestOnceRefusedIsSentElsewhere(t *testing.T) {
+	d := Start(t, Settings{Files: small(2), Entries: 1})
+	d.SetFaults("fa1", endpoint.Faults{Draining: true})
+	d.SetFaults("fb1", holding(1))
+	for n := range 20 {
+		answer := <-askOnce(t, d.Nodes[0].Caller, fmt.Sprintf("once-%d", n), longTime)
+		assert.Equal(t, unit.Code(answer.Code), unit.CodeWhole)
+	}
+	assert.Equal(t, d.Stats("").Doubled, int64(0))
+	assert.Equal(t, d.Stats("").Runs, int64(60))
+}
+
+// TestOnceWhenEntryFreezes freezes the entry VM while a query runs and wakes it after the deadline.
+func TestOnceWhenEntryFreezes(t *testing.T) {
+	d := Start(t, Settings{Files: small(2), Entries: 1})
+	for _, id := range []unit.EndpointID{"fa1", "fa2"} {
+		d.SetFaults(id, endpoint.Faults{CutAfterRun: true, Slow: 100})
+	}
+	answers := askOnce(t, d.Nodes[0].Caller, "once", time.Second)
+	Eventually(t, longTime, "the query runs", func() bool { return d.Stats("").Runs == 3 })
+	d.Nodes[0].Freeze()
+	time.Sleep(1500 * time.Millisecond)
+	d.Nodes[0].Thaw()
+	answer := <-answers
+	assert.Assert(t, unit.Code(answer.Code).Outcome() != unit.OutcomeNotRun)
+	assert.Assert(t, answer.missing("fa").Outcome() == unit.OutcomeUnknown)
+	assert.Equal(t, d.Stats("").Runs, int64(3))
+}
+
+// TestOnceWhenEntryDies kills an entry VM while queries run; nothing runs twice, and no caller is told "not run".
+func TestOnceWhenEntryDies(t *testing.T) {
+	d := Start(t, Settings{Files: small(2), Entries: 1, Median: 2 * time.Second})
+	answers := askOnce(t, d.Nodes[0].Caller, "once", longTime)
+	Eventually(t, longTime, "the query runs", func() bool { return d.Stats("").Runs == 3 })
+	d.Nodes[0].Kill()
+	assert.Equal(t, (<-answers).Code, 0)
+	assert.Equal(t, d.Stats("").Runs, int64(3))
+	assert.Equal(t, d.Stats("").Doubled, int64(0))
+}
+
+// TestOnceUnderLoadWithFaults keeps at most once under load while endpoints cut, hang, drain and roll their snapshots.
+func TestOnceUnderLoadWithFaults(t *testing.T) {
+	d := Start(t, Settings{Files: small(1, 2), Entries: 2})
+	d.SetFaults("fa1", endpoint.Faults{CutAfterRun: true})
+	d.SetFaults("fb1", endpoint.Faults{Slow: 20, Truncate: true})
+	rows := make(chan []load.Row)
+	go func() {
+		rows <- load.Run(context.Background(), load.Settings{
+			Entries:  d.Callers(),
+			Flows:    []load.Flow{{Search: "stock", Rank: "first", Rate: 60, Timeout: longTime, Once: true}},
+			Duration: 4 * time.Second,
+			Run:      "once",
+		})
+	}()
+	time.Sleep(time.Second)
+	d.SetFaults("fc1", holding(1))
+	d.SetFaults("fc2", holding(1))
+	time.Sleep(time.Second)
+	d.SetFaults("fc1", endpoint.Faults{Draining: true})
+	row := (<-rows)[0]
+	assert.Equal(t, row.Broken, int64(0))
+	assert.Equal(t, row.Whole+row.Partial, row.Sent)
+	assert.Equal(t, d.Stats("").Doubled, int64(0))
+	assert.Assert(t, d.Stats("").Runs > 0)
+}
