--- a/internal/core/query/query.go
+++ b/internal/core/query/query.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"basilspan/internal/core/metric"
+	"basilspan/internal/core/trace"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/core/view"
 	"basilspan/internal/link/endpoint"
@@ -24,6 +25,8 @@
 	Metrics *metric.Set
 	// Send makes one attempt and waits for its end.
 	Send func(ctx context.Context, call endpoint.Call) fanout.Reply
+	// Record begins the log of a query's decisions; nil records nothing.
+	Record func(now time.Time, q fanout.Query, plan fanout.Plan) *trace.FanoutLog
 
 	// Draining, when set, is told of each endpoint that answers that it is leaving.
 	Draining func(id unit.EndpointID)
@@ -68,7 +71,7 @@
 	if !ok {
 		return fanout.Refuse(q.ID, unit.CodeNoEndpoint, "the search has no snapshot")
 	}
-	answer := r.drive(ctx, fanout.New(q, plan), newDriver(r, q, search, plan.MaxAttempts()))
+	answer := r.drive(ctx, fanout.New(q, plan), newDriver(r, q, search, plan.MaxAttempts()), r.record(q, plan))
 	r.fleet.refund(q.Search, plan.Terms.Allowance-answer.Extra.Spent)
 	r.count(answer)
 	return answer
@@ -92,26 +95,40 @@
 	return 0, ""
 }
 
+// record begins the log of a query's decisions; a nil log takes every call and does nothing.
+func (r *Runner) record(q fanout.Query, plan fanout.Plan) *trace.FanoutLog {
+	if r.Record == nil {
+		return nil
+	}
+	return r.Record(r.Now(), q, plan)
+}
+
 // drive carries out the machine's actions until the answer is final.
-func (r *Runner) drive(ctx context.Context, m *fanout.Machine, d *driver) fanout.Answer {
+func (r *Runner) drive(
+	ctx context.Context, m *fanout.Machine, d *driver, log *trace.FanoutLog,
+) fanout.Answer {
 	defer d.close()
-	d.do(ctx, m.Start(r.Now()))
+	now := r.Now()
+	d.do(ctx, log.Start(now, m.Start(now)))
 	timer := time.NewTimer(m.Wake().Sub(r.Now()))
 	defer timer.Stop()
 	ended := ctx.Done()
 	for !m.Done() {
 		select {
 		case reply := <-d.replies:
-			d.do(ctx, m.Reply(r.Now(), reply))
+			now = r.Now()
+			d.do(ctx, log.Reply(now, reply, m.Reply(now, reply)))
 		case <-timer.C:
-			d.do(ctx, m.Tick(r.Now()))
+			now = r.Now()
+			d.do(ctx, log.Tick(now, m.Tick(now)))
 		case <-ended:
 			ended = nil
-			d.do(ctx, m.Stop(stopCode(ctx)))
+			code := stopCode(ctx)
+			d.do(ctx, log.Stop(r.Now(), code, m.Stop(code)))
 		}
 		timer.Reset(m.Wake().Sub(r.Now()))
 	}
-	return m.Answer()
+	return log.Answer(r.Now(), m.Answer())
 }
 
 // attempt makes one attempt, waits for its end and has the fleet learn from it.
--- /dev/null
+++ b/internal/core/trace/wire.go
@@ -0,0 +1,345 @@
+package trace
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/catalog"
+	"basilspan/internal/policy/fanout"
+	"basilspan/internal/policy/replay"
+	"basilspan/internal/policy/revision"
+)
+
+type (
+	wireQuery struct {
+		ID       string `json:"id"`
+		Search   string `json:"search"`
+		Rank     string `json:"rank"`
+		Deadline offset `json:"deadline"`
+		Once     bool   `json:"once,omitempty"`
+		Body     string `json:"body,omitempty"`
+	}
+
+	wirePlan struct {
+		Snapshot uint64        `json:"snapshot"`
+		Shards   []wireShard   `json:"shards"`
+		Terms    wireTerms     `json:"terms"`
+		Fallback []wireVersion `json:"fallback,omitempty"`
+	}
+
+	wireVersion struct {
+		Snapshot uint64      `json:"snapshot"`
+		Shards   []wireShard `json:"shards"`
+	}
+
+	// wireTerms has its times in microseconds.
+	wireTerms struct {
+		Aim       string  `json:"aim"`
+		Minimum   float64 `json:"minimum,omitempty"`
+		Hedge     offset  `json:"hedge,omitempty"`
+		Allowance int     `json:"allowance,omitempty"`
+		Expected  offset  `json:"expected,omitempty"`
+	}
+
+	wireShard struct {
+		ID       string   `json:"id"`
+		Replicas []string `json:"replicas,omitempty"`
+		Healthy  int      `json:"healthy,omitempty"`
+	}
+
+	wireReply struct {
+		Attempt  uint32 `json:"attempt"`
+		Code     int    `json:"code"`
+		Snapshot uint64 `json:"snapshot,omitempty"`
+		Shard    string `json:"shard,omitempty"`
+		Body     string `json:"body,omitempty"`
+	}
+
+	wireAction struct {
+		Kind     string `json:"kind"`
+		Attempt  uint32 `json:"attempt"`
+		Shard    string `json:"shard"`
+		Endpoint string `json:"endpoint"`
+		Snapshot uint64 `json:"snapshot"`
+	}
+
+	wireAnswer struct {
+		ID       string        `json:"id"`
+		Code     int           `json:"code"`
+		Message  string        `json:"message,omitempty"`
+		Snapshot uint64        `json:"snapshot,omitempty"`
+		Asked    int           `json:"asked"`
+		Parts    []wirePart    `json:"parts,omitempty"`
+		Missing  []wireMissing `json:"missing,omitempty"`
+		Attempts int           `json:"attempts,omitempty"`
+		Hedges   int           `json:"hedges,omitempty"`
+		Retries  int           `json:"retries,omitempty"`
+		Restarts int           `json:"restarts,omitempty"`
+		Spent    int           `json:"spent,omitempty"`
+		Late     int           `json:"late,omitempty"`
+	}
+
+	wirePart struct {
+		Shard    string `json:"shard"`
+		Endpoint string `json:"endpoint"`
+		Body     string `json:"body,omitempty"`
+	}
+
+	wireMissing struct {
+		Shard string `json:"shard"`
+		Code  int    `json:"code"`
+	}
+
+	wireOffer struct {
+		Held    wireContent `json:"held"`
+		Offered wireContent `json:"offered"`
+		Valid   bool        `json:"valid,omitempty"`
+		Problem string      `json:"problem,omitempty"`
+		Verdict int         `json:"verdict"`
+		// Force is the revision in force afterwards.
+		Force uint64 `json:"force"`
+	}
+
+	wireContent struct {
+		Revision uint64 `json:"revision"`
+		Digest   string `json:"digest,omitempty"`
+	}
+)
+
+// actionNames gives the word of each kind of action.
+var actionNames = map[fanout.ActionKind]string{
+	fanout.ActionSend:   "send",
+	fanout.ActionCancel: "cancel",
+}
+
+func encodeQuery(start time.Time, q fanout.Query) *wireQuery {
+	return &wireQuery{
+		ID:       string(q.ID),
+		Search:   string(q.Search),
+		Rank:     string(q.Rank),
+		Deadline: since(start, q.Deadline),
+		Once:     q.Once,
+		Body:     string(q.Body),
+	}
+}
+
+func (w *wireQuery) decode() fanout.Query {
+	return fanout.Query{
+		ID:       unit.RequestID(w.ID),
+		Search:   unit.SearchName(w.Search),
+		Rank:     unit.RankName(w.Rank),
+		Deadline: w.Deadline.time(),
+		Once:     w.Once,
+		Body:     body(w.Body),
+	}
+}
+
+func encodePlan(p fanout.Plan) *wirePlan {
+	w := &wirePlan{
+		Snapshot: uint64(p.Snapshot),
+		Shards:   encodeShards(p.Shards),
+		Terms: wireTerms{
+			Aim:       string(p.Terms.Aim),
+			Minimum:   float64(p.Terms.Minimum),
+			Hedge:     micros(p.Terms.HedgeAfter),
+			Allowance: p.Terms.Allowance,
+			Expected:  micros(p.Terms.Expected),
+		},
+	}
+	for _, v := range p.Fallback {
+		w.Fallback = append(w.Fallback, wireVersion{Snapshot: uint64(v.Snapshot), Shards: encodeShards(v.Shards)})
+	}
+	return w
+}
+
+func (w *wirePlan) decode() fanout.Plan {
+	p := fanout.Plan{
+		Snapshot: unit.SnapshotID(w.Snapshot),
+		Shards:   decodeShards(w.Shards),
+		Terms: fanout.Terms{
+			Aim:        catalog.Aim(w.Terms.Aim),
+			Minimum:    unit.Share(w.Terms.Minimum),
+			HedgeAfter: w.Terms.Hedge.duration(),
+			Allowance:  w.Terms.Allowance,
+			Expected:   w.Terms.Expected.duration(),
+		},
+	}
+	for _, v := range w.Fallback {
+		version := fanout.Version{Snapshot: unit.SnapshotID(v.Snapshot), Shards: decodeShards(v.Shards)}
+		p.Fallback = append(p.Fallback, version)
+	}
+	return p
+}
+
+func encodeShards(shards []fanout.Shard) []wireShard {
+	all := make([]wireShard, 0, len(shards))
+	for _, s := range shards {
+		one := wireShard{ID: string(s.ID), Healthy: s.Healthy}
+		for _, id := range s.Replicas {
+			one.Replicas = append(one.Replicas, string(id))
+		}
+		all = append(all, one)
+	}
+	return all
+}
+
+func decodeShards(all []wireShard) []fanout.Shard {
+	var shards []fanout.Shard
+	for _, w := range all {
+		one := fanout.Shard{ID: unit.ShardID(w.ID), Healthy: w.Healthy}
+		for _, id := range w.Replicas {
+			one.Replicas = append(one.Replicas, unit.EndpointID(id))
+		}
+		shards = append(shards, one)
+	}
+	return shards
+}
+
+func encodeReply(r fanout.Reply) *wireReply {
+	return &wireReply{
+		Attempt:  uint32(r.Attempt),
+		Code:     int(r.Code),
+		Snapshot: uint64(r.Snapshot),
+		Shard:    string(r.Shard),
+		Body:     string(r.Body),
+	}
+}
+
+func (w *wireReply) decode() fanout.Reply {
+	return fanout.Reply{
+		Attempt:  unit.AttemptID(w.Attempt),
+		Code:     unit.Code(w.Code),
+		Snapshot: unit.SnapshotID(w.Snapshot),
+		Shard:    unit.ShardID(w.Shard),
+		Body:     body(w.Body),
+	}
+}
+
+func encodeActions(actions []fanout.Action) []wireAction {
+	var all []wireAction
+	for _, a := range actions {
+		all = append(all, wireAction{
+			Kind:     actionNames[a.Kind],
+			Attempt:  uint32(a.Attempt.ID),
+			Shard:    string(a.Attempt.Shard),
+			Endpoint: string(a.Attempt.Endpoint),
+			Snapshot: uint64(a.Attempt.Snapshot),
+		})
+	}
+	return all
+}
+
+func decodeActions(all []wireAction) ([]fanout.Action, error) {
+	var actions []fanout.Action
+	for _, w := range all {
+		kind, ok := actionKind(w.Kind)
+		if !ok {
+			return nil, errors.Newf("actions: unknown kind %q", w.Kind)
+		}
+		actions = append(actions, fanout.Action{Kind: kind, Attempt: fanout.Attempt{
+			ID:       unit.AttemptID(w.Attempt),
+			Shard:    unit.ShardID(w.Shard),
+			Endpoint: unit.EndpointID(w.Endpoint),
+			Snapshot: unit.SnapshotID(w.Snapshot),
+		}})
+	}
+	return actions, nil
+}
+
+func actionKind(name string) (kind fanout.ActionKind, ok bool) {
+	for k, n := range actionNames {
+		if n == name {
+			return k, true
+		}
+	}
+	return 0, false
+}
+
+func encodeAnswer(a fanout.Answer) *wireAnswer {
+	w := &wireAnswer{
+		ID:       string(a.ID),
+		Code:     int(a.Code),
+		Message:  a.Message,
+		Snapshot: uint64(a.Snapshot),
+		Asked:    a.Asked,
+		Attempts: a.Extra.Attempts,
+		Hedges:   a.Extra.Hedges,
+		Retries:  a.Extra.Retries,
+		Restarts: a.Extra.Restarts,
+		Spent:    a.Extra.Spent,
+		Late:     a.Extra.Late,
+	}
+	for _, p := range a.Parts {
+		w.Parts = append(w.Parts, wirePart{Shard: string(p.Shard), Endpoint: string(p.Endpoint), Body: string(p.Body)})
+	}
+	for _, m := range a.Missing {
+		w.Missing = append(w.Missing, wireMissing{Shard: string(m.Shard), Code: int(m.Code)})
+	}
+	return w
+}
+
+func (w *wireAnswer) decode() fanout.Answer {
+	a := fanout.Answer{
+		ID:       unit.RequestID(w.ID),
+		Code:     unit.Code(w.Code),
+		Message:  w.Message,
+		Snapshot: unit.SnapshotID(w.Snapshot),
+		Asked:    w.Asked,
+		Extra: fanout.Extra{
+			Attempts: w.Attempts,
+			Hedges:   w.Hedges,
+			Retries:  w.Retries,
+			Restarts: w.Restarts,
+			Late:     w.Late,
+			Spent:    w.Spent,
+		},
+	}
+	for _, p := range w.Parts {
+		part := fanout.Part{Shard: unit.ShardID(p.Shard), Endpoint: unit.EndpointID(p.Endpoint), Body: body(p.Body)}
+		a.Parts = append(a.Parts, part)
+	}
+	for _, m := range w.Missing {
+		a.Missing = append(a.Missing, fanout.Missing{Shard: unit.ShardID(m.Shard), Code: unit.Code(m.Code)})
+	}
+	return a
+}
+
+func encodeOffer(o replay.Offer) *wireOffer {
+	return &wireOffer{
+		Held:    encodeContent(o.Held),
+		Offered: encodeContent(o.Offered),
+		Valid:   o.Valid,
+		Problem: o.Problem,
+		Verdict: int(o.Verdict),
+		Force:   uint64(o.Force),
+	}
+}
+
+func (w *wireOffer) decode() *replay.Offer {
+	return &replay.Offer{
+		Held:    w.Held.decode(),
+		Offered: w.Offered.decode(),
+		Valid:   w.Valid,
+		Problem: w.Problem,
+		Verdict: revision.Verdict(w.Verdict),
+		Force:   unit.Revision(w.Force),
+	}
+}
+
+func encodeContent(c replay.Content) wireContent {
+	return wireContent{Revision: uint64(c.Revision), Digest: string(c.Digest)}
+}
+
+func (w wireContent) decode() replay.Content {
+	return replay.Content{Revision: unit.Revision(w.Revision), Digest: revision.Digest(w.Digest)}
+}
+
+// body gives a digest, nil when there is none.
+func body(text string) []byte {
+	if text == "" {
+		return nil
+	}
+	return []byte(text)
+}
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"sync"
 	"time"
@@ -14,6 +15,7 @@
 	"basilspan/internal/core/kernel"
 	"basilspan/internal/core/metric"
 	"basilspan/internal/core/query"
+	"basilspan/internal/core/trace"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/core/view"
 	"basilspan/internal/link/endpoint"
@@ -30,6 +32,8 @@
 type Options struct {
 	Now func() time.Time
 	Log *slog.Logger
+	// Trace gets the records of the decisions from start to end; nil records none.
+	Trace io.Writer
 }
 
 // Entry is one entry VM.
@@ -42,6 +46,8 @@
 	life     *life
 	drain    chan struct{}
 	once     sync.Once
+	// lag is how long the balancer may send callers on; it is set before drain is closed.
+	lag time.Duration
 }
 
 // New registers the services of an entry VM; nothing runs before Start.
@@ -65,15 +71,19 @@
 func (e *Entry) install() error {
 	k, now := e.kernel, e.options.Now
 	loop := kernel.NewLoop(now)
-	control.Install(loop, e.views, e.metrics, e.options.Log)
+	recorder := trace.New(now)
+	recorder.Out = e.options.Trace
+	control.Install(loop, e.views, e.metrics, e.options.Log).Record = recorder.Offer
 	client := endpoint.New(now, endpointConnections)
 	link := peer.New(e.settings.Peer)
 	watcher := platform.New(e.settings.Platform, loop)
 	runner := &query.Runner{Now: now, Views: e.views, Metrics: e.metrics, Send: client.Send}
+	runner.Record = recorder.Fanout
 	services := []kernel.Service{
 		{Name: kernel.ServiceSettings, Value: e.settings},
 		{Name: kernel.ServiceMetrics, Value: e.metrics},
 		{Name: kernel.ServiceViews, Value: e.views},
+		recorder.Service(kernel.ServiceTrace),
 		loop.Service(kernel.ServiceControl),
 		link.Service(kernel.ServicePeer),
 		watcher.Service(kernel.ServicePlatform),
@@ -108,7 +118,14 @@
 // BeginDrain asks for a planned stop; Draining tells whoever runs the entry.
 func (e *Entry) BeginDrain() {
 	e.once.Do(func() {
+		served := e.State() == operator.StateReady
 		e.life.fire(triggerDrain)
+		if port, err := kernel.Find[*caller.Server](e.kernel, kernel.ServiceCaller); err == nil {
+			port.BeginDrain()
+		}
+		if served {
+			e.lag = e.settings.Lag
+		}
 		close(e.drain)
 	})
 }
@@ -118,9 +135,12 @@
 	return e.drain
 }
 
-// Close finishes what is under way, ends every service and waits.
+// Close serves on through the balancer's lag, finishes what is in flight, ends every service and waits.
 func (e *Entry) Close() error {
 	e.BeginDrain()
+	lag := time.NewTimer(e.lag)
+	defer lag.Stop()
+	<-lag.C
 	err := e.kernel.Close()
 	e.life.fire(triggerStopped)
 	return err
--- a/internal/serve/operator/operator.go
+++ b/internal/serve/operator/operator.go
@@ -14,8 +14,11 @@
 
 	"basilspan/internal/core/kernel"
 	"basilspan/internal/core/metric"
+	"basilspan/internal/core/trace"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/core/view"
+	"basilspan/internal/serve/keepalive"
+	traceport "basilspan/internal/serve/trace"
 )
 
 type (
@@ -48,6 +51,8 @@
 	server   *server.Hertz
 	views    *view.Store
 	metrics  *metric.Set
+	tracker  *keepalive.Tracker
+	traces   *traceport.Port
 	done     chan struct{}
 }
 
@@ -56,7 +61,10 @@
 
 // New makes the port.
 func New(node unit.NodeID, listen unit.Address, now func() time.Time, state func() string, drain func()) *Server {
-	return &Server{Now: now, State: state, Drain: drain, node: node, listen: listen, done: make(chan struct{})}
+	return &Server{
+		Now: now, State: state, Drain: drain, node: node, listen: listen,
+		tracker: keepalive.New(), done: make(chan struct{}),
+	}
 }
 
 // Install registers the port with the kernel; it finds the views and metrics there when it starts.
@@ -72,6 +80,11 @@
 			if s.metrics, err = kernel.Find[*metric.Set](k, kernel.ServiceMetrics); err != nil {
 				return err
 			}
+			recorder, err := kernel.Find[*trace.Recorder](k, kernel.ServiceTrace)
+			if err != nil {
+				return err
+			}
+			s.traces = traceport.New(recorder)
 			return s.start()
 		},
 		Close: s.close,
@@ -89,11 +102,17 @@
 		return errors.Wrap(err, "listen for operators")
 	}
 	s.listener = listener
-	s.server = server.New(server.WithListener(listener), server.WithDisablePrintRoute(true))
+	options := append(s.tracker.Options(), server.WithListener(listener), server.WithDisablePrintRoute(true))
+	s.server = server.New(options...)
+	s.server.Use(func(ctx context.Context, rc *app.RequestContext) {
+		rc.Next(ctx)
+		s.tracker.EndConnection(rc)
+	})
 	s.server.GET("/ready", s.ready)
 	s.server.GET("/status", s.status)
 	s.server.GET("/debug/vars", s.vars)
 	s.server.POST("/drain", s.drain)
+	s.server.GET(traceport.Path, s.traces.Handle)
 	go func() {
 		defer close(s.done)
 		_ = s.server.Run()
@@ -102,6 +121,9 @@
 }
 
 func (s *Server) close() error {
+	s.tracker.BeginDrain()
+	s.tracker.CloseIdle()
+	s.traces.Close()
 	err := s.server.Shutdown(context.Background())
 	<-s.done
 	return errors.Wrap(err, "close the port for operators")
