Take a process's settings from file, environment and flag

Cause: settings came from flags and environment only, and CombineErrors printed just the first fault. A test that stops an entry VM at once then hung for ten minutes: hertz, when shut down before its loop runs, starts all the same and never ends, so a signal during the start left the process for ever.

Ruled out: a cli value source for the file (its path is a flag itself, so the order of evaluation decides); a sleep before the shutdown.

A port counts as started once it answers (serve/port.Await).

Before: TestStopsWhenAsked timed out after 600 s. After: it passes in 0.02 s, and with TestCheckNamesEverySetting, TestMergeTakesWhatNoFlagSets and TestSettingsComeInOrder, three times over under the race detector.

--- a/internal/cmd/serve/serve.go
+++ b/internal/cmd/serve/serve.go
@@ -3,12 +3,15 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
 	"basilspan/internal/cmd/stream"
@@ -16,31 +19,40 @@
 	"basilspan/internal/serve/entry"
 )
 
+// defaultLag is the usual time for a balancer to notice that an entry VM is not ready.
+const defaultLag = 5 * time.Second
+
 // Options are what the command works with.
 type Options struct {
 	Streams  stream.Streams
 	Settings process.Settings
-	LogJSON  bool
+	// File is the settings file; it may be empty.
+	File string
 	// Now gives the present time.
 	Now func() time.Time
+	// ReadFile reads the settings file.
+	ReadFile func(name string) ([]byte, error)
 	// Signals gives a context that ends when the process is asked to stop.
 	Signals func(ctx context.Context) (context.Context, context.CancelFunc)
 }
 
 // New makes the command; run replaces Run in tests and may be nil.
 func New(streams stream.Streams, run func(ctx context.Context, opts *Options) error) *cli.Command {
-	opts := &Options{Streams: streams, Now: time.Now, Signals: signals}
+	opts := &Options{Streams: streams, Now: time.Now, ReadFile: os.ReadFile, Signals: signals}
 	if run == nil {
 		run = Run
 	}
 	return &cli.Command{
 		Name:  "serve",
 		Usage: "run an entry VM",
-		Description: "Examples:\n   basilspan serve --node e1 --centre amman --caller 10.0.0.1:8080 " +
-			"--peer 10.0.0.1:8082 --platform 10.0.9.9:80",
+		Description: "Each setting is taken from its flag, else from its environment variable, else from the settings " +
+			"file, else from its default. SIGTERM, SIGINT and \"basilspan drain\" begin a planned stop.\n\n" +
+			"Examples:\n" +
+			"   basilspan serve --node e1 --centre amman --caller 10.0.0.1:8080 --peer 10.0.0.1:8082 --platform 10.0.9.9:80\n" +
+			"   BASILSPAN_NODE=e1 basilspan serve --settings /etc/basilspan.json",
 		Flags: flags(opts),
-		Action: func(ctx context.Context, _ *cli.Command) error {
-			if err := opts.Settings.Check(); err != nil {
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			if err := settle(opts, cmd.IsSet); err != nil {
 				return stream.WithExit(err, stream.ExitUsage)
 			}
 			return run(ctx, opts)
@@ -48,32 +60,56 @@
 	}
 }
 
+// settle adds the settings file to the flags and checks the whole.
+func settle(opts *Options, isSet func(flag string) bool) error {
+	if opts.File != "" {
+		content, err := opts.ReadFile(opts.File)
+		if err != nil {
+			return errors.Wrap(err, "settings")
+		}
+		if err := opts.Settings.Merge(opts.File, content, isSet); err != nil {
+			return err
+		}
+	}
+	return opts.Settings.Check()
+}
+
 func flags(opts *Options) []cli.Flag {
 	s := &opts.Settings
 	text := func(name, usage, fallback string, into *string) cli.Flag {
-		env := cli.EnvVars("BASILSPAN_" + envName(name))
+		env := cli.EnvVars(process.Env(name))
 		return &cli.StringFlag{Name: name, Usage: usage, Value: fallback, Sources: env, Destination: into}
 	}
+	toggle := func(name, usage string, into *bool) cli.Flag {
+		return &cli.BoolFlag{Name: name, Usage: usage, Sources: cli.EnvVars(process.Env(name)), Destination: into}
+	}
 	return []cli.Flag{
+		text("settings", "JSON file with any of the settings below, by the names of their flags", "", &opts.File),
 		text("node", "name of this entry VM", "", (*string)(&s.Node)),
 		text("centre", "data centre of this entry VM", "", (*string)(&s.Centre)),
 		text("caller", "address for callers", "127.0.0.1:8080", (*string)(&s.Caller)),
 		text("operator", "address for operators and the balancer's check", "127.0.0.1:8081", (*string)(&s.Operator)),
 		text("peer", "address for the other entry VMs", "127.0.0.1:8082", (*string)(&s.Peer)),
 		text("platform", "address of the platform's service", "", (*string)(&s.Platform)),
-		&cli.BoolFlag{Name: "log-json", Usage: "print log lines as JSON", Destination: &opts.LogJSON},
-	}
-}
-
-// envName gives the environment variable's part for a flag, in upper case.
-func envName(flag string) string {
-	upper := []byte(flag)
-	for i, c := range upper {
-		if c >= 'a' && c <= 'z' {
-			upper[i] = c - 'a' + 'A'
-		}
+		&cli.StringSliceFlag{
+			Name:    "peers",
+			Usage:   "peer addresses of other entry VMs, for a start while the platform is down",
+			Sources: cli.EnvVars(process.Env("peers")),
+			Action: func(_ context.Context, _ *cli.Command, peers []string) error {
+				s.Peers = process.Addresses(peers)
+				return nil
+			},
+		},
+		&cli.DurationFlag{
+			Name:        "lag",
+			Usage:       "time for which the balancer may send callers on after a planned stop has begun",
+			Value:       defaultLag,
+			Sources:     cli.EnvVars(process.Env("lag")),
+			Destination: &s.Lag,
+		},
+		toggle("pprof", "add profiles to the operators' port, under /debug/pprof", &s.Pprof),
+		toggle("log-json", "print log lines as JSON", &s.LogJSON),
 	}
-	return string(upper)
 }
 
 // signals ends the context at the first SIGINT or SIGTERM.
@@ -85,6 +121,7 @@
 func Run(ctx context.Context, opts *Options) error {
 	stop, cancel := opts.Signals(ctx)
 	defer cancel()
+	hlog.SetOutput(io.Discard)
 	log := logger(opts).With("node", string(opts.Settings.Node))
 	e, err := entry.New(opts.Settings, entry.Options{Now: opts.Now, Log: log})
 	if err != nil {
@@ -102,7 +139,7 @@
 }
 
 func logger(opts *Options) *slog.Logger {
-	if opts.LogJSON {
+	if opts.Settings.LogJSON {
 		return slog.New(slog.NewJSONHandler(opts.Streams.Err, nil))
 	}
 	return slog.New(slog.NewTextHandler(opts.Streams.Err, nil))
--- a/internal/config/process/process.go
+++ b/internal/config/process/process.go
@@ -1,15 +1,24 @@
 // Package process holds one process's own settings: its name, its data centre and its addresses. They come from
-// flags and environment variables, apart from the operators' folder.
+// flags, environment variables and a file, apart from the operators' folder. docs/CONFIG.md lists them.
 package process
 
 import (
 	"net/netip"
+	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"basilspan/internal/config/strict"
 	"basilspan/internal/core/unit"
 )
 
+// MaxLag is the longest time that a balancer may take to notice that an entry VM is not ready.
+const MaxLag = 5 * time.Minute
+
+// EnvPrefix begins the environment variable of each setting.
+const EnvPrefix = "BASILSPAN_"
+
 // Settings are an entry VM's own settings.
 type Settings struct {
 	Node     unit.NodeID
@@ -18,31 +27,146 @@
 	Operator unit.Address
 	Peer     unit.Address
 	Platform unit.Address
+	// Peers are other entry VMs to ask when the platform's list cannot be read; it may be empty.
+	Peers []unit.Address
+	// Lag is how long the balancer may go on sending callers after this entry VM says that it is not ready.
+	Lag time.Duration
+	// Pprof adds the profiles to the operators' port.
+	Pprof bool
+	// LogJSON prints log lines as JSON.
+	LogJSON bool
 }
 
-// Check gives an error that names each setting that is missing or wrong.
-func (s Settings) Check() error {
+// wireSettings is the settings file; a nil field was not given.
+type wireSettings struct {
+	Node     *string  `json:"node"`
+	Centre   *string  `json:"centre"`
+	Caller   *string  `json:"caller"`
+	Operator *string  `json:"operator"`
+	Peer     *string  `json:"peer"`
+	Platform *string  `json:"platform"`
+	Peers    []string `json:"peers"`
+	Lag      *string  `json:"lag"`
+	Pprof    *bool    `json:"pprof"`
+	LogJSON  *bool    `json:"log-json"`
+}
+
+// Env gives the environment variable of the setting with that flag.
+func Env(flag string) string {
+	return EnvPrefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+}
+
+// Merge takes from the settings file what isSet does not say to come from a flag or environment variable already.
+// The error names every fault of the file with its line.
+func (s *Settings) Merge(file string, content []byte, isSet func(flag string) bool) error {
+	var w wireSettings
 	var all error
-	if s.Node == "" {
-		all = errors.CombineErrors(all, errors.New("node: must not be empty; set --node"))
-	}
-	if s.Centre == "" {
-		all = errors.CombineErrors(all, errors.New("centre: must not be empty; set --centre"))
-	}
-	addresses := []struct {
-		name    string
-		address unit.Address
-	}{
-		{"caller", s.Caller},
-		{"operator", s.Operator},
-		{"peer", s.Peer},
-		{"platform", s.Platform},
-	}
-	for _, a := range addresses {
-		if _, err := netip.ParseAddrPort(string(a.address)); err != nil {
-			err := errors.Newf("%s: %q is no IP number and port; set --%s", a.name, a.address, a.name)
-			all = errors.CombineErrors(all, err)
-		}
+	for _, p := range strict.Decode(content, &w, strict.Options{}).Problems {
+		all = errors.Join(all, errors.Newf("%s:%d: %s: %s", file, p.Line, p.Field, p.Text))
+	}
+	if all != nil {
+		return all
+	}
+	merge(&s.Node, w.Node, isSet("node"))
+	merge(&s.Centre, w.Centre, isSet("centre"))
+	merge(&s.Caller, w.Caller, isSet("caller"))
+	merge(&s.Operator, w.Operator, isSet("operator"))
+	merge(&s.Peer, w.Peer, isSet("peer"))
+	merge(&s.Platform, w.Platform, isSet("platform"))
+	if w.Pprof != nil && !isSet("pprof") {
+		s.Pprof = *w.Pprof
+	}
+	if w.LogJSON != nil && !isSet("log-json") {
+		s.LogJSON = *w.LogJSON
+	}
+	if w.Peers != nil && !isSet("peers") {
+		s.Peers = Addresses(w.Peers)
+	}
+	return s.mergeLag(file, w.Lag, isSet("lag"))
+}
+
+func (s *Settings) mergeLag(file string, w *string, set bool) error {
+	if w == nil || set {
+		return nil
+	}
+	lag, err := time.ParseDuration(*w)
+	if err != nil {
+		return errors.Newf(`%s: lag: must be a time with its unit, such as "5s", not %q`, file, *w)
+	}
+	s.Lag = lag
+	return nil
+}
+
+// merge takes a text that the file gives and no flag sets.
+func merge[T ~string](to *T, from *string, set bool) {
+	if from != nil && !set {
+		*to = T(*from)
+	}
+}
+
+// Addresses gives texts as addresses; Check says which are wrong.
+func Addresses(texts []string) []unit.Address {
+	all := make([]unit.Address, 0, len(texts))
+	for _, text := range texts {
+		all = append(all, unit.Address(text))
 	}
 	return all
 }
+
+// Check gives an error that names every setting that is missing or wrong.
+func (s Settings) Check() error {
+	c := &checker{}
+	c.name("node", string(s.Node))
+	c.name("centre", string(s.Centre))
+	c.address("caller", s.Caller)
+	c.address("operator", s.Operator)
+	c.address("peer", s.Peer)
+	c.address("platform", s.Platform)
+	for _, p := range s.Peers {
+		c.address("peers", p)
+	}
+	c.distinct("operator", s.Operator, "caller", s.Caller)
+	c.distinct("peer", s.Peer, "caller", s.Caller)
+	c.distinct("peer", s.Peer, "operator", s.Operator)
+	if s.Lag < 0 || s.Lag > MaxLag {
+		c.add("lag", "must be from 0s to "+MaxLag.String()+", not "+s.Lag.String())
+	}
+	return c.all
+}
+
+// checker collects the faults of settings.
+type checker struct {
+	all error
+}
+
+// add adds a fault and where the setting can be given.
+func (c *checker) add(flag, text string) {
+	c.all = errors.Join(c.all, errors.Newf(`%s: %s; set --%s, %s or "%s" in the settings file`, flag, text, flag, Env(flag), flag))
+}
+
+func (c *checker) name(flag, name string) {
+	switch {
+	case name == "":
+		c.add(flag, "is missing")
+	case strict.NameFault(name) != "":
+		c.add(flag, strict.NameRule)
+	}
+}
+
+func (c *checker) address(flag string, a unit.Address) {
+	if a == "" {
+		c.add(flag, "is missing")
+		return
+	}
+	if _, err := netip.ParseAddrPort(string(a)); err != nil {
+		c.add(flag, `must be an IP number and port, such as "10.0.0.1:8080", not "`+string(a)+`"`)
+	}
+}
+
+// distinct checks that two ports don't listen at one address; port 0 takes any free one.
+func (c *checker) distinct(flag string, a unit.Address, other string, b unit.Address) {
+	parsed, err := netip.ParseAddrPort(string(a))
+	if err == nil && a == b && parsed.Port() != 0 {
+		c.add(flag, "is the same address as "+other)
+	}
+}
--- /dev/null
+++ b/internal/config/process/process_test.go
@@ -0,0 +1,104 @@
+package process
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilspan/internal/core/unit"
+)
+
+func valid() Settings {
+	return Settings{
+		Node: "e1", Centre: "amman", Caller: "127.0.0.1:8080", Operator: "127.0.0.1:8081", Peer: "10.0.0.1:8082",
+		Platform: "10.0.9.9:80", Lag: time.Second,
+	}
+}
+
+func TestCheckNamesEverySetting(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(s *Settings)
+		want   []string
+	}{
+		{"valid", func(*Settings) {}, nil},
+		{"free ports", func(s *Settings) { s.Caller, s.Peer = "127.0.0.1:0", "127.0.0.1:0" }, nil},
+		{"nothing set", func(s *Settings) { *s = Settings{} }, []string{
+			`node: is missing; set --node, BASILSPAN_NODE or "node" in the settings file`,
+			"centre: is missing", "caller: is missing", "operator: is missing", "peer: is missing", "platform: is missing",
+		}},
+		{"a host name", func(s *Settings) { s.Platform = "config.example:80" }, []string{"platform: must be an IP number and port"}},
+		{"no port", func(s *Settings) { s.Peers = []unit.Address{"10.0.0.2"} }, []string{"peers: must be an IP number and port"}},
+		{"bad names", func(s *Settings) { s.Node, s.Centre = "e 1", "a\n" }, []string{"node: a name has", "centre: a name has"}},
+		{"one port twice", func(s *Settings) { s.Operator = s.Caller }, []string{"operator: is the same address as caller"}},
+		{"lag", func(s *Settings) { s.Lag = time.Hour }, []string{"lag: must be from 0s to 5m0s, not 1h0m0s"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := valid()
+			tt.change(&s)
+			assertLines(t, s.Check(), tt.want)
+		})
+	}
+}
+
+func TestMergeTakesWhatNoFlagSets(t *testing.T) {
+	all := `{"node": "f1", "centre": "irbid", "caller": "127.0.0.2:1", "operator": "127.0.0.2:2", "peer": "127.0.0.2:3",
+"platform": "127.0.0.2:4", "peers": ["127.0.0.2:5"], "lag": "2s", "pprof": true, "log-json": true}`
+	tests := []struct {
+		name    string
+		content string
+		set     string
+		want    func(s *Settings)
+		errs    []string
+	}{
+		{"every key", all, "", func(s *Settings) {
+			*s = Settings{
+				Node: "f1", Centre: "irbid", Caller: "127.0.0.2:1", Operator: "127.0.0.2:2", Peer: "127.0.0.2:3",
+				Platform: "127.0.0.2:4", Peers: []unit.Address{"127.0.0.2:5"}, Lag: 2 * time.Second, Pprof: true, LogJSON: true,
+			}
+		}, nil},
+		{"flags go first", all, "node centre caller operator peer platform peers lag pprof log-json", func(*Settings) {}, nil},
+		{"faults", "{\n\"nod\": \"x\",\n\"pprof\": 1}", "", nil, []string{
+			`s.json:2: nod: unknown key`, `s.json:3: pprof: must be true or false, not a number`,
+		}},
+		{"a lag without unit", `{"lag": "5"}`, "", nil, []string{`s.json: lag: must be a time with its unit`}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := valid()
+			set := strings.Fields(tt.set)
+			err := got.Merge("s.json", []byte(tt.content), func(flag string) bool {
+				for _, s := range set {
+					if s == flag {
+						return true
+					}
+				}
+				return false
+			})
+			assertLines(t, err, tt.errs)
+			if tt.errs == nil {
+				want := valid()
+				tt.want(&want)
+				assert.DeepEqual(t, got, want)
+			}
+		})
+	}
+}
+
+// assertLines checks that err has one line for each of want, with that beginning.
+func assertLines(t *testing.T, err error, want []string) {
+	t.Helper()
+	if len(want) == 0 {
+		assert.NilError(t, err)
+		return
+	}
+	assert.Assert(t, err != nil)
+	lines := strings.Split(err.Error(), "\n")
+	assert.Equal(t, len(lines), len(want), "%q", lines)
+	for i, line := range lines {
+		assert.Assert(t, strings.HasPrefix(line, want[i]), "%s\nwant %s", line, want[i])
+	}
+}
--- a/internal/serve/caller/caller.go
+++ b/internal/serve/caller/caller.go
@@ -19,6 +19,7 @@
 	"basilspan/internal/core/query"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/policy/fanout"
+	"basilspan/internal/serve/port"
 )
 
 const (
@@ -90,13 +91,13 @@
 	return k.Register(kernel.Service{
 		Name:  kernel.ServiceCaller,
 		Value: s,
-		Start: func(context.Context) error {
+		Start: func(ctx context.Context) error {
 			runner, err := kernel.Find[*query.Runner](k, kernel.ServiceQuery)
 			if err != nil {
 				return err
 			}
 			s.Answer = runner.Run
-			return s.start()
+			return s.start(ctx)
 		},
 		Close: s.close,
 	})
@@ -107,7 +108,7 @@
 	return unit.Address(s.listener.Addr().String())
 }
 
-func (s *Server) start() error {
+func (s *Server) start(ctx context.Context) error {
 	listener, err := net.Listen("tcp", string(s.listen))
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
@@ -126,7 +127,7 @@
 		defer close(s.done)
 		_ = s.server.Run()
 	}()
-	return nil
+	return port.Await(ctx, listener.Addr())
 }
 
 func (s *Server) close() error {
--- a/internal/serve/operator/operator.go
+++ b/internal/serve/operator/operator.go
@@ -16,6 +16,7 @@
 	"basilspan/internal/core/metric"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/core/view"
+	"basilspan/internal/serve/port"
 )
 
 type (
@@ -64,7 +65,7 @@
 	return k.Register(kernel.Service{
 		Name:  kernel.ServiceOperator,
 		Value: s,
-		Start: func(context.Context) error {
+		Start: func(ctx context.Context) error {
 			var err error
 			if s.views, err = kernel.Find[*view.Store](k, kernel.ServiceViews); err != nil {
 				return err
@@ -72,7 +73,7 @@
 			if s.metrics, err = kernel.Find[*metric.Set](k, kernel.ServiceMetrics); err != nil {
 				return err
 			}
-			return s.start()
+			return s.start(ctx)
 		},
 		Close: s.close,
 	})
@@ -83,7 +84,7 @@
 	return unit.Address(s.listener.Addr().String())
 }
 
-func (s *Server) start() error {
+func (s *Server) start(ctx context.Context) error {
 	listener, err := net.Listen("tcp", string(s.listen))
 	if err != nil {
 		return errors.Wrap(err, "listen for operators")
@@ -98,7 +99,7 @@
 		defer close(s.done)
 		_ = s.server.Run()
 	}()
-	return nil
+	return port.Await(ctx, listener.Addr())
 }
 
 func (s *Server) close() error {
