--- a/internal/cmd/serve/serve.go
+++ b/internal/cmd/serve/serve.go
@@ -108,6 +108,7 @@
 			Destination: &s.Lag,
 		},
 		toggle("pprof", "add profiles to the operators' port, under /debug/pprof", &s.Pprof),
+		toggle("trace", "print the records of the decisions for replay", &s.Trace),
 		toggle("log-json", "print log lines as JSON", &s.LogJSON),
 	}
 }
@@ -123,7 +124,7 @@
 	defer cancel()
 	hlog.SetOutput(io.Discard)
 	log := logger(opts).With("node", string(opts.Settings.Node))
-	e, err := entry.New(opts.Settings, entry.Options{Now: opts.Now, Log: log})
+	e, err := entry.New(opts.Settings, entry.Options{Now: opts.Now, Log: log, Trace: traceOut(opts)})
 	if err != nil {
 		return err
 	}
@@ -138,6 +139,14 @@
 	return e.Close()
 }
 
+// traceOut gives where the records of the decisions go, or nil.
+func traceOut(opts *Options) io.Writer {
+	if !opts.Settings.Trace {
+		return nil
+	}
+	return opts.Streams.Out
+}
+
 func logger(opts *Options) *slog.Logger {
 	if opts.Settings.LogJSON {
 		return slog.New(slog.NewJSONHandler(opts.Streams.Err, nil))
--- a/internal/config/process/process.go
+++ b/internal/config/process/process.go
@@ -33,6 +33,8 @@
 	Lag time.Duration
 	// Pprof adds the profiles to the operators' port.
 	Pprof bool
+	// Trace prints the records of the decisions to the standard output.
+	Trace bool
 	// LogJSON prints log lines as JSON.
 	LogJSON bool
 }
@@ -48,6 +50,7 @@
 	Peers    []string `json:"peers"`
 	Lag      *string  `json:"lag"`
 	Pprof    *bool    `json:"pprof"`
+	Trace    *bool    `json:"trace"`
 	LogJSON  *bool    `json:"log-json"`
 }
 
@@ -73,12 +76,9 @@
 	merge(&s.Operator, w.Operator, isSet("operator"))
 	merge(&s.Peer, w.Peer, isSet("peer"))
 	merge(&s.Platform, w.Platform, isSet("platform"))
-	if w.Pprof != nil && !isSet("pprof") {
-		s.Pprof = *w.Pprof
-	}
-	if w.LogJSON != nil && !isSet("log-json") {
-		s.LogJSON = *w.LogJSON
-	}
+	mergeFlag(&s.Pprof, w.Pprof, isSet("pprof"))
+	mergeFlag(&s.Trace, w.Trace, isSet("trace"))
+	mergeFlag(&s.LogJSON, w.LogJSON, isSet("log-json"))
 	if w.Peers != nil && !isSet("peers") {
 		s.Peers = Addresses(w.Peers)
 	}
@@ -104,6 +104,13 @@
 	}
 }
 
+// mergeFlag takes a flag that the file gives and no command line sets.
+func mergeFlag(to *bool, from *bool, set bool) {
+	if from != nil && !set {
+		*to = *from
+	}
+}
+
 // Addresses gives texts as addresses; Check says which are wrong.
 func Addresses(texts []string) []unit.Address {
 	all := make([]unit.Address, 0, len(texts))
