Put owners, rank order and floors in front of endpoints, and admit whole queries by rank

Cause: each entry VM called every endpoint with no limit but its connections, so seven of them overran two slots and urgent calls waited in the endpoint's own queue, where nobody sorts by rank. A search ran eight queries an entry whatever its size, and a flood of the least urgent rank kept the most urgent out. Ruled out: a floor by a share of time, since it depends on the clock's steps; a token for each endpoint that VMs pass on, since a paused holder stops the endpoint. Change: policy/rank is the one queue with rank order and floors; policy/limit bounds the calls at an endpoint; policy/place names its owner; core/route sends by the owner and goes round it while it is silent; link/peer carries the time left, cancellation and the time that a call lay unread; policy/admit admits by rank.

--- a/internal/core/kernel/names.go
+++ b/internal/core/kernel/names.go
@@ -16,6 +16,8 @@
 	ServicePeer Name = "peer"
 	// ServicePlatform is the watcher of the platform's service.
 	ServicePlatform Name = "platform"
+	// ServiceRoute sends attempts to their endpoints.
+	ServiceRoute Name = "route"
 	// ServiceQuery runs queries.
 	ServiceQuery Name = "query"
 	// ServiceCaller is the port for callers.
--- a/internal/core/query/gates.go
+++ b/internal/core/query/gates.go
@@ -5,81 +5,81 @@
 	"sync"
 	"time"
 
+	"basilspan/internal/core/turn"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/core/view"
 	"basilspan/internal/policy/admit"
 	"basilspan/internal/policy/catalog"
 	"basilspan/internal/policy/fanout"
+	"basilspan/internal/policy/place"
+	"basilspan/internal/policy/rank"
 )
 
+// waitingQueries is how many queries of one rank may wait for a search.
+const waitingQueries = 256
+
 // gates holds one gate for each search.
 type gates struct {
 	mu       sync.Mutex
-	next     uint64
-	bySearch map[unit.SearchName]*admit.Gate
-	wait     map[uint64]chan unit.Code
+	bySearch map[unit.SearchName]*gate
 }
 
-const (
-	// runningQueries is how many queries of one search an entry VM runs at once.
-	runningQueries = 8
-	// waitingQueries is how many queries of one rank may wait for a search.
-	waitingQueries = 64
-)
+// gate is the admission of one search with those who wait for it. Its line's lock guards the rest.
+type gate struct {
+	line  turn.Line
+	admit *admit.Gate
+	// catalog and live are what the settings were made from.
+	catalog *catalog.Catalog
+	live    int
+}
 
 // enter waits until the query may run; CodeWhole means that it may.
 func (g *gates) enter(ctx context.Context, now time.Time, v *view.View, q fanout.Query) unit.Code {
-	g.mu.Lock()
-	if g.bySearch == nil {
-		g.bySearch = make(map[unit.SearchName]*admit.Gate)
-		g.wait = make(map[uint64]chan unit.Code)
-	}
-	gate := g.bySearch[q.Search]
-	if gate == nil {
-		gate = admit.New(admit.Settings{Running: runningQueries, Waiting: waitingQueries, Ranks: ranks(v.Catalog)})
-		g.bySearch[q.Search] = gate
-	}
-	g.next++
-	ticket := admit.Ticket{ID: g.next, Rank: q.Rank, Deadline: q.Deadline}
-	verdict := make(chan unit.Code, 1)
-	g.wait[ticket.ID] = verdict
-	g.tell(gate.Offer(now, ticket))
-	g.mu.Unlock()
-	select {
-	case code := <-verdict:
-		return code
-	case <-ctx.Done():
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	delete(g.wait, ticket.ID)
-	if gate.Withdraw(ticket) {
-		return unit.CodeTooLate
-	}
-	// The verdict came at the same moment.
-	return <-verdict
+	one := g.find(q.Search)
+	one.follow(now, v, q.Search)
+	return one.line.Take(ctx, func(id uint64) []rank.Verdict {
+		return one.admit.Offer(now, rank.Ticket{ID: id, Rank: q.Rank, Deadline: q.Deadline})
+	}, func(id uint64) bool { return one.admit.Withdraw(id) })
 }
 
-// leave takes the end of a running query.
-func (g *gates) leave(now time.Time, search unit.SearchName) {
+// leave takes the end of a running query, which took that long.
+func (g *gates) leave(now time.Time, q fanout.Query, took time.Duration) {
+	one := g.find(q.Search)
+	one.line.Do(func() []rank.Verdict { return one.admit.Done(now, q.Rank, took) })
+}
+
+func (g *gates) find(search unit.SearchName) *gate {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.tell(g.bySearch[search].Done(now))
+	if g.bySearch == nil {
+		g.bySearch = make(map[unit.SearchName]*gate)
+	}
+	one := g.bySearch[search]
+	if one == nil {
+		one = &gate{admit: admit.New(admit.Settings{})}
+		g.bySearch[search] = one
+	}
+	return one
 }
 
-func (g *gates) tell(verdicts []admit.Verdict) {
-	for _, v := range verdicts {
-		if c := g.wait[v.Ticket.ID]; c != nil {
-			c <- v.Code
-			delete(g.wait, v.Ticket.ID)
+// follow takes over the view's ranks, slots and entry VMs when they differ from those that the gate was set by.
+func (g *gate) follow(now time.Time, v *view.View, search unit.SearchName) {
+	live := place.Live(v.Members)
+	g.line.Do(func() []rank.Verdict {
+		if g.catalog == v.Catalog && g.live == live {
+			return nil
 		}
-	}
+		g.catalog, g.live = v.Catalog, live
+		return g.admit.Change(now, admit.Settings{
+			Running: admit.Running(v.Catalog.Searches[search], live),
+			Waiting: waitingQueries,
+			Ranks:   rank.FromCatalog(v.Catalog),
+		})
+	})
 }
 
-func ranks(c *catalog.Catalog) map[unit.RankName]admit.Rank {
-	all := make(map[unit.RankName]admit.Rank, len(c.Ranks))
-	for name, r := range c.Ranks {
-		all[name] = admit.Rank{Urgency: r.Urgency, Floor: r.Floor}
-	}
-	return all
+// leave takes the end of a query that entered at that time.
+func (r *Runner) leave(q fanout.Query, entered time.Time) {
+	now := r.Now()
+	r.gates.leave(now, q, now.Sub(entered))
 }
--- a/internal/core/query/query.go
+++ b/internal/core/query/query.go
@@ -59,7 +59,7 @@
 	if code := r.gates.enter(ctx, now, v, q); code != unit.CodeWhole {
 		return fanout.Refuse(q.ID, code, code.String())
 	}
-	defer func() { r.gates.leave(r.Now(), q.Search) }()
+	defer r.leave(q, r.Now())
 	plan, ok := fanout.Choose(search, func(e catalog.Endpoint) fanout.Condition {
 		return fanout.Condition{Leaving: v.Leaving[e.ID]}
 	})
--- a/internal/link/peer/peer.go
+++ b/internal/link/peer/peer.go
@@ -1,12 +1,19 @@
 // Package peer speaks JSON-RPC 2.0 over TCP between entry VMs. Other services add the methods that they answer and
 // call those of other VMs; docs/PROTOCOLS.md lists them.
+//
+// A call's context reaches the peer: the time that is left goes with the call, without either VM's clock, and a
+// cancelled call is cancelled there. The time that a call lay unread, because the peer was paused, counts against
+// what is left; Delay gives it.
 package peer
 
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,12 +23,28 @@
 	"basilspan/internal/core/unit"
 )
 
-// dialTime bounds the making of a connection to a peer.
-const dialTime = time.Second
+const (
+	// dialTime bounds the making of a connection to a peer, its first answer included.
+	dialTime = time.Second
+	// writeTime bounds one write; a peer that reads nothing for that long loses the connection.
+	writeTime = time.Second
+	// redialPause is how long a peer that could not be reached is not dialled again.
+	redialPause = 100 * time.Millisecond
+)
+
+// The methods of the link itself.
+const (
+	methodHello  Method = "hello"
+	methodCancel Method = "cancel"
+)
 
-// ErrNotSent means that no byte of a call can have reached the peer.
+// ErrNotSent means that the peer has not run the call and never will: no byte of it can have reached the peer, or the
+// peer has refused it.
 var ErrNotSent = errors.New("the call was not sent")
 
+// codeClosing is the JSON-RPC error of a peer that is closing and has not run the call.
+const codeClosing = -32001
+
 // Method names a call between entry VMs.
 type Method string
 
@@ -31,25 +54,39 @@
 // Link holds the connections to and from the other entry VMs.
 type Link struct {
 	listen unit.Address
+	began  time.Time
+	calls  atomic.Uint64
 
 	mu       sync.Mutex
 	handlers map[Method]handler
-	out      map[unit.Address]*jsonrpc2.Conn
-	in       map[*jsonrpc2.Conn]bool
+	out      map[unit.Address]*dialled
+	in       map[*session]bool
 	listener net.Listener
 	cancel   context.CancelFunc
 	ctx      context.Context
 	wg       sync.WaitGroup
 }
 
+// dialled is the connection to one peer.
+type dialled struct {
+	mu     sync.Mutex
+	conn   *jsonrpc2.Conn
+	failed time.Time
+	// dialling is closed at the end of the attempt under way; it is nil while there is none.
+	dialling chan struct{}
+}
+
 // New makes a link that will listen at that address.
 func New(listen unit.Address) *Link {
-	return &Link{
+	l := &Link{
 		listen:   listen,
+		began:    time.Now(),
 		handlers: make(map[Method]handler),
-		out:      make(map[unit.Address]*jsonrpc2.Conn),
-		in:       make(map[*jsonrpc2.Conn]bool),
+		out:      make(map[unit.Address]*dialled),
+		in:       make(map[*session]bool),
 	}
+	Handle(l, methodHello, func(context.Context, struct{}) (struct{}, error) { return struct{}{}, nil })
+	return l
 }
 
 // Handle adds a method with typed parameters and a typed result; it must be called before the link starts.
@@ -79,13 +116,40 @@
 }
 
 // Call calls a method of the peer at that address and waits for its result. An error that is ErrNotSent means that
-// the peer has not seen the call.
+// the peer has not seen the call. When ctx ends first, the call is cancelled at the peer, which may have run it.
 func (l *Link) Call(ctx context.Context, to unit.Address, method Method, params, result any) error {
 	conn, err := l.connect(ctx, to)
 	if err != nil {
 		return errors.Mark(err, ErrNotSent)
 	}
-	return errors.Wrapf(conn.Call(ctx, string(method), params, result), "call %s of peer %s", method, to)
+	id := jsonrpc2.ID{Num: l.calls.Add(1)}
+	// A write that fails may have let bytes out, so an error from here on is no ErrNotSent.
+	waiter, err := conn.DispatchCall(ctx, string(method), params, jsonrpc2.PickID(id), jsonrpc2.Meta(l.stamp()))
+	if err != nil {
+		return errors.Wrapf(err, "send %s to peer %s", method, to)
+	}
+	err = waiter.Wait(ctx, result)
+	if refused(err) {
+		return errors.Mark(errors.Wrapf(err, "call %s of peer %s", method, to), ErrNotSent)
+	}
+	if err != nil && ctx.Err() != nil {
+		_ = conn.Notify(context.WithoutCancel(ctx), string(methodCancel), wireCancel{ID: id.Num})
+	}
+	return errors.Wrapf(err, "call %s of peer %s", method, to)
+}
+
+// refused says whether the peer has answered that it did not run the call.
+func refused(err error) bool {
+	var e *jsonrpc2.Error
+	if !errors.As(err, &e) {
+		return false
+	}
+	return e.Code == codeClosing || e.Code == jsonrpc2.CodeMethodNotFound || e.Code == jsonrpc2.CodeInvalidParams
+}
+
+// stamp gives the time of sending, on this VM's clock alone.
+func (l *Link) stamp() wireStamp {
+	return wireStamp{Sent: time.Since(l.began).Microseconds()}
 }
 
 func (l *Link) start(ctx context.Context) error {
@@ -109,86 +173,137 @@
 		if err != nil {
 			return
 		}
-		conn := l.open(c)
+		s := newSession(l)
 		l.mu.Lock()
-		l.in[conn] = true
+		l.in[s] = true
+		s.conn = l.open(c, s)
 		l.mu.Unlock()
 		l.wg.Add(1)
-		go l.forget(conn)
+		go l.forget(s)
 	}
 }
 
-// forget waits for the end of an incoming connection.
-func (l *Link) forget(conn *jsonrpc2.Conn) {
+// forget waits for the end of an incoming connection and of the calls that came by it.
+func (l *Link) forget(s *session) {
 	defer l.wg.Done()
-	<-conn.DisconnectNotify()
+	<-s.conn.DisconnectNotify()
+	s.wg.Wait()
 	l.mu.Lock()
-	delete(l.in, conn)
+	delete(l.in, s)
 	l.mu.Unlock()
 }
 
 // open starts JSON-RPC on a connection.
-func (l *Link) open(c net.Conn) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.PlainObjectCodec{})
-	return jsonrpc2.NewConn(l.ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(l.answer)))
+func (l *Link) open(c net.Conn, h jsonrpc2.Handler) *jsonrpc2.Conn {
+	stream := jsonrpc2.NewBufferedStream(&timed{Conn: c}, jsonrpc2.PlainObjectCodec{})
+	return jsonrpc2.NewConn(l.ctx, stream, h, jsonrpc2.SetLogger(log.New(io.Discard, "", 0)))
 }
 
-func (l *Link) answer(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
-	answer, ok := l.handlers[Method(req.Method)]
-	if !ok {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + req.Method}
+// connect gives the open connection to a peer, or waits for one to be made.
+func (l *Link) connect(ctx context.Context, to unit.Address) (*jsonrpc2.Conn, error) {
+	d := l.to(to)
+	conn, dialling, err := l.current(d, to)
+	if dialling == nil {
+		return conn, err
+	}
+	select {
+	case <-dialling:
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "connect to a peer")
 	}
-	if req.Params == nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "parameters are missing"}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.conn == nil {
+		return nil, errors.Newf("peer %s could not be reached", to)
 	}
-	return answer(ctx, *req.Params)
+	return d.conn, nil
 }
 
-// connect gives the open connection to a peer, or makes one.
-func (l *Link) connect(ctx context.Context, to unit.Address) (*jsonrpc2.Conn, error) {
-	if conn := l.known(to); conn != nil {
-		return conn, nil
+func (l *Link) to(address unit.Address) *dialled {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := l.out[address]
+	if d == nil {
+		d = &dialled{}
+		l.out[address] = d
+	}
+	return d
+}
+
+// current gives the open connection, or the attempt to make one that is under way, or why none is made now.
+func (l *Link) current(d *dialled, to unit.Address) (conn *jsonrpc2.Conn, dialling chan struct{}, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case d.conn != nil && !ended(d.conn):
+		return d.conn, nil, nil
+	case d.dialling != nil:
+		return nil, d.dialling, nil
+	case time.Since(d.failed) < redialPause:
+		return nil, nil, errors.Newf("peer %s could not be reached just now", to)
 	}
-	dialer := net.Dialer{Timeout: dialTime}
+	d.conn = nil
+	d.dialling = make(chan struct{})
+	go l.redial(d, to)
+	return nil, d.dialling, nil
+}
+
+// redial makes the connection that d's callers wait for.
+func (l *Link) redial(d *dialled, to unit.Address) {
+	conn, err := l.dial(l.ctx, to)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err != nil {
+		d.failed = time.Now()
+	} else {
+		d.conn = conn
+	}
+	close(d.dialling)
+	d.dialling = nil
+}
+
+// dial makes a connection and waits for the peer's first answer: a paused process takes connections that it will
+// only read once it goes on.
+func (l *Link) dial(ctx context.Context, to unit.Address) (*jsonrpc2.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTime)
+	defer cancel()
+	var dialer net.Dialer
 	c, err := dialer.DialContext(ctx, "tcp", string(to))
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to a peer")
 	}
-	conn := l.open(c)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if other := l.out[to]; other != nil && !ended(other) {
+	conn := l.open(c, newSession(l))
+	err = conn.Call(ctx, string(methodHello), struct{}{}, nil, jsonrpc2.Meta(l.stamp()))
+	if err != nil {
 		_ = conn.Close()
-		return other, nil
+		return nil, errors.Wrap(err, "greet a peer")
 	}
-	l.out[to] = conn
 	return conn, nil
 }
 
-func (l *Link) known(to unit.Address) *jsonrpc2.Conn {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	conn := l.out[to]
-	if conn == nil || ended(conn) {
-		return nil
-	}
-	return conn
-}
-
 func (l *Link) close() error {
 	err := l.listener.Close()
-	l.cancel()
 	l.mu.Lock()
-	var conns []*jsonrpc2.Conn
-	for conn := range l.in {
-		conns = append(conns, conn)
+	sessions := make([]*session, 0, len(l.in))
+	for s := range l.in {
+		sessions = append(sessions, s)
 	}
-	for _, conn := range l.out {
-		conns = append(conns, conn)
+	out := make([]*dialled, 0, len(l.out))
+	for _, d := range l.out {
+		out = append(out, d)
 	}
 	l.mu.Unlock()
-	for _, conn := range conns {
-		_ = conn.Close()
+	// The calls that have come are answered before their connections close.
+	for _, s := range sessions {
+		s.close()
+	}
+	l.cancel()
+	for _, d := range out {
+		d.mu.Lock()
+		if d.conn != nil {
+			_ = d.conn.Close()
+		}
+		d.mu.Unlock()
 	}
 	l.wg.Wait()
 	return errors.Wrap(err, "close the link to the peers")
@@ -203,3 +318,16 @@
 		return false
 	}
 }
+
+// timed is a connection whose writes are bounded in time, so that a paused peer can't hold up its callers.
+type timed struct {
+	net.Conn
+}
+
+// Write writes within writeTime.
+func (t *timed) Write(p []byte) (int, error) {
+	if err := t.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
+		return 0, err
+	}
+	return t.Conn.Write(p)
+}
--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -6,111 +6,166 @@
 	"time"
 
 	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/catalog"
+	"basilspan/internal/policy/rank"
 )
 
-// Ticket is one query that asks to run.
-type Ticket struct {
-	ID       uint64
-	Rank     unit.RankName
-	Deadline time.Time
-}
-
-// Rank is what admission needs to know of a rank.
-type Rank struct {
-	Urgency unit.Urgency
-	Floor   unit.Share
-}
-
-// Verdict is the decision about a ticket.
-type Verdict struct {
-	Ticket Ticket
-	// Code is CodeWhole when the query may run, and the reason when it is refused.
-	Code unit.Code
-}
+const (
+	// fanoutsPerSlot is how many queries may run for each slot of the search's smallest shard. A query holds its
+	// slots for a part of its time only, since its slowest shard decides when it ends.
+	fanoutsPerSlot = 8
+	// leastRunning is how many queries an entry VM may always run.
+	leastRunning = 2
+	// timeWeight is the weight of a sample in a rank's average running time.
+	timeWeight = 1.0 / 16
+)
 
 // Settings bound one gate.
 type Settings struct {
-	// Running is how many queries may run at once.
+	// Running is how many queries may run at once, counting those of a rank and of the more urgent ones.
 	Running int
 	// Waiting is how many queries of one rank may wait.
 	Waiting int
 	// Ranks are the configured ranks.
-	Ranks map[unit.RankName]Rank
+	Ranks map[unit.RankName]rank.Rank
+}
+
+// Running gives an entry VM's share of the queries that a search can run: its smallest shard's slots decide, and the
+// live entry VMs share them.
+func Running(search *catalog.Search, live int) int {
+	snapshot, ok := search.Newest()
+	if !ok {
+		return leastRunning
+	}
+	slots := make(map[unit.ShardID]int, len(snapshot.Shards))
+	for _, e := range search.Endpoints {
+		if !e.Leaving {
+			slots[e.Shard] += int(e.Slots)
+		}
+	}
+	smallest := 0
+	for _, shard := range snapshot.Shards {
+		if n := slots[shard]; n > 0 && (smallest == 0 || n < smallest) {
+			smallest = n
+		}
+	}
+	live = max(live, 1)
+	return max(leastRunning, (smallest*fanoutsPerSlot+live-1)/live)
+}
+
+// state is what a gate knows of one rank.
+type state struct {
+	running int
+	took    rank.Average
 }
 
 // Gate admits the queries of one search. It is not safe for use by several goroutines.
 type Gate struct {
 	settings Settings
-	running  int
-	waiting  map[unit.RankName][]Ticket
+	waiting  *rank.Queue
+	states   map[unit.RankName]*state
 }
 
 // New makes a gate.
 func New(settings Settings) *Gate {
-	return &Gate{settings: settings, waiting: make(map[unit.RankName][]Ticket)}
+	return &Gate{
+		settings: settings,
+		waiting:  rank.New(settings.Waiting, settings.Ranks),
+		states:   make(map[unit.RankName]*state),
+	}
+}
+
+// Change takes new settings after a change of the configuration or of the entry VMs, and gives the verdicts that
+// follow.
+func (g *Gate) Change(now time.Time, settings Settings) []rank.Verdict {
+	g.settings = settings
+	g.waiting.Change(settings.Waiting, settings.Ranks)
+	return g.grant(now)
 }
 
 // Offer takes a new ticket and gives the verdicts that follow; a ticket without a verdict waits.
-func (g *Gate) Offer(now time.Time, ticket Ticket) []Verdict {
-	queue := g.waiting[ticket.Rank]
-	if len(queue) >= g.settings.Waiting {
-		return []Verdict{{Ticket: ticket, Code: unit.CodeOverloaded}}
+func (g *Gate) Offer(now time.Time, t rank.Ticket) []rank.Verdict {
+	if !now.Before(t.Deadline) || g.late(now, t, g.waiting.Wait(now, t.Rank)) {
+		return []rank.Verdict{{Ticket: t, Code: unit.CodeTooLate}}
+	}
+	if !g.waiting.Push(now, t) {
+		return []rank.Verdict{{Ticket: t, Code: unit.CodeOverloaded}}
 	}
-	g.waiting[ticket.Rank] = append(queue, ticket)
 	return g.grant(now)
 }
 
-// Done takes the end of a running query and gives the verdicts that follow.
-func (g *Gate) Done(now time.Time) []Verdict {
-	g.running--
+// Done takes the end of a running query of that rank, which took that long, and gives the verdicts that follow.
+func (g *Gate) Done(now time.Time, name unit.RankName, took time.Duration) []rank.Verdict {
+	s := g.state(name)
+	s.running--
+	s.took.Add(took)
 	return g.grant(now)
 }
 
 // Withdraw takes back a waiting ticket; it says false when the ticket does not wait.
-func (g *Gate) Withdraw(ticket Ticket) bool {
-	queue := g.waiting[ticket.Rank]
-	for i, t := range queue {
-		if t.ID == ticket.ID {
-			g.waiting[ticket.Rank] = append(queue[:i:i], queue[i+1:]...)
-			return true
-		}
-	}
-	return false
+func (g *Gate) Withdraw(id uint64) bool {
+	return g.waiting.Remove(id)
+}
+
+// Waiting gives how many queries of a rank wait.
+func (g *Gate) Waiting(name unit.RankName) int {
+	return g.waiting.Waiting(name)
+}
+
+// Running gives how many queries of a rank run.
+func (g *Gate) Running(name unit.RankName) int {
+	return g.state(name).running
 }
 
 // grant admits waiting tickets while there is room.
-func (g *Gate) grant(now time.Time) []Verdict {
-	var verdicts []Verdict
-	for g.running < g.settings.Running {
-		ticket, ok := g.pop()
+func (g *Gate) grant(now time.Time) []rank.Verdict {
+	var verdicts []rank.Verdict
+	for {
+		t, ok := g.waiting.Pop(now, g.room)
 		if !ok {
 			return verdicts
 		}
-		if !now.Before(ticket.Deadline) {
-			verdicts = append(verdicts, Verdict{Ticket: ticket, Code: unit.CodeTooLate})
+		if !now.Before(t.Deadline) || g.late(now, t, 0) {
+			verdicts = append(verdicts, rank.Verdict{Ticket: t, Code: unit.CodeTooLate})
 			continue
 		}
-		g.running++
-		verdicts = append(verdicts, Verdict{Ticket: ticket, Code: unit.CodeWhole})
+		g.state(t.Rank).running++
+		verdicts = append(verdicts, rank.Verdict{Ticket: t, Code: unit.CodeWhole})
 	}
-	return verdicts
 }
 
-// pop takes the oldest ticket of the most urgent rank that waits.
-func (g *Gate) pop() (ticket Ticket, ok bool) {
-	var best unit.RankName
-	for name, queue := range g.waiting {
-		if len(queue) == 0 {
-			continue
-		}
-		if !ok || g.settings.Ranks[name].Urgency < g.settings.Ranks[best].Urgency {
-			best, ok = name, true
+// room says whether one more query of that rank may run: while fewer than its floor's share of its own rank run, and
+// while there is room beside its own rank and the more urgent ones. Less urgent work never keeps it out.
+func (g *Gate) room(name unit.RankName) bool {
+	r := g.settings.Ranks[name]
+	own := g.state(name).running
+	if float64(own) < max(1, float64(r.Floor)*float64(g.settings.Running)) {
+		return true
+	}
+	ahead := 0
+	for other, s := range g.states {
+		if other == name || g.settings.Ranks[other].Urgency < r.Urgency {
+			ahead += s.running
 		}
 	}
-	if !ok {
-		return Ticket{}, false
+	return ahead < g.settings.Running
+}
+
+// late says whether a query is expected to end after its deadline when it first waits that long. While none of its
+// rank runs it always says no, so that a running time of long ago can't keep every query away.
+func (g *Gate) late(now time.Time, t rank.Ticket, wait time.Duration) bool {
+	s := g.state(t.Rank)
+	if s.running == 0 {
+		return false
+	}
+	return now.Add(wait + s.took.Likely()).After(t.Deadline)
+}
+
+func (g *Gate) state(name unit.RankName) *state {
+	s := g.states[name]
+	if s == nil {
+		s = &state{took: rank.Average{Weight: timeWeight}}
+		g.states[name] = s
 	}
-	queue := g.waiting[best]
-	g.waiting[best] = queue[1:]
-	return queue[0], true
+	return s
 }
--- /dev/null
+++ b/internal/policy/limit/limit.go
@@ -0,0 +1,174 @@
+// Package limit decides which calls one entry VM has under way at one endpoint: at most its slots and the calls that
+// wait beside them, the most urgent rank first with a floor for every other, and none that would end after its
+// deadline.
+package limit
+
+import (
+	"time"
+
+	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/rank"
+)
+
+const (
+	// refusedFactor shrinks the limit when the endpoint refuses a call.
+	refusedFactor = 0.7
+	// slowFactor is how far the recent service time may rise over the usual one before the limit shrinks.
+	slowFactor = 2.0
+	// slowStep shrinks the limit while the service time is high.
+	slowStep = 0.9
+	// lowest is the least limit: one call at a time finds out whether the endpoint works again.
+	lowest = 1.0
+	// recentWeight and usualWeight are the weights of a sample in the recent and the usual service time.
+	recentWeight = 1.0 / 8
+	usualWeight  = 1.0 / 256
+	// usualSamples is how many samples make the usual service time usable.
+	usualSamples = 32
+)
+
+// Settings bound one queue.
+type Settings struct {
+	// Ceiling is the largest limit of calls under way.
+	Ceiling int
+	// Slots is how many calls the endpoint is said to run at once; slowness alone never shrinks the limit below it.
+	Slots unit.Slots
+	// Waiting is how many calls of one rank may wait.
+	Waiting int
+	// Ranks are the configured ranks.
+	Ranks map[unit.RankName]rank.Rank
+}
+
+// Queue is the queue in front of one endpoint. It is not safe for use by several goroutines.
+type Queue struct {
+	settings Settings
+	waiting  *rank.Queue
+	open     int
+	// limit is how many calls may be under way, from 1 to the ceiling; a fraction counts as nothing.
+	limit float64
+	// shrunk is when the limit was last lowered.
+	shrunk time.Time
+	recent rank.Average
+	usual  rank.Average
+}
+
+// New makes a queue for an endpoint that is not known yet: its limit begins at one call and grows with its replies.
+func New(settings Settings) *Queue {
+	return &Queue{
+		settings: settings,
+		waiting:  rank.New(settings.Waiting, settings.Ranks),
+		limit:    lowest,
+		recent:   rank.Average{Weight: recentWeight},
+		usual:    rank.Average{Weight: usualWeight},
+	}
+}
+
+// Change takes new settings, for example after a change of the configuration or of the endpoint's owner. A lower
+// ceiling holds at once; a higher one is reached as replies come.
+func (q *Queue) Change(now time.Time, settings Settings) []rank.Verdict {
+	q.settings = settings
+	q.waiting.Change(settings.Waiting, settings.Ranks)
+	q.limit = max(lowest, min(q.limit, float64(settings.Ceiling)))
+	return q.grant(now)
+}
+
+// Offer takes a new call and gives the verdicts that follow; a call without a verdict waits.
+func (q *Queue) Offer(now time.Time, t rank.Ticket) []rank.Verdict {
+	if !now.Before(t.Deadline) || q.late(now, t, q.waiting.Wait(now, t.Rank)) {
+		return []rank.Verdict{{Ticket: t, Code: unit.CodeTooLate}}
+	}
+	if !q.waiting.Push(now, t) {
+		return []rank.Verdict{{Ticket: t, Code: unit.CodeOverloaded}}
+	}
+	return q.grant(now)
+}
+
+// Done takes the end of a call under way, its result code and how long it took, and gives the verdicts that follow.
+func (q *Queue) Done(now time.Time, code unit.Code, took time.Duration) []rank.Verdict {
+	full := float64(q.open) >= q.whole()
+	q.open--
+	switch code {
+	case unit.CodeWhole:
+		q.served(now, took, full)
+	case unit.CodeRefused:
+		q.shrink(now, refusedFactor, lowest)
+	case unit.CodeNotConnected, unit.CodeDraining, unit.CodeConnection:
+		q.limit = lowest
+	}
+	return q.grant(now)
+}
+
+// Withdraw takes back a waiting call; it says false when the call does not wait.
+func (q *Queue) Withdraw(id uint64) bool {
+	return q.waiting.Remove(id)
+}
+
+// Open gives the number of calls under way.
+func (q *Queue) Open() int {
+	return q.open
+}
+
+// Limit gives how many calls may be under way now.
+func (q *Queue) Limit() int {
+	return int(q.whole())
+}
+
+// Idle says whether no call is under way and none waits.
+func (q *Queue) Idle() bool {
+	return q.open == 0 && q.waiting.Len() == 0
+}
+
+// served takes a call that ran to its end; full says whether the limit held others back meanwhile.
+func (q *Queue) served(now time.Time, took time.Duration, full bool) {
+	q.recent.Add(took)
+	q.usual.Add(took)
+	if q.usual.Samples() > usualSamples && float64(q.recent.Mean()) > slowFactor*float64(q.usual.Mean()) {
+		q.shrink(now, slowStep, float64(q.settings.Slots))
+		return
+	}
+	if full {
+		q.limit = min(q.limit+1/q.limit, float64(q.settings.Ceiling))
+	}
+}
+
+// shrink lowers the limit, at most once in a service time, and not below least.
+func (q *Queue) shrink(now time.Time, factor, least float64) {
+	if now.Sub(q.shrunk) < q.recent.Mean() || q.limit <= least {
+		return
+	}
+	q.shrunk = now
+	q.limit = max(lowest, least, q.limit*factor)
+}
+
+// grant lets waiting calls go while the limit has room.
+func (q *Queue) grant(now time.Time) []rank.Verdict {
+	var verdicts []rank.Verdict
+	for float64(q.open) < q.whole() {
+		t, ok := q.waiting.Pop(now, anyRank)
+		if !ok {
+			return verdicts
+		}
+		if !now.Before(t.Deadline) || q.late(now, t, 0) {
+			verdicts = append(verdicts, rank.Verdict{Ticket: t, Code: unit.CodeTooLate})
+			continue
+		}
+		q.open++
+		verdicts = append(verdicts, rank.Verdict{Ticket: t, Code: unit.CodeWhole})
+	}
+	return verdicts
+}
+
+// late says whether a call is expected to end after its deadline when it first waits that long. While nothing is
+// under way it always says no, so that a service time of long ago can't keep every call away.
+func (q *Queue) late(now time.Time, t rank.Ticket, wait time.Duration) bool {
+	if q.open == 0 {
+		return false
+	}
+	return now.Add(wait + q.recent.Mean()).After(t.Deadline)
+}
+
+// whole gives the limit in whole calls.
+func (q *Queue) whole() float64 {
+	return float64(int(q.limit))
+}
+
+func anyRank(unit.RankName) bool { return true }
--- /dev/null
+++ b/internal/policy/limit/limit_test.go
@@ -0,0 +1,215 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/rank"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const service = 5 * time.Millisecond
+
+func settings(ceiling int) Settings {
+	return Settings{Ceiling: ceiling, Slots: 2, Waiting: 64, Ranks: map[unit.RankName]rank.Rank{
+		"desk": {Urgency: 1, Floor: 0.2}, "member": {Urgency: 2, Floor: 0.15}, "upkeep": {Urgency: 3, Floor: 0.1},
+	}}
+}
+
+func ticket(id uint64, name unit.RankName) rank.Ticket {
+	return rank.Ticket{ID: id, Rank: name, Deadline: start.Add(time.Hour)}
+}
+
+// warm gives a queue that has reached its ceiling.
+func warm(ceiling int) *Queue {
+	q := New(settings(ceiling))
+	for i := range 64 {
+		q.Offer(start, ticket(uint64(i), "desk"))
+	}
+	for q.open > 0 {
+		q.Done(start, unit.CodeWhole, service)
+	}
+	return q
+}
+
+func TestLimitFollowsOutcomes(t *testing.T) {
+	tests := []struct {
+		name string
+		// codes are the ends of calls, each with another call waiting.
+		codes []unit.Code
+		want  int
+	}{
+		{"a cold endpoint gets one call", nil, 1},
+		{"its replies raise the limit", []unit.Code{100}, 2},
+		{"up to the ceiling", []unit.Code{100, 100, 100, 100, 100, 100, 100, 100, 100, 100}, 3},
+		{"a refusal lowers it", []unit.Code{100, 100, 100, 100, 100, 100, 100, 210}, 2},
+		{"a drain lowers it to one", []unit.Code{100, 100, 100, 100, 100, 100, 100, 212}, 1},
+		{"a failed connection lowers it to one", []unit.Code{100, 100, 100, 100, 100, 100, 100, 213}, 1},
+		{"a deadline says nothing", []unit.Code{100, 100, 100, 100, 100, 100, 100, 300}, 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			q := New(settings(3))
+			now := start
+			for i := range 40 {
+				q.Offer(now, ticket(uint64(i), "desk"))
+			}
+			for _, code := range tt.codes {
+				now = now.Add(service)
+				q.Done(now, code, service)
+			}
+			assert.Equal(t, q.Limit(), tt.want)
+		})
+	}
+}
+
+func TestLimitNeverFallsBelowSlotsBySlowness(t *testing.T) {
+	q := warm(4)
+	now := start
+	for i := range 200 {
+		q.Offer(now, ticket(uint64(1000+i), "desk"))
+	}
+	for range 100 {
+		now = now.Add(10 * service)
+		q.Done(now, unit.CodeWhole, 10*service)
+	}
+	assert.Equal(t, q.Limit(), 2)
+}
+
+// TestFloorsHoldAtTheEndpoint floods with the most urgent rank and counts the calls that each rank gets.
+func TestFloorsHoldAtTheEndpoint(t *testing.T) {
+	tests := []struct {
+		name  string
+		flood unit.RankName
+		other unit.RankName
+		least int
+	}{
+		{"most urgent floods", "desk", "upkeep", 99},
+		{"most urgent floods", "desk", "member", 149},
+		{"least urgent floods", "upkeep", "desk", 900},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name+", "+string(tt.other), func(t *testing.T) {
+			q := warm(3)
+			got := make(map[unit.RankName]int)
+			var id uint64 = 1000
+			count := func(verdicts []rank.Verdict) {
+				for _, v := range verdicts {
+					if v.Code == unit.CodeWhole {
+						got[v.Ticket.Rank]++
+					}
+				}
+			}
+			for range 1000 {
+				for _, name := range []unit.RankName{tt.flood, tt.other} {
+					for q.waiting.Waiting(name) < 4 {
+						id++
+						count(q.Offer(start, ticket(id, name)))
+					}
+				}
+				count(q.Done(start, unit.CodeWhole, service))
+			}
+			assert.Assert(t, got[tt.other] >= tt.least, "%s got %d", tt.other, got[tt.other])
+		})
+	}
+}
+
+func TestDeadlineRefusal(t *testing.T) {
+	tests := []struct {
+		name string
+		left time.Duration
+		// ahead are the calls of the rank that wait already.
+		ahead int
+		want  unit.Code
+	}{
+		{"past", -time.Millisecond, 0, unit.CodeTooLate},
+		{"less than a service time", 4 * time.Millisecond, 0, unit.CodeTooLate},
+		{"enough", 100 * time.Millisecond, 0, 0},
+		{"not enough behind the line", 100 * time.Millisecond, 30, unit.CodeTooLate},
+		{"enough behind the line", time.Minute, 30, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			q := warm(3)
+			now := start
+			for i := range 3 + tt.ahead + 20 {
+				q.Offer(now, ticket(uint64(1000+i), "desk"))
+			}
+			for range 20 {
+				now = now.Add(service)
+				q.Done(now, unit.CodeWhole, service)
+			}
+			verdicts := q.Offer(now, rank.Ticket{ID: 5000, Rank: "desk", Deadline: now.Add(tt.left)})
+			var got unit.Code
+			for _, v := range verdicts {
+				if v.Ticket.ID == 5000 {
+					got = v.Code
+				}
+			}
+			assert.Equal(t, got, tt.want)
+		})
+	}
+}
+
+func TestOldServiceTimeKeepsNoCallAway(t *testing.T) {
+	q := New(settings(3))
+	q.Offer(start, ticket(1, "desk"))
+	q.Done(start, unit.CodeWhole, time.Hour)
+	verdicts := q.Offer(start, rank.Ticket{ID: 2, Rank: "desk", Deadline: start.Add(time.Second)})
+	assert.Equal(t, verdicts[0].Code, unit.CodeWhole)
+}
+
+// TestSlotsAreNeverOverrun drives the queue at random: the calls under way never exceed the ceiling, each call gets
+// one verdict at most, and one that was withdrawn gets none.
+func TestSlotsAreNeverOverrun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ceiling := rapid.IntRange(1, 4).Draw(t, "ceiling")
+		q := New(settings(ceiling))
+		codes := []unit.Code{unit.CodeWhole, unit.CodeRefused, unit.CodeDeadline, unit.CodeNotConnected}
+		names := []unit.RankName{"desk", "member", "upkeep"}
+		now := start
+		told := make(map[uint64]bool)
+		open := 0
+		take := func(verdicts []rank.Verdict) {
+			for _, v := range verdicts {
+				assert.Assert(t, !told[v.Ticket.ID], "two verdicts")
+				told[v.Ticket.ID] = true
+				if v.Code == unit.CodeWhole {
+					assert.Assert(t, now.Before(v.Ticket.Deadline))
+					open++
+				}
+			}
+		}
+		var next uint64
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 10).Draw(t, "ms")) * time.Millisecond)
+			before := open
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				next++
+				left := time.Duration(rapid.IntRange(-1, 100).Draw(t, "left")) * time.Millisecond
+				name := rapid.SampledFrom(names).Draw(t, "rank")
+				take(q.Offer(now, rank.Ticket{ID: next, Rank: name, Deadline: now.Add(left)}))
+			case 2, 3:
+				if open > 0 {
+					open--
+					code := rapid.SampledFrom(codes).Draw(t, "code")
+					take(q.Done(now, code, time.Duration(rapid.IntRange(1, 50).Draw(t, "took"))*time.Millisecond))
+				}
+			default:
+				id := rapid.Uint64Range(0, next).Draw(t, "id")
+				if q.Withdraw(id) {
+					assert.Assert(t, !told[id])
+					told[id] = true
+				}
+			}
+			assert.Equal(t, q.Open(), open)
+			assert.Assert(t, open <= ceiling || open <= before, "%d under way at a ceiling of %d", open, ceiling)
+		}
+	})
+}
--- /dev/null
+++ b/internal/policy/place/place_test.go
@@ -0,0 +1,149 @@
+package place
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/catalog"
+	"basilspan/internal/policy/member"
+)
+
+func members(n int, centres ...unit.CentreName) []member.Member {
+	var all []member.Member
+	for i := range n {
+		all = append(all, member.Member{
+			ID:     unit.NodeID("e" + strconv.Itoa(i+1)),
+			Centre: centres[i%len(centres)],
+			State:  member.StateLive,
+		})
+	}
+	return all
+}
+
+func endpoints(n int, centre unit.CentreName) []catalog.Endpoint {
+	var all []catalog.Endpoint
+	for i := range n {
+		all = append(all, catalog.Endpoint{ID: unit.EndpointID("s" + strconv.Itoa(i)), Centre: centre})
+	}
+	return all
+}
+
+func anyMember(member.Member) bool { return true }
+
+func TestOwnerIsOfTheSameCentreFirst(t *testing.T) {
+	tests := []struct {
+		name   string
+		states []member.State
+		centre unit.CentreName
+		want   unit.CentreName
+		ok     bool
+	}{
+		{"near ones first", []member.State{"live", "live", "live", "live"}, "amman", "amman", true},
+		{"others when no near one lives", []member.State{"leaving", "live", "leaving", "live"}, "amman", "zarqa", true},
+		{"none", []member.State{"leaving", "leaving", "leaving", "leaving"}, "amman", "", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			all := members(4, "amman", "zarqa")
+			for i := range all {
+				all[i].State = tt.states[i]
+			}
+			for _, e := range endpoints(50, tt.centre) {
+				owner, ok := Owner(all, e, anyMember)
+				assert.Equal(t, ok, tt.ok)
+				assert.Equal(t, owner.Centre, tt.want)
+			}
+		})
+	}
+}
+
+// TestLossMovesOnlyTheLostOnes takes one member away: every endpoint of another keeps its owner, whatever the order of
+// the list.
+func TestLossMovesOnlyTheLostOnes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 9).Draw(t, "members")
+		all := members(n, "amman", "zarqa", "irbid")
+		lost := rapid.IntRange(0, n-1).Draw(t, "lost")
+		shuffled := rapid.Permutation(all).Draw(t, "order")
+		for _, e := range endpoints(40, "zarqa") {
+			before, _ := Owner(all, e, anyMember)
+			after, ok := Owner(shuffled, e, func(m member.Member) bool { return m.ID != all[lost].ID })
+			assert.Assert(t, ok)
+			if before.ID != all[lost].ID {
+				assert.Equal(t, after.ID, before.ID)
+			}
+		}
+	})
+}
+
+func TestOwnersAreSpread(t *testing.T) {
+	count := make(map[unit.NodeID]int)
+	for _, e := range endpoints(1400, "amman") {
+		owner, _ := Owner(members(7, "amman"), e, anyMember)
+		count[owner.ID]++
+	}
+	for id, n := range count {
+		assert.Assert(t, n > 150 && n < 250, "%s owns %d of 1400", id, n)
+	}
+	assert.Equal(t, len(count), 7)
+}
+
+func TestTrust(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	type step struct {
+		do     func(now time.Time, trust *Trust)
+		after  time.Duration
+		usable bool
+	}
+	sent := func(now time.Time, trust *Trust) { trust.Sent(now) }
+	check := func(now time.Time, trust *Trust) { trust.Check(now) }
+	probed := func(now time.Time, trust *Trust) { trust.Heard(now, false) }
+	replied := func(now time.Time, trust *Trust) { trust.Ended(); trust.Heard(now, true) }
+	lost := func(now time.Time, trust *Trust) { trust.Ended(); trust.Lost(now) }
+	tests := []struct {
+		name  string
+		steps []step
+	}{
+		{"unknown is usable", nil},
+		{"a slow reply is no silence", []step{
+			{sent, 0, true},
+			{probed, 100 * time.Millisecond, true},
+			{check, 200 * time.Millisecond, true},
+		}},
+		{"silence ends the use", []step{{sent, 0, true}, {check, 200 * time.Millisecond, false}}},
+		{"no call, no suspicion", []step{
+			{sent, 0, true}, {replied, 10 * time.Millisecond, true}, {check, time.Hour, true},
+		}},
+		{"a lost connection ends the use", []step{{sent, 0, true}, {lost, time.Millisecond, false}}},
+		{"a sign of life readmits one call", []step{
+			{sent, 0, true},
+			{check, 200 * time.Millisecond, false},
+			{func(now time.Time, trust *Trust) { trust.Ended(); trust.Heard(now, false) }, 300 * time.Millisecond, true},
+			{sent, 300 * time.Millisecond, false},
+			{replied, 310 * time.Millisecond, true},
+			{sent, 310 * time.Millisecond, true},
+			{sent, 310 * time.Millisecond, false},
+		}},
+		{"silence during the probation ends it", []step{
+			{sent, 0, true},
+			{check, 200 * time.Millisecond, false},
+			{probed, 300 * time.Millisecond, false},
+			{check, 500 * time.Millisecond, false},
+			{func(_ time.Time, trust *Trust) { trust.Ended() }, 500 * time.Millisecond, false},
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			trust := NewTrust()
+			for i, s := range tt.steps {
+				s.do(start.Add(s.after), trust)
+				assert.Equal(t, trust.Usable(), s.usable, "step %d", i)
+			}
+		})
+	}
+}
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"log/slog"
+	"os"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 	"basilspan/internal/core/kernel"
 	"basilspan/internal/core/metric"
 	"basilspan/internal/core/query"
+	"basilspan/internal/core/route"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/core/view"
 	"basilspan/internal/link/endpoint"
@@ -24,7 +26,7 @@
 )
 
 // endpointConnections is how many connections one entry VM opens to one endpoint.
-const endpointConnections unit.Connections = 3
+const endpointConnections unit.Connections = 4
 
 // Options are the seams of an entry.
 type Options struct {
@@ -69,7 +71,14 @@
 	client := endpoint.New(now, endpointConnections)
 	link := peer.New(e.settings.Peer)
 	watcher := platform.New(e.settings.Platform, loop)
-	runner := &query.Runner{Now: now, Views: e.views, Metrics: e.metrics, Send: client.Send}
+	routing, err := route.ReadSettings(os.Getenv)
+	if err != nil {
+		return err
+	}
+	router := route.New(routing, link)
+	router.Now, router.Self, router.Views, router.Metrics = now, e.settings.Node, e.views, e.metrics
+	router.Direct = client.Send
+	runner := &query.Runner{Now: now, Views: e.views, Metrics: e.metrics, Send: router.Send}
 	services := []kernel.Service{
 		{Name: kernel.ServiceSettings, Value: e.settings},
 		{Name: kernel.ServiceMetrics, Value: e.metrics},
@@ -78,6 +87,7 @@
 		link.Service(kernel.ServicePeer),
 		watcher.Service(kernel.ServicePlatform),
 		{Name: kernel.ServiceEndpoint, Value: client, Close: client.Close},
+		router.Service(kernel.ServiceRoute),
 		{Name: kernel.ServiceQuery, Value: runner, Close: runner.Close},
 	}
 	for _, s := range services {
