--- a/internal/cmd/serve/serve.go
+++ b/internal/cmd/serve/serve.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -13,14 +14,20 @@
 
 	"basilspan/internal/cmd/stream"
 	"basilspan/internal/config/process"
+	"basilspan/internal/core/unit"
 	"basilspan/internal/serve/entry"
 )
 
+// defaultLag is the usual time for a balancer to notice that an entry VM is not ready.
+const defaultLag = 5 * time.Second
+
 // Options are what the command works with.
 type Options struct {
 	Streams  stream.Streams
 	Settings process.Settings
 	LogJSON  bool
+	// Trace prints the records of the decisions to the standard output.
+	Trace bool
 	// Now gives the present time.
 	Now func() time.Time
 	// Signals gives a context that ends when the process is asked to stop.
@@ -61,10 +68,36 @@
 		text("operator", "address for operators and the balancer's check", "127.0.0.1:8081", (*string)(&s.Operator)),
 		text("peer", "address for the other entry VMs", "127.0.0.1:8082", (*string)(&s.Peer)),
 		text("platform", "address of the platform's service", "", (*string)(&s.Platform)),
+		&cli.StringSliceFlag{
+			Name:    "peers",
+			Usage:   "peer addresses of other entry VMs, for a start while the platform is down",
+			Sources: cli.EnvVars("BASILSPAN_PEERS"),
+			Action: func(_ context.Context, _ *cli.Command, peers []string) error {
+				s.Peers = addresses(peers)
+				return nil
+			},
+		},
+		&cli.DurationFlag{
+			Name:        "lag",
+			Usage:       "time for which the balancer may send callers on after a planned stop has begun",
+			Value:       defaultLag,
+			Sources:     cli.EnvVars("BASILSPAN_LAG"),
+			Destination: &s.Lag,
+		},
 		&cli.BoolFlag{Name: "log-json", Usage: "print log lines as JSON", Destination: &opts.LogJSON},
+		&cli.BoolFlag{Name: "trace", Usage: "print the records of the decisions for replay", Destination: &opts.Trace},
 	}
 }
 
+// addresses gives the texts as addresses; Settings.Check says which are wrong.
+func addresses(texts []string) []unit.Address {
+	all := make([]unit.Address, 0, len(texts))
+	for _, text := range texts {
+		all = append(all, unit.Address(text))
+	}
+	return all
+}
+
 // envName gives the environment variable's part for a flag, in upper case.
 func envName(flag string) string {
 	upper := []byte(flag)
@@ -86,7 +119,7 @@
 	stop, cancel := opts.Signals(ctx)
 	defer cancel()
 	log := logger(opts).With("node", string(opts.Settings.Node))
-	e, err := entry.New(opts.Settings, entry.Options{Now: opts.Now, Log: log})
+	e, err := entry.New(opts.Settings, entry.Options{Now: opts.Now, Log: log, Trace: traceOut(opts)})
 	if err != nil {
 		return err
 	}
@@ -101,6 +134,14 @@
 	return e.Close()
 }
 
+// traceOut gives where the records of the decisions go, or nil.
+func traceOut(opts *Options) io.Writer {
+	if !opts.Trace {
+		return nil
+	}
+	return opts.Streams.Out
+}
+
 func logger(opts *Options) *slog.Logger {
 	if opts.LogJSON {
 		return slog.New(slog.NewJSONHandler(opts.Streams.Err, nil))
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"os"
 	"sync"
@@ -16,6 +17,7 @@
 	"basilspan/internal/core/metric"
 	"basilspan/internal/core/query"
 	"basilspan/internal/core/route"
+	"basilspan/internal/core/trace"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/core/view"
 	"basilspan/internal/link/endpoint"
@@ -32,6 +34,8 @@
 type Options struct {
 	Now func() time.Time
 	Log *slog.Logger
+	// Trace gets the records of the decisions from start to end; nil records none.
+	Trace io.Writer
 }
 
 // Entry is one entry VM.
@@ -44,6 +48,8 @@
 	life     *life
 	drain    chan struct{}
 	once     sync.Once
+	// lag is how long the balancer may send callers on; it is set before drain is closed.
+	lag time.Duration
 }
 
 // New registers the services of an entry VM; nothing runs before Start.
@@ -67,7 +73,9 @@
 func (e *Entry) install() error {
 	k, now := e.kernel, e.options.Now
 	loop := kernel.NewLoop(now)
-	control.Install(loop, e.views, e.metrics, e.options.Log)
+	recorder := trace.New(now)
+	recorder.Out = e.options.Trace
+	control.Install(loop, e.views, e.metrics, e.options.Log).Record = recorder.Offer
 	client := endpoint.New(now, endpointConnections)
 	link := peer.New(e.settings.Peer)
 	watcher := platform.New(e.settings.Platform, loop)
@@ -79,10 +87,12 @@
 	router.Now, router.Self, router.Views, router.Metrics = now, e.settings.Node, e.views, e.metrics
 	router.Direct = client.Send
 	runner := &query.Runner{Now: now, Views: e.views, Metrics: e.metrics, Send: router.Send}
+	runner.Record = recorder.Fanout
 	services := []kernel.Service{
 		{Name: kernel.ServiceSettings, Value: e.settings},
 		{Name: kernel.ServiceMetrics, Value: e.metrics},
 		{Name: kernel.ServiceViews, Value: e.views},
+		recorder.Service(kernel.ServiceTrace),
 		loop.Service(kernel.ServiceControl),
 		link.Service(kernel.ServicePeer),
 		watcher.Service(kernel.ServicePlatform),
@@ -118,7 +128,14 @@
 // BeginDrain asks for a planned stop; Draining tells whoever runs the entry.
 func (e *Entry) BeginDrain() {
 	e.once.Do(func() {
+		served := e.State() == operator.StateReady
 		e.life.fire(triggerDrain)
+		if port, err := kernel.Find[*caller.Server](e.kernel, kernel.ServiceCaller); err == nil {
+			port.BeginDrain()
+		}
+		if served {
+			e.lag = e.settings.Lag
+		}
 		close(e.drain)
 	})
 }
@@ -128,9 +145,12 @@
 	return e.drain
 }
 
-// Close finishes what is under way, ends every service and waits.
+// Close serves on through the balancer's lag, finishes what is in flight, ends every service and waits.
 func (e *Entry) Close() error {
 	e.BeginDrain()
+	lag := time.NewTimer(e.lag)
+	defer lag.Stop()
+	<-lag.C
 	err := e.kernel.Close()
 	e.life.fire(triggerStopped)
 	return err
