Learn configuration, members and leaving endpoints from peers too

Cause: a node knew what the platform's service had shown it and nothing else, so an outage of that service held changes back, a fresh VM could not start, a paused process went on with old views, and a drain sign stayed on the node that had seen it. Ruled out: a full exchange at every change only (a lost message is never made good); taking the platform's list as the truth about members (it lags); a lease on drain signs (its end would send new work to a leaving endpoint); one stateless machine kept for each member (the machine is made for the one step, since transitions are rare). Change: core/exchange swaps heartbeats each second and at each change: member records, drain signs and the version of the configuration held; what is newer is fetched from whoever told it. policy/revision orders by revision and digest, so nodes that saw one revision with two contents hold the same one. policy/member merges by incarnation and counter. policy/leaving keeps a sign for an endpoint's incarnation and address. policy/freshness closes a gate at the start and after a pause until platform and peers have been asked anew; traffic waits for that, and a call of an endpoint checks the view once more. The watch of the platform backs off with jitter.

--- a/internal/config/folder/check.go
+++ b/internal/config/folder/check.go
@@ -111,6 +111,7 @@
 		Centre:      unit.CentreName(value(w.Centre)),
 		Slots:       unit.Slots(value(w.Slots)),
 		Connections: unit.Connections(value(w.Connections)),
+		Incarnation: unit.Incarnation(value(w.Incarnation)),
 		Leaving:     value(w.Leaving),
 	}
 	if e.Shard == "" {
--- a/internal/config/folder/merge.go
+++ b/internal/config/folder/merge.go
@@ -38,6 +38,7 @@
 		Centre      *string `json:"centre,omitempty"`
 		Slots       *int    `json:"slots,omitempty"`
 		Connections *int    `json:"connections,omitempty"`
+		Incarnation *uint64 `json:"incarnation,omitempty"`
 		Leaving     *bool   `json:"leaving,omitempty"`
 	}
 )
@@ -102,6 +103,7 @@
 	set(&to.Centre, from.Centre)
 	set(&to.Slots, from.Slots)
 	set(&to.Connections, from.Connections)
+	set(&to.Incarnation, from.Incarnation)
 	set(&to.Leaving, from.Leaving)
 }
 
--- a/internal/core/kernel/loop.go
+++ b/internal/core/kernel/loop.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"basilspan/internal/policy/freshness"
 )
 
 const (
@@ -91,17 +93,28 @@
 	for {
 		select {
 		case event := <-l.events:
+			// After a pause the handlers learn of the gap before they take an event.
+			last = l.tick(last)
 			l.handle(l.Now(), event)
 		case <-ticker.C:
-			now := l.Now()
-			l.handle(now, Tick{Gap: now.Sub(last)})
-			last = now
+			last = l.tick(last)
 		case <-l.quit:
 			return
 		}
 	}
 }
 
+// tick sends a Tick when one is due, and gives the time of the last one.
+func (l *Loop) tick(last time.Time) time.Time {
+	now := l.Now()
+	gap := freshness.Elapsed(last, now)
+	if gap < tickPeriod/2 {
+		return last
+	}
+	l.handle(now, Tick{Gap: gap})
+	return now
+}
+
 func (l *Loop) handle(now time.Time, event any) {
 	for _, handle := range l.handlers[reflect.TypeOf(event)] {
 		handle(now, event)
--- a/internal/core/kernel/names.go
+++ b/internal/core/kernel/names.go
@@ -14,6 +14,8 @@
 	ServiceEndpoint Name = "endpoint"
 	// ServicePeer is the link to the other entry VMs.
 	ServicePeer Name = "peer"
+	// ServiceExchange tells the other entry VMs what this one knows.
+	ServiceExchange Name = "exchange"
 	// ServicePlatform is the watcher of the platform's service.
 	ServicePlatform Name = "platform"
 	// ServiceQuery runs queries.
--- a/internal/core/query/query.go
+++ b/internal/core/query/query.go
@@ -47,15 +47,18 @@
 }
 
 func (r *Runner) run(ctx context.Context, q fanout.Query, now time.Time) fanout.Answer {
-	v := r.Views.Load()
-	code, message := check(v, q, now)
+	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
+	defer cancel()
+	v, fresh := r.Views.Fresh(ctx, r.Now)
+	if !fresh {
+		return fanout.Refuse(q.ID, unit.CodeStaleView, unit.CodeStaleView.String())
+	}
+	code, message := check(v, q, r.Now())
 	if code != 0 {
 		return fanout.Refuse(q.ID, code, message)
 	}
 	search := v.Catalog.Searches[q.Search]
 	q.Once = q.Once || search.Once
-	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
-	defer cancel()
 	if code := r.gates.enter(ctx, now, v, q); code != unit.CodeWhole {
 		return fanout.Refuse(q.ID, code, code.String())
 	}
--- a/internal/policy/catalog/catalog.go
+++ b/internal/policy/catalog/catalog.go
@@ -36,6 +36,8 @@
 	Centre      unit.CentreName
 	Slots       unit.Slots
 	Connections unit.Connections
+	// Incarnation is raised by operators when a leaving endpoint comes back at the same address.
+	Incarnation unit.Incarnation
 	// Leaving is set by operators to take the endpoint out of service.
 	Leaving bool
 }
--- /dev/null
+++ b/internal/policy/freshness/freshness_test.go
@@ -0,0 +1,119 @@
+package freshness
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestGateAsksEachSourceAnew(t *testing.T) {
+	type step struct {
+		// at and began are the times since the start.
+		at, began time.Duration
+		source    Source
+		answered  bool
+		reset     bool
+		fetching  int
+		fresh     bool
+		alone     bool
+	}
+	ms := time.Millisecond
+	tests := []struct {
+		name  string
+		steps []step
+	}{
+		{"all answer", []step{
+			{at: 2 * ms, began: ms, source: SourceConfig, answered: true},
+			{at: 3 * ms, began: ms, source: SourceList, answered: true},
+			{at: 5 * ms, began: 4 * ms, source: SourcePeers, answered: true, fresh: true},
+		}},
+		{"none answers", []step{
+			{at: 2 * ms, began: ms, source: SourceList, alone: true},
+			{at: 3 * ms, began: ms, source: SourceConfig, alone: true},
+			{at: 5 * ms, began: 4 * ms, source: SourcePeers, fresh: true, alone: true},
+		}},
+		{"peers asked before the list named them do not count", []step{
+			{at: 2 * ms, began: ms, source: SourcePeers, answered: true, alone: true},
+			{at: 3 * ms, began: ms, source: SourceConfig, answered: true},
+			{at: 4 * ms, began: ms, source: SourceList, answered: true},
+			{at: 5 * ms, began: 3 * ms, source: SourcePeers, answered: true},
+			{at: 7 * ms, began: 6 * ms, source: SourcePeers, answered: true, fresh: true},
+		}},
+		{"what began before a pause does not count after it", []step{
+			{at: 2 * ms, began: ms, source: SourceList, answered: true},
+			{at: 3 * ms, began: 3 * ms, source: SourcePeers, answered: true},
+			{at: 4 * ms, began: ms, source: SourceConfig, answered: true, fresh: true},
+			{at: 9000 * ms, reset: true, alone: true},
+			{at: 9001 * ms, began: 4 * ms, source: SourceConfig, answered: true, alone: true},
+			{at: 9002 * ms, began: 9001 * ms, source: SourceConfig, answered: true},
+			{at: 9003 * ms, began: 9001 * ms, source: SourceList, answered: true},
+			{at: 9005 * ms, began: 9004 * ms, source: SourcePeers, answered: true, fresh: true},
+		}},
+		{"a newer configuration that a peer holds is awaited", []step{
+			{at: 2 * ms, began: ms, source: SourceConfig, answered: true},
+			{at: 3 * ms, began: ms, source: SourceList, answered: true},
+			{at: 3 * ms, began: ms, source: SourceList, answered: true, fetching: 1},
+			{at: 5 * ms, began: 4 * ms, source: SourcePeers, answered: true},
+			{at: 6 * ms, began: 4 * ms, source: SourcePeers, answered: true, fetching: -1, fresh: true},
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := &Gate{}
+			g.Reset(start)
+			for i, s := range tt.steps {
+				switch {
+				case s.reset:
+					g.Reset(start.Add(s.at))
+				default:
+					g.Asked(start.Add(s.at), start.Add(s.began), s.source, s.answered)
+				}
+				switch s.fetching {
+				case 1:
+					g.Fetching()
+				case -1:
+					g.Fetched()
+				}
+				assert.Equal(t, g.Fresh(), s.fresh, "step %d", i)
+				assert.Equal(t, g.Alone(), s.alone, "step %d", i)
+			}
+		})
+	}
+}
+
+func TestOldTakesTheLongerClock(t *testing.T) {
+	tests := []struct {
+		name string
+		made time.Time
+		now  time.Time
+		want bool
+	}{
+		{"young", start, start.Add(900 * time.Millisecond), false},
+		{"old", start, start.Add(1100 * time.Millisecond), true},
+		{"the wall clock went back", start, start.Add(-time.Hour), false},
+	}
+	for _, tt := range tests {
+		assert.Equal(t, Old(tt.made, tt.now), tt.want, tt.name)
+	}
+}
+
+func TestBackoffGrowsAndIsSpread(t *testing.T) {
+	tests := []struct {
+		failures int
+		low      time.Duration
+		high     time.Duration
+	}{
+		{1, 100 * time.Millisecond, 200 * time.Millisecond},
+		{2, 200 * time.Millisecond, 400 * time.Millisecond},
+		{5, 1600 * time.Millisecond, 3200 * time.Millisecond},
+		{6, 2500 * time.Millisecond, 5 * time.Second},
+		{1000, 2500 * time.Millisecond, 5 * time.Second},
+	}
+	for _, tt := range tests {
+		assert.Equal(t, Backoff(tt.failures, 0), tt.low, "%d", tt.failures)
+		assert.Equal(t, Backoff(tt.failures, 1), tt.high, "%d", tt.failures)
+	}
+}
--- a/internal/policy/revision/revision.go
+++ b/internal/policy/revision/revision.go
@@ -1,5 +1,8 @@
 // Package revision decides which published configuration a node holds: the highest one that is valid, and never an
 // earlier one than it has held.
+//
+// Configurations are ordered by revision and, where one revision was shown with two contents, by digest. The order is
+// total, so nodes that are shown the same configurations in any order hold the same one.
 package revision
 
 import (
@@ -10,6 +13,20 @@
 // Digest identifies the content of a configuration.
 type Digest string
 
+// Version identifies one configuration.
+type Version struct {
+	Revision unit.Revision
+	Digest   Digest
+}
+
+// Newer says whether v comes after other.
+func (v Version) Newer(other Version) bool {
+	if v.Revision != other.Revision {
+		return v.Revision > other.Revision
+	}
+	return v.Digest > other.Digest
+}
+
 // Offer is a configuration that the platform or a peer has shown.
 type Offer struct {
 	Revision unit.Revision
@@ -19,6 +36,11 @@
 	Problem string
 }
 
+// Version gives what identifies the offer.
+func (o Offer) Version() Version {
+	return Version{Revision: o.Revision, Digest: o.Digest}
+}
+
 // Verdict says what became of an offer.
 type Verdict int
 
@@ -30,32 +52,52 @@
 	VerdictOld
 	// VerdictInvalid means that the offer's content is refused and the held configuration stays in force.
 	VerdictInvalid
-	// VerdictConflict means that the held revision was shown with other content.
+	// VerdictConflict means that the held revision was shown with other content. The content with the higher digest
+	// is in force afterwards, on every node alike.
 	VerdictConflict
 )
 
 // Holder holds the configuration in force. It belongs to the control goroutine.
 type Holder struct {
 	held Offer
-	// refused is the highest revision whose content was refused.
-	refused unit.Revision
-	problem string
+	// refused is the newest configuration whose content was refused.
+	refused Offer
 }
 
 // Take decides about an offer.
 func (h *Holder) Take(offer Offer) Verdict {
+	conflict := h.held.Catalog != nil && offer.Revision == h.held.Revision && offer.Digest != h.held.Digest
+	newer := h.held.Catalog == nil || offer.Version().Newer(h.held.Version())
+	if offer.Catalog == nil && newer {
+		h.refuse(offer)
+	}
+	if offer.Catalog != nil && newer {
+		h.held = offer
+	}
 	switch {
-	case h.held.Catalog != nil && offer.Revision == h.held.Revision && offer.Digest != h.held.Digest:
+	case conflict:
 		return VerdictConflict
-	case offer.Revision <= h.held.Revision:
+	case !newer:
 		return VerdictOld
 	case offer.Catalog == nil:
-		h.refused = max(h.refused, offer.Revision)
-		h.problem = offer.Problem
 		return VerdictInvalid
+	default:
+		return VerdictAccepted
+	}
+}
+
+func (h *Holder) refuse(offer Offer) {
+	if offer.Version().Newer(h.refused.Version()) {
+		h.refused = offer
+	}
+}
+
+// Wants says whether a configuration that a peer holds is worth fetching.
+func (h *Holder) Wants(v Version) bool {
+	if v.Revision == 0 || v == h.refused.Version() {
+		return false
 	}
-	h.held = offer
-	return VerdictAccepted
+	return h.held.Catalog == nil || v.Newer(h.held.Version())
 }
 
 // Held gives the configuration in force; its Catalog is nil before the first is accepted.
@@ -65,5 +107,5 @@
 
 // Refused gives the highest refused revision and the reason.
 func (h *Holder) Refused() (refused unit.Revision, problem string) {
-	return h.refused, h.problem
+	return h.refused.Revision, h.refused.Problem
 }
--- a/internal/policy/revision/revision_test.go
+++ b/internal/policy/revision/revision_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"basilspan/internal/core/unit"
 	"basilspan/internal/policy/catalog"
@@ -12,21 +13,89 @@
 func TestHolderNeverReverts(t *testing.T) {
 	valid := &catalog.Catalog{}
 	tests := []struct {
-		name  string
-		offer Offer
-		want  Verdict
-		held  unit.Revision
+		name   string
+		offer  Offer
+		want   Verdict
+		held   unit.Revision
+		digest Digest
 	}{
-		{"the first is accepted", Offer{Revision: 4, Digest: "d4", Catalog: valid}, VerdictAccepted, 4},
-		{"an older one is not", Offer{Revision: 3, Digest: "d3", Catalog: valid}, VerdictOld, 4},
-		{"the same again changes nothing", Offer{Revision: 4, Digest: "d4", Catalog: valid}, VerdictOld, 4},
-		{"the same with other content is a conflict", Offer{Revision: 4, Digest: "dx", Catalog: valid}, VerdictConflict, 4},
-		{"an invalid one leaves the last in force", Offer{Revision: 5, Digest: "d5", Problem: "bad"}, VerdictInvalid, 4},
-		{"a newer one is accepted", Offer{Revision: 6, Digest: "d6", Catalog: valid}, VerdictAccepted, 6},
+		{"an invalid first one is refused", Offer{Revision: 3, Digest: "dx", Problem: "bad"}, VerdictInvalid, 0, ""},
+		{"the first is accepted", Offer{Revision: 4, Digest: "d4", Catalog: valid}, VerdictAccepted, 4, "d4"},
+		{"an older one is not", Offer{Revision: 3, Digest: "d3", Catalog: valid}, VerdictOld, 4, "d4"},
+		{"the same again changes nothing", Offer{Revision: 4, Digest: "d4", Catalog: valid}, VerdictOld, 4, "d4"},
+		{"a conflict: the higher digest holds", Offer{Revision: 4, Digest: "dx", Catalog: valid}, VerdictConflict, 4, "dx"},
+		{"a conflict: the lower digest does not", Offer{Revision: 4, Digest: "d4", Catalog: valid}, VerdictConflict, 4, "dx"},
+		{"a conflict with an invalid one", Offer{Revision: 4, Digest: "dz", Problem: "bad"}, VerdictConflict, 4, "dx"},
+		{"an invalid one leaves the last in force", Offer{Revision: 5, Digest: "d5", Problem: "bad"}, VerdictInvalid, 4, "dx"},
+		{"a newer one is accepted", Offer{Revision: 6, Digest: "d6", Catalog: valid}, VerdictAccepted, 6, "d6"},
+		{"a platform that starts again lower is not", Offer{Revision: 1, Digest: "d1", Catalog: valid}, VerdictOld, 6, "d6"},
 	}
 	h := &Holder{}
 	for _, tt := range tests {
 		assert.Equal(t, h.Take(tt.offer), tt.want, tt.name)
 		assert.Equal(t, h.Held().Revision, tt.held, tt.name)
+		assert.Equal(t, h.Held().Digest, tt.digest, tt.name)
 	}
 }
+
+func TestHolderWants(t *testing.T) {
+	h := &Holder{}
+	h.Take(Offer{Revision: 4, Digest: "d4", Catalog: &catalog.Catalog{}})
+	h.Take(Offer{Revision: 6, Digest: "d6", Problem: "bad"})
+	tests := []struct {
+		name    string
+		version Version
+		want    bool
+	}{
+		{"none", Version{}, false},
+		{"older", Version{3, "d3"}, false},
+		{"held", Version{4, "d4"}, false},
+		{"held with a lower digest", Version{4, "d0"}, false},
+		{"held with a higher digest", Version{4, "d5"}, true},
+		{"newer", Version{5, "d5"}, true},
+		{"refused", Version{6, "d6"}, false},
+		{"beyond the refused", Version{7, "d7"}, true},
+	}
+	for _, tt := range tests {
+		assert.Equal(t, h.Wants(tt.version), tt.want, tt.name)
+	}
+}
+
+// TestHolderMerge offers the same configurations to two nodes in different orders and more than once: neither ever
+// goes back, and both end alike.
+func TestHolderMerge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		offers := rapid.SliceOfN(drawOffer(), 1, 20).Draw(t, "offers")
+		again := rapid.Permutation(append(append([]Offer(nil), offers...), offers[0])).Draw(t, "again")
+		a, b := &Holder{}, &Holder{}
+		takeAll(t, a, offers)
+		takeAll(t, b, again)
+		if a.Held().Version() != b.Held().Version() {
+			t.Fatalf("held %v and %v", a.Held().Version(), b.Held().Version())
+		}
+	})
+}
+
+func takeAll(t *rapid.T, h *Holder, offers []Offer) {
+	for _, offer := range offers {
+		before := h.Held().Version()
+		h.Take(offer)
+		if before.Newer(h.Held().Version()) {
+			t.Fatalf("went back from %v to %v", before, h.Held().Version())
+		}
+	}
+}
+
+// drawOffer draws offers whose validity depends on the content alone.
+func drawOffer() *rapid.Generator[Offer] {
+	return rapid.Custom(func(t *rapid.T) Offer {
+		digest := rapid.SampledFrom([]Digest{"a", "b", "bad", "c", "worse"}).Draw(t, "digest")
+		offer := Offer{Revision: unit.Revision(rapid.IntRange(1, 6).Draw(t, "revision")), Digest: digest}
+		if digest == "bad" || digest == "worse" {
+			offer.Problem = "bad"
+			return offer
+		}
+		offer.Catalog = &catalog.Catalog{}
+		return offer
+	})
+}
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"basilspan/internal/config/process"
 	"basilspan/internal/core/control"
+	"basilspan/internal/core/exchange"
 	"basilspan/internal/core/kernel"
 	"basilspan/internal/core/metric"
 	"basilspan/internal/core/query"
@@ -19,6 +21,7 @@
 	"basilspan/internal/link/endpoint"
 	"basilspan/internal/link/peer"
 	"basilspan/internal/link/platform"
+	"basilspan/internal/policy/leaving"
 	"basilspan/internal/serve/caller"
 	"basilspan/internal/serve/operator"
 )
@@ -26,6 +29,9 @@
 // endpointConnections is how many connections one entry VM opens to one endpoint.
 const endpointConnections unit.Connections = 3
 
+// postTime bounds the wait for the control goroutine at a planned stop.
+const postTime = time.Second
+
 // Options are the seams of an entry.
 type Options struct {
 	Now func() time.Time
@@ -35,6 +41,7 @@
 // Entry is one entry VM.
 type Entry struct {
 	kernel   *kernel.Kernel
+	loop     *kernel.Loop
 	settings process.Settings
 	options  Options
 	views    *view.Store
@@ -66,18 +73,21 @@
 // install registers the services in the order in which they start.
 func (e *Entry) install() error {
 	k, now := e.kernel, e.options.Now
-	loop := kernel.NewLoop(now)
-	control.Install(loop, e.views, e.metrics, e.options.Log)
+	e.loop = kernel.NewLoop(now)
 	client := endpoint.New(now, endpointConnections)
 	link := peer.New(e.settings.Peer)
-	watcher := platform.New(e.settings.Platform, loop)
-	runner := &query.Runner{Now: now, Views: e.views, Metrics: e.metrics, Send: client.Send}
+	watcher := platform.New(e.settings.Platform, e.loop, now)
+	told := exchange.New(e.loop, link, now)
+	e.installControl(link, told, watcher)
+	guard := &sender{now: now, views: e.views, metrics: e.metrics, send: client.Send, leaving: e.endpointLeaving}
+	runner := &query.Runner{Now: now, Views: e.views, Metrics: e.metrics, Send: guard.Send}
 	services := []kernel.Service{
 		{Name: kernel.ServiceSettings, Value: e.settings},
 		{Name: kernel.ServiceMetrics, Value: e.metrics},
 		{Name: kernel.ServiceViews, Value: e.views},
-		loop.Service(kernel.ServiceControl),
+		e.loop.Service(kernel.ServiceControl),
 		link.Service(kernel.ServicePeer),
+		told.Service(kernel.ServiceExchange),
 		watcher.Service(kernel.ServicePlatform),
 		{Name: kernel.ServiceEndpoint, Value: client, Close: client.Close},
 		{Name: kernel.ServiceQuery, Value: runner, Close: runner.Close},
@@ -94,6 +104,28 @@
 	return caller.Install(k, e.settings.Caller, now)
 }
 
+func (e *Entry) installControl(link *peer.Link, told *exchange.Service, watcher *platform.Watcher) {
+	control.Install(e.loop, e.options.Now(), control.Options{
+		Node:    e.settings.Node,
+		Centre:  e.settings.Centre,
+		Peers:   e.settings.Peers,
+		Views:   e.views,
+		Metrics: e.metrics,
+		Log:     e.options.Log,
+		Address: link.Address,
+		Publish: told.Publish,
+		Nudge:   told.Nudge,
+		Fetch:   told.Fetch,
+		Refresh: watcher.Refresh,
+		Pick:    rand.IntN,
+	})
+}
+
+// endpointLeaving hands the sign of a leaving endpoint to the control goroutine.
+func (e *Entry) endpointLeaving(ctx context.Context, sign leaving.Sign) {
+	_ = kernel.Post(ctx, e.loop, control.EndpointLeaving{Sign: sign})
+}
+
 // Start starts the services; the entry becomes ready once a configuration is in force.
 func (e *Entry) Start(ctx context.Context) error {
 	if err := e.kernel.Start(ctx); err != nil {
@@ -115,6 +147,9 @@
 		if port, err := kernel.Find[*caller.Server](e.kernel, kernel.ServiceCaller); err == nil {
 			port.BeginDrain()
 		}
+		ctx, cancel := context.WithTimeout(context.Background(), postTime)
+		defer cancel()
+		_ = kernel.Post(ctx, e.loop, control.Drain{})
 		if served {
 			e.lag = e.settings.Lag
 		}
