Test configuration through outages, partitions and fresh starts

Cause: the exchange had no proof with real processes. The stand-in platform publishes a folder only once two looks agree, so that it shows no folder that is being written.

--- a/internal/cmd/serve/serve.go
+++ b/internal/cmd/serve/serve.go
@@ -64,6 +64,7 @@
 		text("caller", "address for callers", "127.0.0.1:8080", (*string)(&s.Caller)),
 		text("operator", "address for operators and the balancer's check", "127.0.0.1:8081", (*string)(&s.Operator)),
 		text("peer", "address for the other entry VMs", "127.0.0.1:8082", (*string)(&s.Peer)),
+		text("advertise", "peer address as the other entry VMs reach it, if not --peer", "", (*string)(&s.Advertise)),
 		text("platform", "address of the platform's service", "", (*string)(&s.Platform)),
 		&cli.StringSliceFlag{
 			Name:    "peers",
--- a/internal/cmd/standin/platform.go
+++ b/internal/cmd/standin/platform.go
@@ -68,10 +68,14 @@
 func follow(ctx context.Context, s *platform.Server, dir string) {
 	ticker := time.NewTicker(folderPoll)
 	defer ticker.Stop()
-	var shown revision.Digest
+	var shown, last revision.Digest
 	for {
 		files, err := folder.Read(dir)
-		if sum := folder.Sum(files); err == nil && sum != shown && s.Publish(files) {
+		sum := folder.Sum(files)
+		// A folder that differs from the last look may still be written to.
+		settled := err == nil && sum == last
+		last = sum
+		if settled && sum != shown && s.Publish(files) {
 			shown = sum
 		}
 		select {
--- a/internal/config/process/process.go
+++ b/internal/config/process/process.go
@@ -22,12 +22,20 @@
 	Operator unit.Address
 	Peer     unit.Address
 	Platform unit.Address
+	// Advertise is the address at which the other entry VMs reach this one; empty means Peer.
+	Advertise unit.Address
 	// Peers are other entry VMs to ask when the platform's list cannot be read; it may be empty.
 	Peers []unit.Address
 	// Lag is how long the balancer may go on sending callers after this entry VM says that it is not ready.
 	Lag time.Duration
 }
 
+// setting is one address with its name.
+type setting struct {
+	name    string
+	address unit.Address
+}
+
 // Check gives an error that names each setting that is missing or wrong.
 func (s Settings) Check() error {
 	var all error
@@ -37,20 +45,17 @@
 	if s.Centre == "" {
 		all = errors.CombineErrors(all, errors.New("centre: must not be empty; set --centre"))
 	}
-	addresses := []struct {
-		name    string
-		address unit.Address
-	}{
+	addresses := []setting{
 		{"caller", s.Caller},
 		{"operator", s.Operator},
 		{"peer", s.Peer},
 		{"platform", s.Platform},
 	}
+	if s.Advertise != "" {
+		addresses = append(addresses, setting{"advertise", s.Advertise})
+	}
 	for _, p := range s.Peers {
-		addresses = append(addresses, struct {
-			name    string
-			address unit.Address
-		}{"peers", p})
+		addresses = append(addresses, setting{"peers", p})
 	}
 	for _, a := range addresses {
 		if _, err := netip.ParseAddrPort(string(a.address)); err != nil {
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -78,7 +78,8 @@
 	link := peer.New(e.settings.Peer)
 	watcher := platform.New(e.settings.Platform, e.loop, now)
 	told := exchange.New(e.loop, link, now)
-	e.installControl(link, told, watcher)
+	told.Self = e.PeerAddress
+	e.installControl(told, watcher)
 	guard := &sender{now: now, views: e.views, metrics: e.metrics, send: client.Send, leaving: e.endpointLeaving}
 	runner := &query.Runner{Now: now, Views: e.views, Metrics: e.metrics, Send: guard.Send}
 	services := []kernel.Service{
@@ -104,7 +105,7 @@
 	return caller.Install(k, e.settings.Caller, now)
 }
 
-func (e *Entry) installControl(link *peer.Link, told *exchange.Service, watcher *platform.Watcher) {
+func (e *Entry) installControl(told *exchange.Service, watcher *platform.Watcher) {
 	control.Install(e.loop, e.options.Now(), control.Options{
 		Node:    e.settings.Node,
 		Centre:  e.settings.Centre,
@@ -112,7 +113,7 @@
 		Views:   e.views,
 		Metrics: e.metrics,
 		Log:     e.options.Log,
-		Address: link.Address,
+		Address: e.PeerAddress,
 		Publish: told.Publish,
 		Nudge:   told.Nudge,
 		Fetch:   told.Fetch,
@@ -191,8 +192,11 @@
 	return port.Address()
 }
 
-// PeerAddress gives the address for the other entry VMs.
+// PeerAddress gives the address at which the other entry VMs reach this one.
 func (e *Entry) PeerAddress() unit.Address {
+	if e.settings.Advertise != "" {
+		return e.settings.Advertise
+	}
 	link, err := kernel.Find[*peer.Link](e.kernel, kernel.ServicePeer)
 	if err != nil {
 		return ""
--- a/internal/standin/proc/deployment.go
+++ b/internal/standin/proc/deployment.go
@@ -39,6 +39,10 @@
 	Entries int
 	// Median is the endpoints' service time.
 	Median time.Duration
+	// Prepare changes an entry VM before it is started; it may be nil.
+	Prepare func(d *Deployment, n *Node)
+	// EndpointVMs are the endpoints that the platform's list shows.
+	EndpointVMs []unit.EndpointID
 }
 
 // Node is one entry VM's process and its addresses.
@@ -48,6 +52,12 @@
 	Caller   unit.Address
 	Operator unit.Address
 	Peer     unit.Address
+	// Advertise is the address at which the others reach it when that is not Peer.
+	Advertise unit.Address
+	// Platform is the address of the platform when that is not the deployment's.
+	Platform unit.Address
+	// Peers are asked for while the platform's list cannot be read.
+	Peers []unit.Address
 }
 
 // Deployment is a running deployment.
@@ -58,6 +68,7 @@
 	Endpoints *Process
 	Nodes     []*Node
 
+	endpointVMs     []unit.EndpointID
 	platformAddress unit.Address
 	platformControl unit.Address
 	endpointControl unit.Address
@@ -75,12 +86,11 @@
 	}
 	d.write(settings)
 	d.startEndpoints(settings)
-	for i := range settings.Entries {
-		d.Nodes = append(d.Nodes, &Node{
-			Name: nodeName(i), Caller: FreePort(t), Operator: FreePort(t), Peer: FreePort(t),
-		})
+	for range settings.Entries {
+		d.AddNode(settings.Prepare)
 	}
-	d.startPlatform()
+	d.endpointVMs = settings.EndpointVMs
+	d.StartPlatform()
 	for _, n := range d.Nodes {
 		d.StartNode(n)
 	}
@@ -120,12 +130,30 @@
 	})
 }
 
-func (d *Deployment) startPlatform() {
+// AddNode adds an entry VM without starting it; prepare may be nil.
+func (d *Deployment) AddNode(prepare func(d *Deployment, n *Node)) *Node {
+	n := &Node{
+		Name: nodeName(len(d.Nodes)), Caller: FreePort(d.t), Operator: FreePort(d.t), Peer: FreePort(d.t),
+		Platform: d.platformAddress,
+	}
+	n.Advertise = n.Peer
+	if prepare != nil {
+		prepare(d, n)
+	}
+	d.Nodes = append(d.Nodes, n)
+	return n
+}
+
+// StartPlatform starts the platform's process, the first time or again; its revisions then begin anew.
+func (d *Deployment) StartPlatform() {
 	args := []string{
 		"platform", "--folder", d.Folder, "--listen", string(d.platformAddress), "--control", string(d.platformControl),
 	}
 	for _, n := range d.Nodes {
-		args = append(args, "--vm", n.Name+"=loopback="+string(n.Peer))
+		args = append(args, "--vm", n.Name+"=loopback="+string(n.Advertise))
+	}
+	for _, id := range d.endpointVMs {
+		args = append(args, "--vm", string(id)+"=loopback=")
 	}
 	d.Platform = start(d.t, "standin", args...)
 	Eventually(d.t, readyTime, "the platform listens", func() bool {
@@ -135,9 +163,15 @@
 
 // StartNode starts the process of an entry VM, the first time or again.
 func (d *Deployment) StartNode(n *Node) {
-	n.Process = start(d.t, "basilspan", "serve", "--node", n.Name, "--centre", "loopback",
-		"--caller", string(n.Caller), "--operator", string(n.Operator), "--peer", string(n.Peer),
-		"--platform", string(d.platformAddress), "--lag", balancerLag.String())
+	args := []string{
+		"serve", "--node", n.Name, "--centre", "loopback", "--caller", string(n.Caller), "--operator", string(n.Operator),
+		"--peer", string(n.Peer), "--advertise", string(n.Advertise), "--platform", string(n.Platform),
+		"--lag", balancerLag.String(),
+	}
+	for _, p := range n.Peers {
+		args = append(args, "--peers", string(p))
+	}
+	n.Process = start(d.t, "basilspan", args...)
 }
 
 // WaitReady waits until every entry VM is ready.
