Keep a peer's listed address until it tells its own

Cause: TestDrainSignReachesNodesWithoutTraffic failed: a VM's first heartbeats carried no address yet and replaced the one from the platform's list, so three VMs that started together told nobody any more. Change: an empty address does not replace a known one, and the own address is set before the first heartbeat. The test of conflicts has a fresh VM too, since it passed when the first content seen was kept everywhere. Test ports lie outside the range of outgoing connections: starts failed with 'address already in use'.

--- a/internal/core/control/control.go
+++ b/internal/core/control/control.go
@@ -186,6 +186,9 @@
 
 // tell replaces what the peers are told.
 func (c *Control) tell() {
+	if c.table.Locate(c.Address()) {
+		c.members = c.table.Members()
+	}
 	held := c.holder.Held()
 	c.Publish(&exchange.State{
 		Records: c.table.Records(),
--- a/internal/policy/member/table.go
+++ b/internal/policy/member/table.go
@@ -212,6 +212,10 @@
 
 // merge takes a record of the VM. The result does not depend on the order in which records come.
 func (r *row) merge(now time.Time, from Record) {
+	if from.Peer == "" {
+		// The VM does not know its address yet; the list may.
+		from.Peer = r.record.Peer
+	}
 	switch {
 	case from.Incarnation > r.record.Incarnation:
 		r.record = from
--- a/internal/policy/member/table_test.go
+++ b/internal/policy/member/table_test.go
@@ -113,6 +113,16 @@
 	}
 }
 
+// TestTableKeepsListedAddress hears a VM that does not know its own address yet: the list's stays.
+func TestTableKeepsListedAddress(t *testing.T) {
+	table := New(record("a", 1, 1, StateLive))
+	table.Seed(start, listed("b", StateLive))
+	r := record("b", 5, 1, StateStarting)
+	r.Peer = ""
+	table.Merge(start, r)
+	assert.DeepEqual(t, table.Targets(8, func(int) int { return 0 }), []unit.Address{"10.0.0.2:1"})
+}
+
 func TestTableOwnVM(t *testing.T) {
 	tests := []struct {
 		name string
--- a/internal/standin/proc/config_test.go
+++ b/internal/standin/proc/config_test.go
@@ -198,7 +198,8 @@
 	}
 }
 
-// TestConflictEndsAlike replaces the platform by one that shows the same revision with other content.
+// TestConflictEndsAlike replaces the platform by one that shows the same revision with other content, to nodes that
+// hold the first content, to one that hears of it from its peers alone, and to a fresh one.
 func TestConflictEndsAlike(t *testing.T) {
 	var relay *Relay
 	d := Start(t, Settings{Example: example.AlWadi, Entries: 3, Prepare: func(d *Deployment, n *Node) {
@@ -212,12 +213,17 @@
 	d.Platform.Kill()
 	d.Publish(changeFile, floor("0.04"))
 	d.StartPlatform()
+	d.StartNode(d.AddNode(nil))
 	everyNode(t, recoverTime, d.Nodes[:2], "the conflict is seen", func(n *Node) bool {
 		return counter(n, "config.conflict") > 0
 	})
-	last := func(n *Node) string { return versions(n)[len(versions(n))-1] }
+	last := func(n *Node) string {
+		all := versions(n)
+		return append([]string{""}, all...)[len(all)]
+	}
+	d.WaitReady()
 	everyNode(t, recoverTime, d.Nodes, "the same content is in force", func(n *Node) bool {
-		return last(n) == last(d.Nodes[0])
+		return last(n) != "" && last(n) == last(d.Nodes[0])
 	})
 	for _, n := range d.Nodes {
 		assert.Assert(t, strings.HasPrefix(last(n), "1/"))
--- a/internal/standin/proc/proc.go
+++ b/internal/standin/proc/proc.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -22,6 +23,16 @@
 // stopTime bounds the wait for a process to end after a signal.
 const stopTime = 30 * time.Second
 
+const (
+	// firstPort and lastPort bound the ports that FreePort gives.
+	firstPort = 10_000
+	lastPort  = 32_000
+	portTries = 100
+)
+
+// givenPorts are the addresses that FreePort has given.
+var givenPorts sync.Map
+
 var (
 	buildOnce sync.Once
 	buildDir  string
@@ -135,13 +146,22 @@
 	}
 }
 
-// FreePort gives an address of 127.0.0.1 that nothing listens at.
+// FreePort gives an address of 127.0.0.1 that nothing listens at. It is outside the range from which the system takes
+// the ports of outgoing connections, and differs from those given before.
 func FreePort(t testing.TB) unit.Address {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = l.Close() }()
-	return unit.Address(l.Addr().String())
+	for range portTries {
+		address := "127.0.0.1:" + strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort))
+		if _, given := givenPorts.LoadOrStore(address, true); given {
+			continue
+		}
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return unit.Address(address)
+		}
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 // Eventually waits until check says true, or fails the test after limit.
