--- a/internal/core/control/control.go
+++ b/internal/core/control/control.go
@@ -17,6 +17,7 @@
 	"basilspan/internal/policy/freshness"
 	"basilspan/internal/policy/leaving"
 	"basilspan/internal/policy/member"
+	"basilspan/internal/policy/replay"
 	"basilspan/internal/policy/revision"
 )
 
@@ -50,6 +51,8 @@
 	Refresh func()
 	// Pick gives a random number below n.
 	Pick func(n int) int
+	// Record records an offered configuration and the verdict; nil records nothing.
+	Record func(now time.Time, offer replay.Offer)
 }
 
 // Control is the state that the control goroutine owns.
--- a/internal/core/control/learn.go
+++ b/internal/core/control/learn.go
@@ -9,6 +9,7 @@
 	"basilspan/internal/link/platform"
 	"basilspan/internal/policy/leaving"
 	"basilspan/internal/policy/member"
+	"basilspan/internal/policy/replay"
 	"basilspan/internal/policy/revision"
 )
 
@@ -47,7 +48,9 @@
 	if len(problems) > 0 {
 		offer.Problem = problems[0].String()
 	}
-	switch c.holder.Take(offer) {
+	verdict := c.holder.Take(offer)
+	c.record(now, held, offer, verdict)
+	switch verdict {
 	case revision.VerdictAccepted:
 		c.Metrics.Add("config.accepted", 1)
 	case revision.VerdictInvalid:
@@ -65,6 +68,21 @@
 	}
 }
 
+// record records an offer, what was held before it and the verdict.
+func (c *Control) record(now time.Time, held, offer revision.Offer, verdict revision.Verdict) {
+	if c.Record == nil {
+		return
+	}
+	c.Record(now, replay.Offer{
+		Held:    replay.Content{Revision: held.Revision, Digest: held.Digest},
+		Offered: replay.Content{Revision: offer.Revision, Digest: offer.Digest},
+		Valid:   offer.Catalog != nil,
+		Problem: offer.Problem,
+		Verdict: verdict,
+		Force:   c.holder.Held().Revision,
+	})
+}
+
 // inForce carries out that another configuration is held.
 func (c *Control) inForce(now time.Time, files []folder.File, origin string) {
 	held := c.holder.Held()
--- a/internal/core/query/query.go
+++ b/internal/core/query/query.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"basilspan/internal/core/metric"
+	"basilspan/internal/core/trace"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/core/view"
 	"basilspan/internal/link/endpoint"
-	"basilspan/internal/policy/catalog"
 	"basilspan/internal/policy/fanout"
 )
 
@@ -25,9 +25,16 @@
 	Metrics *metric.Set
 	// Send makes one attempt and waits for its end.
 	Send func(ctx context.Context, call endpoint.Call) fanout.Reply
+	// Record begins the log of a query's decisions; nil records nothing.
+	Record func(now time.Time, q fanout.Query, plan fanout.Plan) *trace.FanoutLog
+
+	// Draining, when set, is told of each endpoint that answers that it is leaving.
+	Draining func(id unit.EndpointID)
 
 	gates gates
-	wg    sync.WaitGroup
+	fleet fleet
+	// wg counts the queries and attempts under way.
+	wg sync.WaitGroup
 }
 
 // Run answers one query; it returns by the query's deadline.
@@ -40,7 +47,7 @@
 	return answer
 }
 
-// Close waits for the queries under way.
+// Close waits for the queries and attempts under way.
 func (r *Runner) Close() error {
 	r.wg.Wait()
 	return nil
@@ -63,13 +70,14 @@
 		return fanout.Refuse(q.ID, code, code.String())
 	}
 	defer func() { r.gates.leave(r.Now(), q.Search) }()
-	plan, ok := fanout.Choose(search, func(e catalog.Endpoint) fanout.Condition {
-		return fanout.Condition{Leaving: v.Leaving[e.ID]}
-	})
+	plan, ok := r.fleet.plan(r.Now(), v, q)
 	if !ok {
 		return fanout.Refuse(q.ID, unit.CodeNoEndpoint, "the search has no snapshot")
 	}
-	return r.drive(ctx, fanout.New(q, plan), q, search)
+	answer := r.drive(ctx, fanout.New(q, plan), newDriver(r, q, search, plan.MaxAttempts()), r.record(q, plan))
+	r.fleet.refund(q.Search, plan.Terms.Allowance-answer.Extra.Spent)
+	r.count(answer)
+	return answer
 }
 
 // check gives the reason to refuse a query, or 0.
@@ -90,25 +98,60 @@
 	return 0, ""
 }
 
+// record begins the log of a query's decisions; a nil log takes every call and does nothing.
+func (r *Runner) record(q fanout.Query, plan fanout.Plan) *trace.FanoutLog {
+	if r.Record == nil {
+		return nil
+	}
+	return r.Record(r.Now(), q, plan)
+}
+
 // drive carries out the machine's actions until the answer is final.
-func (r *Runner) drive(ctx context.Context, m *fanout.Machine, q fanout.Query, search *catalog.Search) fanout.Answer {
-	d := newDriver(r, q, search)
+func (r *Runner) drive(
+	ctx context.Context, m *fanout.Machine, d *driver, log *trace.FanoutLog,
+) fanout.Answer {
 	defer d.close()
-	d.do(ctx, m.Start(r.Now()))
-	timer := time.NewTimer(time.Until(m.Wake()))
+	now := r.Now()
+	d.do(ctx, log.Start(now, m.Start(now)))
+	timer := time.NewTimer(m.Wake().Sub(r.Now()))
 	defer timer.Stop()
+	ended := ctx.Done()
 	for !m.Done() {
 		select {
 		case reply := <-d.replies:
-			d.do(ctx, m.Reply(r.Now(), reply))
+			now = r.Now()
+			d.do(ctx, log.Reply(now, reply, m.Reply(now, reply)))
 		case <-timer.C:
-			d.do(ctx, m.Tick(r.Now()))
-		case <-ctx.Done():
-			d.do(ctx, m.Stop(stopCode(ctx)))
+			now = r.Now()
+			d.do(ctx, log.Tick(now, m.Tick(now)))
+		case <-ended:
+			ended = nil
+			code := stopCode(ctx)
+			d.do(ctx, log.Stop(r.Now(), code, m.Stop(code)))
 		}
-		timer.Reset(time.Until(m.Wake()))
+		timer.Reset(m.Wake().Sub(r.Now()))
 	}
-	return m.Answer()
+	return log.Answer(r.Now(), m.Answer())
+}
+
+// attempt makes one attempt, waits for its end and has the fleet learn from it.
+func (r *Runner) attempt(ctx context.Context, call endpoint.Call) fanout.Reply {
+	began := r.Now()
+	reply := r.Send(ctx, call)
+	r.fleet.ended(r.Now(), began, call, reply.Code)
+	if reply.Code == unit.CodeDraining && r.Draining != nil {
+		r.Draining(call.Attempt.Endpoint)
+	}
+	return reply
+}
+
+// count adds up what a query's attempts cost.
+func (r *Runner) count(answer fanout.Answer) {
+	r.Metrics.Add("fanout.attempts", int64(answer.Extra.Attempts))
+	r.Metrics.Add("fanout.hedges", int64(answer.Extra.Hedges))
+	r.Metrics.Add("fanout.retries", int64(answer.Extra.Retries))
+	r.Metrics.Add("fanout.restarts", int64(answer.Extra.Restarts))
+	r.Metrics.Add("fanout.late", int64(answer.Extra.Late))
 }
 
 // stopCode gives the reason for a query that ends with its context.
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -16,6 +17,7 @@
 	"basilspan/internal/core/kernel"
 	"basilspan/internal/core/metric"
 	"basilspan/internal/core/query"
+	"basilspan/internal/core/trace"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/core/view"
 	"basilspan/internal/link/endpoint"
@@ -36,6 +38,8 @@
 type Options struct {
 	Now func() time.Time
 	Log *slog.Logger
+	// Trace gets the records of the decisions from start to end; nil records none.
+	Trace io.Writer
 }
 
 // Entry is one entry VM.
@@ -74,18 +78,22 @@
 func (e *Entry) install() error {
 	k, now := e.kernel, e.options.Now
 	e.loop = kernel.NewLoop(now)
+	recorder := trace.New(now)
+	recorder.Out = e.options.Trace
 	client := endpoint.New(now, endpointConnections)
 	link := peer.New(e.settings.Peer)
 	watcher := platform.New(e.settings.Platform, e.loop, now)
 	told := exchange.New(e.loop, link, now)
 	told.Self = e.PeerAddress
-	e.installControl(told, watcher)
+	e.installControl(told, watcher, recorder)
 	guard := &sender{now: now, views: e.views, metrics: e.metrics, send: client.Send, leaving: e.endpointLeaving}
 	runner := &query.Runner{Now: now, Views: e.views, Metrics: e.metrics, Send: guard.Send}
+	runner.Record = recorder.Fanout
 	services := []kernel.Service{
 		{Name: kernel.ServiceSettings, Value: e.settings},
 		{Name: kernel.ServiceMetrics, Value: e.metrics},
 		{Name: kernel.ServiceViews, Value: e.views},
+		recorder.Service(kernel.ServiceTrace),
 		e.loop.Service(kernel.ServiceControl),
 		link.Service(kernel.ServicePeer),
 		told.Service(kernel.ServiceExchange),
@@ -105,7 +113,7 @@
 	return caller.Install(k, e.settings.Caller, now)
 }
 
-func (e *Entry) installControl(told *exchange.Service, watcher *platform.Watcher) {
+func (e *Entry) installControl(told *exchange.Service, watcher *platform.Watcher, recorder *trace.Recorder) {
 	control.Install(e.loop, e.options.Now(), control.Options{
 		Node:    e.settings.Node,
 		Centre:  e.settings.Centre,
@@ -119,6 +127,7 @@
 		Fetch:   told.Fetch,
 		Refresh: watcher.Refresh,
 		Pick:    rand.IntN,
+		Record:  recorder.Offer,
 	})
 }
 
