--- a/internal/serve/caller/caller.go
+++ b/internal/serve/caller/caller.go
@@ -20,6 +20,7 @@
 	"basilspan/internal/core/unit"
 	"basilspan/internal/policy/fanout"
 	"basilspan/internal/serve/keepalive"
+	"basilspan/internal/serve/port"
 )
 
 const (
@@ -94,13 +95,13 @@
 	return k.Register(kernel.Service{
 		Name:  kernel.ServiceCaller,
 		Value: s,
-		Start: func(context.Context) error {
+		Start: func(ctx context.Context) error {
 			runner, err := kernel.Find[*query.Runner](k, kernel.ServiceQuery)
 			if err != nil {
 				return err
 			}
 			s.Answer = runner.Run
-			return s.start()
+			return s.start(ctx)
 		},
 		Close: s.close,
 	})
@@ -116,7 +117,7 @@
 	s.tracker.BeginDrain()
 }
 
-func (s *Server) start() error {
+func (s *Server) start(ctx context.Context) error {
 	listener, err := net.Listen("tcp", string(s.listen))
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
@@ -136,7 +137,7 @@
 		defer close(s.done)
 		_ = s.server.Run()
 	}()
-	return nil
+	return port.Await(ctx, listener.Addr())
 }
 
 // close stops accepting connections and waits for the queries in flight.
