--- a/internal/config/folder/flat.go
+++ b/internal/config/folder/flat.go
@@ -107,5 +107,6 @@
 	f.text(path+".centre", string(e.Centre))
 	f.number(path+".slots", int(e.Slots))
 	f.number(path+".connections", int(e.Connections))
+	f.add(path+".incarnation", strconv.FormatUint(uint64(e.Incarnation), 10))
 	f.flag(path+".leaving", e.Leaving)
 }
