Prove the owner's faults with real processes

Cause: nothing showed what becomes of queries while an endpoint's owner is killed, frozen or stopped. Change: process tests for each, with two faults at once, once-only requests, conflicting views and draining endpoints.

--- /dev/null
+++ b/internal/standin/proc/owner_test.go
@@ -0,0 +1,306 @@
+package proc
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilspan/internal/config/folder"
+	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/catalog"
+	"basilspan/internal/policy/member"
+	"basilspan/internal/policy/place"
+	"basilspan/internal/standin/endpoint"
+	"basilspan/internal/standin/load"
+)
+
+// plainFolder gives a folder with one search of that many shards and replicas, each endpoint with two slots.
+func plainFolder(shards, replicas int, once bool) []folder.File {
+	type wireEndpoint struct {
+		Shard       string `json:"shard"`
+		Address     string `json:"address"`
+		Centre      string `json:"centre"`
+		Slots       int    `json:"slots"`
+		Connections int    `json:"connections"`
+	}
+	var names []string
+	endpoints := make(map[string]wireEndpoint)
+	for i := range shards {
+		shard := "s" + strconv.Itoa(i)
+		names = append(names, shard)
+		for j := range replicas {
+			endpoints[shard+string(rune('a'+j))] = wireEndpoint{
+				Shard: shard, Address: address(len(endpoints)), Centre: "loopback", Slots: 2, Connections: 25,
+			}
+		}
+	}
+	search := map[string]any{
+		"tenant": "plain", "aim": "coverage", "once": once, "hedge": false,
+		"snapshots": map[string]any{"1": map[string]any{"shards": names}}, "endpoints": endpoints,
+	}
+	ranks := map[string]any{
+		"desk":   map[string]any{"urgency": 1, "floor": 0.2},
+		"member": map[string]any{"urgency": 2, "floor": 0.15},
+		"upkeep": map[string]any{"urgency": 3, "floor": 0.1},
+	}
+	content, err := json.Marshal(map[string]any{"ranks": ranks, "searches": map[string]any{"plain": search}})
+	if err != nil {
+		panic(err)
+	}
+	return []folder.File{{Name: "10-plain.json", Content: content}}
+}
+
+// address gives a made-up address for the nth endpoint.
+func address(n int) string {
+	return "10.0." + strconv.Itoa(n/200) + "." + strconv.Itoa(n%200+1) + ":8080"
+}
+
+// counters gives the counters of an entry VM.
+func counters(n *Node) map[string]int64 {
+	var vars struct {
+		Counters map[string]int64 `json:"counters"`
+	}
+	n.Read("/debug/vars", &vars)
+	return vars.Counters
+}
+
+// sum adds up one counter over the nodes.
+func sum(nodes []*Node, name string) int64 {
+	var total int64
+	for _, n := range nodes {
+		total += counters(n)[name]
+	}
+	return total
+}
+
+// ownerOf gives the node that owns an endpoint while all are live.
+func ownerOf(d *Deployment, id unit.EndpointID) *Node {
+	var members []member.Member
+	for _, n := range d.Nodes {
+		members = append(members, member.Member{ID: unit.NodeID(n.Name), Centre: "loopback", State: member.StateLive})
+	}
+	all := func(member.Member) bool { return true }
+	owner, _ := place.Owner(members, catalog.Endpoint{ID: id, Centre: "loopback"}, all)
+	for _, n := range d.Nodes {
+		if n.Name == string(owner.ID) {
+			return n
+		}
+	}
+	return nil
+}
+
+// others gives the nodes but one.
+func others(d *Deployment, not *Node) []*Node {
+	var all []*Node
+	for _, n := range d.Nodes {
+		if n != not {
+			all = append(all, n)
+		}
+	}
+	return all
+}
+
+func callersOf(nodes []*Node) []unit.Address {
+	var all []unit.Address
+	for _, n := range nodes {
+		all = append(all, n.Caller)
+	}
+	return all
+}
+
+// query sends one query and gives its code; 0 means that no answer came.
+func query(n *Node, id string, once bool, timeout time.Duration) unit.Code {
+	body, err := json.Marshal(map[string]any{
+		"id": id, "search": "plain", "rank": "desk", "timeout": timeout.Milliseconds(), "once": once,
+	})
+	if err != nil {
+		panic(err)
+	}
+	resp, err := http.Post("http://"+string(n.Caller)+"/query", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var answer struct {
+		Code int `json:"code"`
+	}
+	if json.NewDecoder(resp.Body).Decode(&answer) != nil {
+		return 0
+	}
+	return unit.Code(answer.Code)
+}
+
+// TestOwnerIsTheOnlyCaller has every entry VM query, and finds each endpoint called by its owner: nothing goes round.
+func TestOwnerIsTheOnlyCaller(t *testing.T) {
+	d := Start(t, Settings{Files: plainFolder(6, 1, false), Entries: 4})
+	waitMembers(t, d, 4)
+	for i, n := range d.Nodes {
+		for j := range 5 {
+			assert.Equal(t, query(n, strconv.Itoa(i)+"-"+strconv.Itoa(j), false, 20*time.Second), unit.CodeWhole)
+		}
+	}
+	assert.Equal(t, d.Stats("").Runs, int64(4*5*6))
+	assert.Equal(t, sum(d.Nodes, "route.direct"), int64(0))
+	assert.Equal(t, sum(d.Nodes, "route.guest"), int64(0))
+	// Of each node's five queries, the attempts at its own endpoints need no hop.
+	assert.Equal(t, sum(d.Nodes, "route.hop"), int64(4*5*6-5*6))
+}
+
+// waitMembers waits until every node has all members in view.
+func waitMembers(t *testing.T, d *Deployment, n int) {
+	t.Helper()
+	for _, node := range d.Nodes {
+		Eventually(t, readyTime, node.Name+" sees the members", func() bool {
+			var status struct {
+				Members []struct {
+					State string `json:"state"`
+				} `json:"members"`
+			}
+			live := 0
+			node.Read("/status", &status)
+			for _, m := range status.Members {
+				if m.State == string(member.StateLive) {
+					live++
+				}
+			}
+			return live == n
+		})
+	}
+}
+
+// TestOwnerFaults breaks the owner of one shard's only endpoint in different ways while the other entry VMs query: every
+// idempotent query is answered whole, well before its deadline.
+func TestOwnerFaults(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(d *Deployment, owner *Node)
+	}{
+		{"killed", func(_ *Deployment, owner *Node) { owner.Kill() }},
+		{"frozen", func(_ *Deployment, owner *Node) { owner.Freeze() }},
+		{"frozen and thawed", func(_ *Deployment, owner *Node) {
+			owner.Freeze()
+			time.Sleep(400 * time.Millisecond)
+			owner.Thaw()
+		}},
+		{"killed, and a second one frozen", func(d *Deployment, owner *Node) {
+			owner.Kill()
+			others(d, owner)[0].Freeze()
+		}},
+		{"planned stop", func(_ *Deployment, owner *Node) { owner.Terminate() }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := Start(t, Settings{Files: plainFolder(4, 1, false), Entries: 4, Median: 20 * time.Millisecond})
+			waitMembers(t, d, 4)
+			owner := ownerOf(d, "s0a")
+			rest := others(d, owner)
+			done := make(chan []load.Row, 1)
+			go func() {
+				done <- load.Run(context.Background(), load.Settings{
+					Entries:  callersOf(rest[1:]),
+					Flows:    []load.Flow{{Search: "plain", Rank: "desk", Rate: 30, Timeout: 20 * time.Second}},
+					Duration: 3 * time.Second,
+					Run:      "owner",
+				})
+			}()
+			time.Sleep(500 * time.Millisecond)
+			tt.fault(d, owner)
+			rows := <-done
+			assert.Equal(t, rows[0].Broken, int64(0))
+			assert.Equal(t, rows[0].Whole, rows[0].Sent)
+		})
+	}
+}
+
+// TestOnceAtALostOwner sends once-only queries while the owners are killed, frozen and thawed: none runs twice, and
+// each that is said not to have run has not.
+func TestOnceAtALostOwner(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(owner *Node)
+	}{
+		{"killed", func(owner *Node) { owner.Kill() }},
+		{"frozen and thawed past the deadline", func(owner *Node) {
+			owner.Freeze()
+			time.Sleep(1500 * time.Millisecond)
+			owner.Thaw()
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := Start(t, Settings{Files: plainFolder(1, 2, true), Entries: 4, Median: 20 * time.Millisecond})
+			waitMembers(t, d, 4)
+			owner := ownerOf(d, "s0a")
+			rest := others(d, owner)
+			codes := make(chan unit.Code, 100)
+			for i := range cap(codes) {
+				go func() {
+					time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+					codes <- query(rest[i%len(rest)], "once-"+strconv.Itoa(i), true, time.Second)
+				}()
+			}
+			time.Sleep(300 * time.Millisecond)
+			tt.fault(owner)
+			count := make(map[unit.Outcome]int64)
+			for range cap(codes) {
+				count[(<-codes).Outcome()]++
+			}
+			time.Sleep(time.Second)
+			stats := d.Stats("")
+			t.Logf("outcomes %v, endpoints %+v", count, stats)
+			assert.Equal(t, stats.Doubled, int64(0))
+			assert.Assert(t, stats.Runs >= count[unit.OutcomeAnswered])
+			assert.Assert(t, stats.Runs <= count[unit.OutcomeAnswered]+count[unit.OutcomeUnknown])
+		})
+	}
+}
+
+// TestConflictingViews has the platform's list name a VM leaving that some still use; no query is lost by it.
+func TestConflictingViews(t *testing.T) {
+	d := Start(t, Settings{Files: plainFolder(4, 1, false), Entries: 4, Median: 5 * time.Millisecond})
+	waitMembers(t, d, 4)
+	owner := ownerOf(d, "s0a")
+	done := make(chan []load.Row, 1)
+	go func() {
+		done <- load.Run(context.Background(), load.Settings{
+			Entries:  d.Callers(),
+			Flows:    []load.Flow{{Search: "plain", Rank: "desk", Rate: 40, Timeout: 20 * time.Second}},
+			Duration: 4 * time.Second,
+			Run:      "views",
+		})
+	}()
+	for _, state := range []string{"leaving", "live", "leaving"} {
+		time.Sleep(time.Second)
+		d.Steer("vm=" + owner.Name + "&state=" + state)
+	}
+	rows := <-done
+	assert.Equal(t, rows[0].Broken, int64(0))
+	assert.Equal(t, rows[0].Whole, rows[0].Sent)
+	assert.Equal(t, d.Stats("").Refused, int64(0))
+}
+
+// TestEndpointRefusesOrDrains has one endpoint of each shard drain, or all queues of one shard refuse, under load.
+func TestEndpointRefusesOrDrains(t *testing.T) {
+	d := Start(t, Settings{Files: plainFolder(3, 2, false), Entries: 3, Median: 5 * time.Millisecond})
+	waitMembers(t, d, 3)
+	for i := range 3 {
+		d.SetFaults(unit.EndpointID("s"+strconv.Itoa(i)+"a"), endpoint.Faults{Draining: true})
+	}
+	rows := load.Run(context.Background(), load.Settings{
+		Entries:  d.Callers(),
+		Flows:    []load.Flow{{Search: "plain", Rank: "desk", Rate: 40, Timeout: 20 * time.Second}},
+		Duration: 2 * time.Second,
+		Run:      "drain",
+	})
+	assert.Equal(t, rows[0].Broken, int64(0))
+	assert.Equal(t, rows[0].Whole, rows[0].Sent)
+	for i := range 3 {
+		assert.Equal(t, d.Stats(unit.EndpointID("s"+strconv.Itoa(i)+"a")).Runs, int64(0))
+	}
+}
