--- a/internal/standin/proc/deployment.go
+++ b/internal/standin/proc/deployment.go
@@ -43,6 +43,8 @@
 	Prepare func(d *Deployment, n *Node)
 	// EndpointVMs are the endpoints that the platform's list shows.
 	EndpointVMs []unit.EndpointID
+	// Programs is the folder of the entry VMs' program; empty means the one that is built from this tree.
+	Programs string
 }
 
 // Node is one entry VM's process and its addresses.
@@ -69,6 +71,7 @@
 	Nodes     []*Node
 
 	endpointVMs     []unit.EndpointID
+	programs        string
 	platformAddress unit.Address
 	platformControl unit.Address
 	endpointControl unit.Address
@@ -79,6 +82,7 @@
 	t.Helper()
 	d := &Deployment{
 		t:               t,
+		programs:        settings.Programs,
 		Folder:          t.TempDir(),
 		platformAddress: FreePort(t),
 		platformControl: FreePort(t),
@@ -165,13 +169,16 @@
 func (d *Deployment) StartNode(n *Node) {
 	args := []string{
 		"serve", "--node", n.Name, "--centre", "loopback", "--caller", string(n.Caller), "--operator", string(n.Operator),
-		"--peer", string(n.Peer), "--advertise", string(n.Advertise), "--platform", string(n.Platform),
-		"--lag", balancerLag.String(),
+		"--peer", string(n.Peer), "--platform", string(n.Platform),
+	}
+	if d.programs == "" {
+		// The first version knows neither a lag nor peers.
+		args = append(args, "--lag", balancerLag.String(), "--advertise", string(n.Advertise))
 	}
 	for _, p := range n.Peers {
 		args = append(args, "--peers", string(p))
 	}
-	n.Process = start(d.t, "basilspan", args...)
+	n.Process = start(d.t, filepath.Join(d.programs, "basilspan"), args...)
 }
 
 // WaitReady waits until every entry VM is ready.
