--- a/internal/core/trace/codec.go
+++ b/internal/core/trace/codec.go
@@ -30,7 +30,11 @@
 type offset float64
 
 func since(start, at time.Time) offset {
-	return offset(at.Sub(start)) / offset(time.Microsecond)
+	return micros(at.Sub(start))
+}
+
+func micros(d time.Duration) offset {
+	return offset(d) / offset(time.Microsecond)
 }
 
 func (o offset) time() time.Time {
