--- a/internal/core/query/gates.go
+++ b/internal/core/query/gates.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"basilspan/internal/core/trace"
 	"basilspan/internal/core/turn"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/core/view"
@@ -20,6 +21,9 @@
 
 // gates holds one gate for each search.
 type gates struct {
+	// record begins the log of a new gate; nil records nothing.
+	record func(now time.Time, search unit.SearchName) *trace.GateLog
+
 	mu       sync.Mutex
 	bySearch map[unit.SearchName]*gate
 }
@@ -28,6 +32,8 @@
 type gate struct {
 	line  turn.Line
 	admit *admit.Gate
+	// log records what the gate decides; nil records nothing.
+	log *trace.GateLog
 	// catalog and live are what the settings were made from.
 	catalog *catalog.Catalog
 	live    int
@@ -35,20 +41,21 @@
 
 // enter waits until the query may run; CodeWhole means that it may.
 func (g *gates) enter(ctx context.Context, now time.Time, v *view.View, q fanout.Query) unit.Code {
-	one := g.find(q.Search)
+	one := g.find(now, q.Search)
 	one.follow(now, v, q.Search)
 	return one.line.Take(ctx, func(id uint64) []rank.Verdict {
-		return one.admit.Offer(now, rank.Ticket{ID: id, Rank: q.Rank, Deadline: q.Deadline})
-	}, func(id uint64) bool { return one.admit.Withdraw(id) })
+		ticket := rank.Ticket{ID: id, Rank: q.Rank, Deadline: q.Deadline}
+		return one.log.Ticket(now, ticket, one.admit.Offer(now, ticket))
+	}, func(id uint64) bool { return one.log.Withdraw(now, id, one.admit.Withdraw(id)) })
 }
 
 // leave takes the end of a running query, which took that long.
 func (g *gates) leave(now time.Time, q fanout.Query, took time.Duration) {
-	one := g.find(q.Search)
-	one.line.Do(func() []rank.Verdict { return one.admit.Done(now, q.Rank, took) })
+	one := g.find(now, q.Search)
+	one.line.Do(func() []rank.Verdict { return one.log.Done(now, q.Rank, took, one.admit.Done(now, q.Rank, took)) })
 }
 
-func (g *gates) find(search unit.SearchName) *gate {
+func (g *gates) find(now time.Time, search unit.SearchName) *gate {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.bySearch == nil {
@@ -57,6 +64,9 @@
 	one := g.bySearch[search]
 	if one == nil {
 		one = &gate{admit: admit.New(admit.Settings{})}
+		if g.record != nil {
+			one.log = g.record(now, search)
+		}
 		g.bySearch[search] = one
 	}
 	return one
@@ -70,11 +80,12 @@
 			return nil
 		}
 		g.catalog, g.live = v.Catalog, live
-		return g.admit.Change(now, admit.Settings{
+		settings := admit.Settings{
 			Running: admit.Running(v.Catalog.Searches[search], live),
 			Waiting: waitingQueries,
 			Ranks:   rank.FromCatalog(v.Catalog),
-		})
+		}
+		return g.log.Change(now, settings, g.admit.Change(now, settings))
 	})
 }
 
--- a/internal/core/query/query.go
+++ b/internal/core/query/query.go
@@ -37,6 +37,11 @@
 	wg sync.WaitGroup
 }
 
+// RecordGates has record begin a log for each search's admission; it must be called before the first query.
+func (r *Runner) RecordGates(record func(now time.Time, search unit.SearchName) *trace.GateLog) {
+	r.gates.record = record
+}
+
 // Run answers one query; it returns by the query's deadline.
 func (r *Runner) Run(ctx context.Context, q fanout.Query) fanout.Answer {
 	r.wg.Add(1)
--- a/internal/core/trace/codec.go
+++ b/internal/core/trace/codec.go
@@ -67,6 +67,7 @@
 		Actions []wireAction `json:"actions,omitempty"`
 		Answer  *wireAnswer  `json:"answer,omitempty"`
 		Offer   *wireOffer   `json:"offer,omitempty"`
+		Gate    *wireGate    `json:"gate,omitempty"`
 		Dropped int64        `json:"dropped,omitempty"`
 	}
 )
@@ -164,6 +165,9 @@
 	if r.Offer != nil {
 		w.Offer = encodeOffer(*r.Offer)
 	}
+	if r.Gate != nil {
+		w.Gate = encodeGate(start, r.Kind, *r.Gate)
+	}
 	if r.Fanout == nil {
 		return w
 	}
--- a/internal/core/trace/decode.go
+++ b/internal/core/trace/decode.go
@@ -25,6 +25,10 @@
 		r.Offer = w.Offer.decode()
 		return r, nil
 	}
+	if w.Gate != nil {
+		r.Gate = w.Gate.decode()
+		return r, gateKind(r.Kind)
+	}
 	actions, err := decodeActions(w.Actions)
 	if err != nil {
 		return r, err
@@ -58,3 +62,13 @@
 	}
 	return nil
 }
+
+// gateKind says whether a kind is one of an admission.
+func gateKind(kind replay.Kind) error {
+	switch kind {
+	case replay.KindGate, replay.KindChange, replay.KindTicket, replay.KindDone, replay.KindWithdraw:
+		return nil
+	default:
+		return errors.Newf("gate: does not belong to kind %q", kind)
+	}
+}
--- a/internal/core/trace/trace.go
+++ b/internal/core/trace/trace.go
@@ -21,7 +21,7 @@
 
 const (
 	// maxBatches is how many batches of records may wait for the reader of a capture.
-	maxBatches = 1024
+	maxBatches = 1 << 13
 	// maxRecords is how many records those batches may hold together.
 	maxRecords = 1 << 15
 )
@@ -133,19 +133,21 @@
 	quit    chan struct{}
 }
 
-// push hands on records that belong together: all of them, or none when there is no room.
-func (c *Capture) push(batch []replay.Record) {
+// push hands on records that belong together: all of them, or none, and then false, when there is no room.
+func (c *Capture) push(batch []replay.Record) bool {
 	n := int64(len(batch))
 	if c.waiting.Add(n) > maxRecords {
 		c.waiting.Add(-n)
 		c.dropped.Add(n)
-		return
+		return false
 	}
 	select {
 	case c.batches <- batch:
+		return true
 	default:
 		c.waiting.Add(-n)
 		c.dropped.Add(n)
+		return false
 	}
 }
 
--- /dev/null
+++ b/internal/core/trace/wiregate.go
@@ -0,0 +1,105 @@
+package trace
+
+import (
+	"time"
+
+	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/admit"
+	"basilspan/internal/policy/rank"
+	"basilspan/internal/policy/replay"
+)
+
+type (
+	wireGate struct {
+		Search   string        `json:"search,omitempty"`
+		Settings *wireSettings `json:"settings,omitempty"`
+		Ticket   *wireTicket   `json:"ticket,omitempty"`
+		Rank     string        `json:"rank,omitempty"`
+		// Took is in microseconds.
+		Took     offset        `json:"took,omitempty"`
+		Found    bool          `json:"found,omitempty"`
+		Verdicts []wireVerdict `json:"verdicts,omitempty"`
+	}
+
+	wireSettings struct {
+		Running int                 `json:"running"`
+		Waiting int                 `json:"waiting"`
+		Ranks   map[string]wireRank `json:"ranks,omitempty"`
+	}
+
+	wireRank struct {
+		Urgency int     `json:"urgency"`
+		Floor   float64 `json:"floor,omitempty"`
+	}
+
+	wireTicket struct {
+		ID       uint64 `json:"id"`
+		Rank     string `json:"rank,omitempty"`
+		Deadline offset `json:"deadline"`
+	}
+
+	wireVerdict struct {
+		Ticket wireTicket `json:"ticket"`
+		Code   int        `json:"code"`
+	}
+)
+
+func encodeGate(start time.Time, kind replay.Kind, g replay.Gate) *wireGate {
+	w := &wireGate{Search: string(g.Search), Rank: string(g.Rank), Took: micros(g.Took), Found: g.Found}
+	switch kind {
+	case replay.KindChange:
+		w.Settings = encodeSettings(g.Settings)
+	case replay.KindTicket:
+		ticket := encodeTicket(start, g.Ticket)
+		w.Ticket = &ticket
+	case replay.KindWithdraw:
+		w.Ticket = &wireTicket{ID: g.Ticket.ID}
+	}
+	for _, v := range g.Verdicts {
+		w.Verdicts = append(w.Verdicts, wireVerdict{Ticket: encodeTicket(start, v.Ticket), Code: int(v.Code)})
+	}
+	return w
+}
+
+func (w *wireGate) decode() *replay.Gate {
+	g := &replay.Gate{
+		Search: unit.SearchName(w.Search),
+		Rank:   unit.RankName(w.Rank),
+		Took:   w.Took.duration(),
+		Found:  w.Found,
+	}
+	if w.Settings != nil {
+		g.Settings = w.Settings.decode()
+	}
+	if w.Ticket != nil {
+		g.Ticket = w.Ticket.decode()
+	}
+	for _, v := range w.Verdicts {
+		g.Verdicts = append(g.Verdicts, rank.Verdict{Ticket: v.Ticket.decode(), Code: unit.Code(v.Code)})
+	}
+	return g
+}
+
+func encodeSettings(s admit.Settings) *wireSettings {
+	w := &wireSettings{Running: s.Running, Waiting: s.Waiting, Ranks: make(map[string]wireRank, len(s.Ranks))}
+	for name, r := range s.Ranks {
+		w.Ranks[string(name)] = wireRank{Urgency: int(r.Urgency), Floor: float64(r.Floor)}
+	}
+	return w
+}
+
+func (w *wireSettings) decode() admit.Settings {
+	s := admit.Settings{Running: w.Running, Waiting: w.Waiting, Ranks: make(map[unit.RankName]rank.Rank, len(w.Ranks))}
+	for name, r := range w.Ranks {
+		s.Ranks[unit.RankName(name)] = rank.Rank{Urgency: unit.Urgency(r.Urgency), Floor: unit.Share(r.Floor)}
+	}
+	return s
+}
+
+func encodeTicket(start time.Time, t rank.Ticket) wireTicket {
+	return wireTicket{ID: t.ID, Rank: string(t.Rank), Deadline: since(start, t.Deadline)}
+}
+
+func (w wireTicket) decode() rank.Ticket {
+	return rank.Ticket{ID: w.ID, Rank: unit.RankName(w.Rank), Deadline: w.Deadline.time()}
+}
--- a/internal/policy/replay/record.go
+++ b/internal/policy/replay/record.go
@@ -84,6 +84,7 @@
 
 	Fanout *Fanout
 	Offer  *Offer
+	Gate   *Gate
 	// Dropped belongs to KindEnd: how many records the recorder had no room for.
 	Dropped int64
 }
--- a/internal/policy/replay/replay.go
+++ b/internal/policy/replay/replay.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"basilspan/internal/policy/admit"
 	"basilspan/internal/policy/catalog"
 	"basilspan/internal/policy/fanout"
 	"basilspan/internal/policy/revision"
@@ -34,6 +35,7 @@
 type player struct {
 	result Result
 	fans   map[RunID]*fan
+	gates  map[RunID]*admit.Gate
 	holder *revision.Holder
 }
 
@@ -46,7 +48,7 @@
 
 // Run replays a trace from its first record to its last.
 func Run(records []Record) Result {
-	p := &player{fans: make(map[RunID]*fan)}
+	p := &player{fans: make(map[RunID]*fan), gates: make(map[RunID]*admit.Gate)}
 	for _, r := range records {
 		p.step(r)
 	}
@@ -55,12 +57,14 @@
 }
 
 func (p *player) step(r Record) {
-	switch r.Kind {
-	case KindEnd:
+	switch {
+	case r.Kind == KindEnd:
 		p.result.Dropped = r.Dropped
 		p.result.Ended = true
-	case KindOffer:
+	case r.Kind == KindOffer:
 		p.offer(r)
+	case isGate(r.Kind):
+		p.gate(r)
 	default:
 		p.fanout(r)
 	}
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -88,6 +88,7 @@
 	router.Direct = client.Send
 	runner := &query.Runner{Now: now, Views: e.views, Metrics: e.metrics, Send: router.Send}
 	runner.Record = recorder.Fanout
+	runner.RecordGates(recorder.Gate)
 	services := []kernel.Service{
 		{Name: kernel.ServiceSettings, Value: e.settings},
 		{Name: kernel.ServiceMetrics, Value: e.metrics},
--- a/internal/standin/record/record.go
+++ b/internal/standin/record/record.go
@@ -73,3 +73,17 @@
 	}
 	return e.Encode(replay.Record{At: records[0].At, Kind: replay.KindEnd})
 }
+
+// Gates keeps the first records of the admission of the first search; what a gate decides follows from all before.
+func Gates(records []replay.Record, limit int) []replay.Record {
+	var kept []replay.Record
+	for _, r := range records {
+		if r.Gate == nil || len(kept) == limit {
+			continue
+		}
+		if len(kept) == 0 || r.Run == kept[0].Run {
+			kept = append(kept, r)
+		}
+	}
+	return kept
+}
--- a/internal/standin/record/record_test.go
+++ b/internal/standin/record/record_test.go
@@ -321,3 +321,29 @@
 	check(t, append(kept, replay.Record{Kind: replay.KindEnd}))
 	keep(t, "configuration", kept)
 }
+
+// TestRecordedAdmissionReplays records the admission of a new entry VM in a flood of the least urgent rank, with
+// timeouts that not every query can meet.
+func TestRecordedAdmissionReplays(t *testing.T) {
+	const kept = 160
+	d := proc.Start(t, proc.Settings{Files: small(), Entries: 1, Median: median})
+	for id, faults := range all(endpoint.Faults{Slow: slow}) {
+		d.SetFaults(id, faults)
+	}
+	records := capture(t, d.Nodes[0], 4, func() {
+		load.Run(context.Background(), load.Settings{
+			Entries: d.Callers(),
+			Flows: []load.Flow{
+				{Search: "desk", Rank: "desk", Rate: 30, Timeout: time.Second},
+				{Search: "desk", Rank: "upkeep", Rate: 300, Timeout: 500 * time.Millisecond},
+			},
+			Duration: 2 * time.Second,
+			Run:      "flood",
+		})
+	})
+	check(t, records)
+	gates := Gates(records, kept)
+	assert.Assert(t, len(gates) > 0)
+	check(t, append(gates, replay.Record{Kind: replay.KindEnd}))
+	keep(t, "admission", gates)
+}
