--- a/internal/config/process/process_test.go
+++ b/internal/config/process/process_test.go
@@ -31,6 +31,7 @@
 		}},
 		{"a host name", func(s *Settings) { s.Platform = "config.example:80" }, []string{"platform: must be an IP number and port"}},
 		{"no port", func(s *Settings) { s.Peers = []unit.Address{"10.0.0.2"} }, []string{"peers: must be an IP number and port"}},
+		{"no address to advertise", func(s *Settings) { s.Advertise = "e1" }, []string{"advertise: must be an IP number and port"}},
 		{"bad names", func(s *Settings) { s.Node, s.Centre = "e 1", "a\n" }, []string{"node: a name has", "centre: a name has"}},
 		{"one port twice", func(s *Settings) { s.Operator = s.Caller }, []string{"operator: is the same address as caller"}},
 		{"lag", func(s *Settings) { s.Lag = time.Hour }, []string{"lag: must be from 0s to 5m0s, not 1h0m0s"}},
@@ -46,7 +47,7 @@
 
 func TestMergeTakesWhatNoFlagSets(t *testing.T) {
 	all := `{"node": "f1", "centre": "irbid", "caller": "127.0.0.2:1", "operator": "127.0.0.2:2", "peer": "127.0.0.2:3",
-"platform": "127.0.0.2:4", "peers": ["127.0.0.2:5"], "lag": "2s", "pprof": true, "trace": true, "log-json": true}`
+"platform": "127.0.0.2:4", "advertise": "127.0.0.2:6", "peers": ["127.0.0.2:5"], "lag": "2s", "pprof": true, "trace": true, "log-json": true}`
 	tests := []struct {
 		name    string
 		content string
@@ -57,7 +58,7 @@
 		{"every key", all, "", func(s *Settings) {
 			*s = Settings{
 				Node: "f1", Centre: "irbid", Caller: "127.0.0.2:1", Operator: "127.0.0.2:2", Peer: "127.0.0.2:3",
-				Platform: "127.0.0.2:4", Peers: []unit.Address{"127.0.0.2:5"}, Lag: 2 * time.Second, Pprof: true, Trace: true, LogJSON: true,
+				Platform: "127.0.0.2:4", Advertise: "127.0.0.2:6", Peers: []unit.Address{"127.0.0.2:5"}, Lag: 2 * time.Second, Pprof: true, Trace: true, LogJSON: true,
 			}
 		}, nil},
 		{"flags go first", all, "node centre caller operator peer platform peers lag pprof trace log-json", func(*Settings) {}, nil},
--- a/internal/core/kernel/names.go
+++ b/internal/core/kernel/names.go
@@ -16,6 +16,8 @@
 	ServiceEndpoint Name = "endpoint"
 	// ServicePeer is the link to the other entry VMs.
 	ServicePeer Name = "peer"
+	// ServiceExchange tells the other entry VMs what this one knows.
+	ServiceExchange Name = "exchange"
 	// ServicePlatform is the watcher of the platform's service.
 	ServicePlatform Name = "platform"
 	// ServiceRoute sends attempts to their endpoints.
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"os"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 
 	"basilspan/internal/config/process"
 	"basilspan/internal/core/control"
+	"basilspan/internal/core/exchange"
 	"basilspan/internal/core/kernel"
 	"basilspan/internal/core/metric"
 	"basilspan/internal/core/query"
@@ -23,6 +25,8 @@
 	"basilspan/internal/link/endpoint"
 	"basilspan/internal/link/peer"
 	"basilspan/internal/link/platform"
+	"basilspan/internal/policy/fanout"
+	"basilspan/internal/policy/leaving"
 	"basilspan/internal/serve/caller"
 	"basilspan/internal/serve/operator"
 )
@@ -30,6 +34,9 @@
 // endpointConnections is how many connections one entry VM opens to one endpoint.
 const endpointConnections unit.Connections = 4
 
+// postTime bounds the wait for the control goroutine at a planned stop.
+const postTime = time.Second
+
 // Options are the seams of an entry.
 type Options struct {
 	Now func() time.Time
@@ -41,6 +48,7 @@
 // Entry is one entry VM.
 type Entry struct {
 	kernel   *kernel.Kernel
+	loop     *kernel.Loop
 	settings process.Settings
 	options  Options
 	views    *view.Store
@@ -72,21 +80,24 @@
 // install registers the services in the order in which they start.
 func (e *Entry) install() error {
 	k, now := e.kernel, e.options.Now
-	loop := kernel.NewLoop(now)
+	e.loop = kernel.NewLoop(now)
 	recorder := trace.New(now)
 	recorder.Out = e.options.Trace
-	control.Install(loop, e.views, e.metrics, e.options.Log).Record = recorder.Offer
 	client := endpoint.New(now, endpointConnections)
 	link := peer.New(e.settings.Peer)
-	watcher := platform.New(e.settings.Platform, loop)
+	watcher := platform.New(e.settings.Platform, e.loop, now)
+	told := exchange.New(e.loop, link, now)
+	told.Self = e.PeerAddress
+	e.installControl(told, watcher, recorder)
 	routing, err := route.ReadSettings(os.Getenv)
 	if err != nil {
 		return err
 	}
 	router := route.New(routing, link)
 	router.Now, router.Self, router.Views, router.Metrics = now, e.settings.Node, e.views, e.metrics
-	router.Direct = client.Send
-	runner := &query.Runner{Now: now, Views: e.views, Metrics: e.metrics, Send: router.Send}
+	// A view is checked twice: before an attempt goes to the endpoint's owner, and there before it goes to the endpoint.
+	router.Direct = e.guard(client.Send)
+	runner := &query.Runner{Now: now, Views: e.views, Metrics: e.metrics, Send: e.guard(router.Send)}
 	runner.Record = recorder.Fanout
 	runner.RecordGates(recorder.Gate)
 	services := []kernel.Service{
@@ -94,8 +105,9 @@
 		{Name: kernel.ServiceMetrics, Value: e.metrics},
 		{Name: kernel.ServiceViews, Value: e.views},
 		recorder.Service(kernel.ServiceTrace),
-		loop.Service(kernel.ServiceControl),
+		e.loop.Service(kernel.ServiceControl),
 		link.Service(kernel.ServicePeer),
+		told.Service(kernel.ServiceExchange),
 		watcher.Service(kernel.ServicePlatform),
 		{Name: kernel.ServiceEndpoint, Value: client, Close: client.Close},
 		router.Service(kernel.ServiceRoute),
@@ -113,6 +125,37 @@
 	return caller.Install(k, e.settings.Caller, now)
 }
 
+func (e *Entry) installControl(told *exchange.Service, watcher *platform.Watcher, recorder *trace.Recorder) {
+	control.Install(e.loop, e.options.Now(), control.Options{
+		Node:    e.settings.Node,
+		Centre:  e.settings.Centre,
+		Peers:   e.settings.Peers,
+		Views:   e.views,
+		Metrics: e.metrics,
+		Log:     e.options.Log,
+		Address: e.PeerAddress,
+		Publish: told.Publish,
+		Nudge:   told.Nudge,
+		Fetch:   told.Fetch,
+		Refresh: watcher.Refresh,
+		Pick:    rand.IntN,
+		Record:  recorder.Offer,
+	})
+}
+
+// guard puts a check of the view before send.
+func (e *Entry) guard(send func(ctx context.Context, call endpoint.Call) fanout.Reply) func(
+	ctx context.Context, call endpoint.Call,
+) fanout.Reply {
+	s := &sender{now: e.options.Now, views: e.views, metrics: e.metrics, send: send, leaving: e.endpointLeaving}
+	return s.Send
+}
+
+// endpointLeaving hands the sign of a leaving endpoint to the control goroutine.
+func (e *Entry) endpointLeaving(ctx context.Context, sign leaving.Sign) {
+	_ = kernel.Post(ctx, e.loop, control.EndpointLeaving{Sign: sign})
+}
+
 // Start starts the services; the entry becomes ready once a configuration is in force.
 func (e *Entry) Start(ctx context.Context) error {
 	if err := e.kernel.Start(ctx); err != nil {
@@ -134,6 +177,9 @@
 		if port, err := kernel.Find[*caller.Server](e.kernel, kernel.ServiceCaller); err == nil {
 			port.BeginDrain()
 		}
+		ctx, cancel := context.WithTimeout(context.Background(), postTime)
+		defer cancel()
+		_ = kernel.Post(ctx, e.loop, control.Drain{})
 		if served {
 			e.lag = e.settings.Lag
 		}
@@ -175,8 +221,11 @@
 	return port.Address()
 }
 
-// PeerAddress gives the address for the other entry VMs.
+// PeerAddress gives the address at which the other entry VMs reach this one.
 func (e *Entry) PeerAddress() unit.Address {
+	if e.settings.Advertise != "" {
+		return e.settings.Advertise
+	}
 	link, err := kernel.Find[*peer.Link](e.kernel, kernel.ServicePeer)
 	if err != nil {
 		return ""
