--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -99,6 +99,7 @@
 	router.Direct = e.guard(client.Send)
 	runner := &query.Runner{Now: now, Views: e.views, Metrics: e.metrics, Send: e.guard(router.Send)}
 	runner.Record = recorder.Fanout
+	runner.RecordGates(recorder.Gate)
 	services := []kernel.Service{
 		{Name: kernel.ServiceSettings, Value: e.settings},
 		{Name: kernel.ServiceMetrics, Value: e.metrics},
