Answer every bad request with a code and cut off slow callers

Cause: hertz answered an oversized body and other paths without a result code; encoding/json took repeated keys, keys in another case and trailing JSON; a request id with a line break went into an endpoint's header; hertz's read timeout starts again at each byte, so a caller who sends one now and then held a goroutine for ever; a made-up search name got a histogram of its own, without bound.

Change: the handler reads the body as a stream and bounds it; decode uses config/strict and names every field at fault; guard bounds connections by count and the reading of a request by time; port.OnClose tells the end of a connection whichever side closes it; unknown searches and ranks get no histogram.

--- a/internal/core/metric/metric.go
+++ b/internal/core/metric/metric.go
@@ -122,6 +122,10 @@
 // Ended records the end of a query of that search and rank, with its result code and latency.
 func (s *Set) Ended(search unit.SearchName, rank unit.RankName, code unit.Code, took time.Duration) {
 	s.counters.Add("code."+strconv.Itoa(int(code)), 1)
+	if code == unit.CodeUnknownSearch || code == unit.CodeUnknownRank {
+		// A caller can make up any number of names; they get no histograms.
+		return
+	}
 	s.histogram(search, rank).Record(took)
 }
 
--- a/internal/serve/caller/caller.go
+++ b/internal/serve/caller/caller.go
@@ -3,11 +3,10 @@
 package caller
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
+	"io"
 	"net"
-	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -16,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"basilspan/internal/core/kernel"
+	"basilspan/internal/core/metric"
 	"basilspan/internal/core/query"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/policy/fanout"
@@ -30,51 +30,14 @@
 	readTime = 10 * time.Second
 	// stopSlack is how much longer than the longest query a shutdown may take.
 	stopSlack = 5 * time.Second
-	// maxID is the longest request id, in bytes.
-	maxID = 128
-)
-
-type (
-	wireQuery struct {
-		ID     string `json:"id"`
-		Search string `json:"search"`
-		Rank   string `json:"rank"`
-		// Timeout is in milliseconds.
-		Timeout int64  `json:"timeout"`
-		Once    bool   `json:"once"`
-		Body    []byte `json:"body"`
-	}
-
-	wireAnswer struct {
-		ID       string        `json:"id"`
-		Code     int           `json:"code"`
-		Outcome  string        `json:"outcome"`
-		Message  string        `json:"message,omitempty"`
-		Snapshot uint64        `json:"snapshot,omitempty"`
-		Asked    int           `json:"asked"`
-		Parts    []wirePart    `json:"parts,omitempty"`
-		Missing  []wireMissing `json:"missing,omitempty"`
-		Extra    wireExtra     `json:"extra"`
-	}
-
-	wirePart struct {
-		Shard    string `json:"shard"`
-		Endpoint string `json:"endpoint"`
-		Body     []byte `json:"body"`
-	}
-
-	wireMissing struct {
-		Shard   string `json:"shard"`
-		Code    int    `json:"code"`
-		Outcome string `json:"outcome"`
-	}
-
-	wireExtra struct {
-		Attempts int `json:"attempts"`
-		Hedges   int `json:"hedges"`
-		Retries  int `json:"retries"`
-		Late     int `json:"late"`
-	}
+	// writeTime bounds the wait for a caller that does not read its answer.
+	writeTime = 30 * time.Second
+	// idleTime is how long a connection may wait for its next request.
+	idleTime = 90 * time.Second
+	// maxConnections is how many connections callers may have open.
+	maxConnections = 8192
+	// tooLarge is the text for a body over maxBody.
+	tooLarge = "body: has more than 1048576 bytes"
 )
 
 // Server is the port for callers.
@@ -82,6 +45,8 @@
 	Now    func() time.Time
 	Answer func(ctx context.Context, q fanout.Query) fanout.Answer
 
+	guard    *guard
+	metrics  *metric.Set
 	listen   unit.Address
 	listener net.Listener
 	server   *server.Hertz
@@ -92,6 +57,7 @@
 // Install registers the port with the kernel; it finds the query service there when it starts.
 func Install(k *kernel.Kernel, listen unit.Address, now func() time.Time) error {
 	s := &Server{Now: now, listen: listen, tracker: keepalive.New(), done: make(chan struct{})}
+	s.guard = &guard{limit: maxConnections, readTime: readTime}
 	return k.Register(kernel.Service{
 		Name:  kernel.ServiceCaller,
 		Value: s,
@@ -101,6 +67,9 @@
 				return err
 			}
 			s.Answer = runner.Run
+			if s.metrics, err = kernel.Find[*metric.Set](k, kernel.ServiceMetrics); err != nil {
+				return err
+			}
 			return s.start(ctx)
 		},
 		Close: s.close,
@@ -123,16 +92,25 @@
 		return errors.Wrap(err, "listen for callers")
 	}
 	s.listener = listener
-	options := append(s.tracker.Options(),
+	s.guard.metrics = s.metrics
+	options := append(s.tracker.Options(), s.guard.options()...)
+	options = append(options,
 		server.WithListener(listener),
+		// The handler reads the body itself, since hertz answers one that is too large without a result code.
+		server.WithStreamBody(true),
 		server.WithMaxRequestBodySize(maxBody),
+		server.WithDisablePreParseMultipartForm(true),
+		server.WithRedirectTrailingSlash(false),
 		server.WithReadTimeout(readTime),
+		server.WithWriteTimeout(writeTime),
+		server.WithIdleTimeout(idleTime),
 		server.WithExitWaitTime(query.MaxTimeout+stopSlack),
 		server.WithDisablePrintRoute(true),
 		config.Option{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
 	)
 	s.server = server.New(options...)
 	s.server.POST("/query", s.handle)
+	s.server.NoRoute(s.noRoute)
 	go func() {
 		defer close(s.done)
 		_ = s.server.Run()
@@ -151,85 +129,44 @@
 
 func (s *Server) handle(ctx context.Context, rc *app.RequestContext) {
 	defer s.tracker.EndConnection(rc)
-	q, code, message := decode(rc.Request.Body(), s.Now())
+	body, code, message := s.read(ctx, rc)
 	if code != 0 {
-		write(rc, fanout.Refuse(q.ID, code, message))
+		rc.SetConnectionClose()
+		s.refuse(rc, "", code, message)
+		return
+	}
+	q, code, message := decode(body, s.Now())
+	if code != 0 {
+		s.refuse(rc, q.ID, code, message)
 		return
 	}
 	write(rc, s.Answer(ctx, q))
 }
 
-// decode reads a query; code is 0 when it is valid, and message then empty.
-func decode(body []byte, now time.Time) (q fanout.Query, code unit.Code, message string) {
-	var w wireQuery
-	d := json.NewDecoder(bytes.NewReader(body))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&w); err != nil {
-		return fanout.Query{}, unit.CodeBadRequest, err.Error()
-	}
-	q = fanout.Query{
-		ID:     unit.RequestID(w.ID),
-		Search: unit.SearchName(w.Search),
-		Rank:   unit.RankName(w.Rank),
-		Once:   w.Once,
-		Body:   w.Body,
+// read reads the body; code is 0 when it has come whole.
+func (s *Server) read(ctx context.Context, rc *app.RequestContext) (body []byte, code unit.Code, message string) {
+	defer s.guard.received(ctx)
+	if rc.Request.Header.ContentLength() > maxBody {
+		return nil, unit.CodeTooLarge, tooLarge
 	}
-	if w.ID == "" || len(w.ID) > maxID {
-		return q, unit.CodeBadRequest, "id: must have 1 to 128 bytes"
+	body, err := io.ReadAll(io.LimitReader(rc.RequestBodyStream(), maxBody+1))
+	if err != nil {
+		return nil, unit.CodeBadRequest, "body: has not come whole"
 	}
-	if w.Timeout <= 0 || w.Timeout > query.MaxTimeout.Milliseconds() {
-		return q, unit.CodeBadDeadline, "timeout: must be from 1 to 60000 milliseconds"
+	if len(body) > maxBody {
+		return nil, unit.CodeTooLarge, tooLarge
 	}
-	q.Deadline = now.Add(time.Duration(w.Timeout) * time.Millisecond)
-	return q, 0, ""
+	return body, 0, ""
 }
 
-func write(rc *app.RequestContext, answer fanout.Answer) {
-	rc.JSON(status(answer.Code), encode(answer))
+// refuse answers a query that is not run.
+func (s *Server) refuse(rc *app.RequestContext, id unit.RequestID, code unit.Code, message string) {
+	s.metrics.Add("code."+strconv.Itoa(int(code)), 1)
+	write(rc, fanout.Refuse(id, code, message))
 }
 
-func encode(answer fanout.Answer) wireAnswer {
-	w := wireAnswer{
-		ID:       string(answer.ID),
-		Code:     int(answer.Code),
-		Outcome:  answer.Code.Outcome().String(),
-		Message:  answer.Message,
-		Snapshot: uint64(answer.Snapshot),
-		Asked:    answer.Asked,
-		Extra: wireExtra{
-			Attempts: answer.Extra.Attempts,
-			Hedges:   answer.Extra.Hedges,
-			Retries:  answer.Extra.Retries,
-			Late:     answer.Extra.Late,
-		},
-	}
-	if w.Message == "" {
-		w.Message = answer.Code.String()
-	}
-	for _, p := range answer.Parts {
-		w.Parts = append(w.Parts, wirePart{Shard: string(p.Shard), Endpoint: string(p.Endpoint), Body: p.Body})
-	}
-	for _, m := range answer.Missing {
-		outcome := m.Code.Outcome().String()
-		w.Missing = append(w.Missing, wireMissing{Shard: string(m.Shard), Code: int(m.Code), Outcome: outcome})
-	}
-	return w
-}
-
-// status gives the HTTP status of a result code; the code in the body says more.
-func status(code unit.Code) int {
-	switch {
-	case code.Outcome() == unit.OutcomeAnswered:
-		return http.StatusOK
-	case code == unit.CodeTooLarge:
-		return http.StatusRequestEntityTooLarge
-	case code <= unit.CodeBadDeadline:
-		return http.StatusBadRequest
-	case code == unit.CodeOverloaded:
-		return http.StatusTooManyRequests
-	case code.Outcome() == unit.OutcomeNotRun:
-		return http.StatusServiceUnavailable
-	default:
-		return http.StatusGatewayTimeout
-	}
+// noRoute answers a call of another path or method.
+func (s *Server) noRoute(_ context.Context, rc *app.RequestContext) {
+	rc.SetConnectionClose()
+	s.refuse(rc, "", unit.CodeBadRequest, "path: the only call here is POST /query")
 }
--- /dev/null
+++ b/internal/serve/caller/decode.go
@@ -0,0 +1,96 @@
+package caller
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"basilspan/internal/config/strict"
+	"basilspan/internal/core/query"
+	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/fanout"
+)
+
+const (
+	// maxID is the longest request id, in bytes.
+	maxID = 128
+	// maxFaults is how many faults of a request a message names.
+	maxFaults = 8
+)
+
+// wireQuery is the body of POST /query.
+type wireQuery struct {
+	ID     string `json:"id"`
+	Search string `json:"search"`
+	Rank   string `json:"rank"`
+	// Timeout is in milliseconds.
+	Timeout int64  `json:"timeout"`
+	Once    bool   `json:"once"`
+	Body    []byte `json:"body"`
+}
+
+// decode reads a query; code is 0 when it is valid, and message then empty. The message names every field at fault.
+func decode(body []byte, now time.Time) (q fanout.Query, code unit.Code, message string) {
+	var w wireQuery
+	result := strict.Decode(body, &w, strict.Options{})
+	q = fanout.Query{
+		ID:       unit.RequestID(w.ID),
+		Search:   unit.SearchName(w.Search),
+		Rank:     unit.RankName(w.Rank),
+		Once:     w.Once,
+		Body:     w.Body,
+		Deadline: now.Add(time.Duration(w.Timeout) * time.Millisecond),
+	}
+	if fault := idFault(w.ID); fault != "" {
+		q.ID = ""
+		if !result.Broken && !bad(result, "id") {
+			result.Problems = append(result.Problems, strict.Problem{Field: "id", Text: fault})
+		}
+	}
+	most := query.MaxTimeout.Milliseconds()
+	late := !result.Broken && (bad(result, "timeout") || w.Timeout <= 0 || w.Timeout > most)
+	if late && !bad(result, "timeout") {
+		text := "must be from 1 to " + strconv.FormatInt(most, 10) + " milliseconds"
+		result.Problems = append(result.Problems, strict.Problem{Field: "timeout", Text: text})
+	}
+	switch {
+	case len(result.Problems) == 0:
+		return q, 0, ""
+	case late && len(result.Problems) == 1:
+		return q, unit.CodeBadDeadline, faults(result.Problems)
+	default:
+		return q, unit.CodeBadRequest, faults(result.Problems)
+	}
+}
+
+// bad says whether that field has a problem.
+func bad(result strict.Result, field string) bool {
+	at, exact := result.Place.Find(field)
+	return exact && at.Bad
+}
+
+// idFault gives the reason to refuse a request id, which goes to endpoints as a header, or "".
+func idFault(id string) string {
+	if id == "" || len(id) > maxID {
+		return "must have 1 to " + strconv.Itoa(maxID) + " bytes"
+	}
+	for _, c := range []byte(id) {
+		if c <= ' ' || c > '~' {
+			return "must have visible ASCII characters only"
+		}
+	}
+	return ""
+}
+
+// faults gives the problems as one message.
+func faults(problems []strict.Problem) string {
+	var all []string
+	for _, p := range problems[:min(len(problems), maxFaults)] {
+		field := p.Field
+		if field == "" {
+			field = "body"
+		}
+		all = append(all, field+": "+p.Text)
+	}
+	return strings.Join(all, "; ")
+}
