--- a/internal/core/trace/wire.go
+++ b/internal/core/trace/wire.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/catalog"
 	"basilspan/internal/policy/fanout"
 	"basilspan/internal/policy/replay"
 	"basilspan/internal/policy/revision"
@@ -22,13 +23,30 @@
 	}
 
 	wirePlan struct {
+		Snapshot uint64        `json:"snapshot"`
+		Shards   []wireShard   `json:"shards"`
+		Terms    wireTerms     `json:"terms"`
+		Fallback []wireVersion `json:"fallback,omitempty"`
+	}
+
+	wireVersion struct {
 		Snapshot uint64      `json:"snapshot"`
 		Shards   []wireShard `json:"shards"`
 	}
 
+	// wireTerms has its times in microseconds.
+	wireTerms struct {
+		Aim       string  `json:"aim"`
+		Minimum   float64 `json:"minimum,omitempty"`
+		Hedge     offset  `json:"hedge,omitempty"`
+		Allowance int     `json:"allowance,omitempty"`
+		Expected  offset  `json:"expected,omitempty"`
+	}
+
 	wireShard struct {
 		ID       string   `json:"id"`
 		Replicas []string `json:"replicas,omitempty"`
+		Healthy  int      `json:"healthy,omitempty"`
 	}
 
 	wireReply struct {
@@ -58,6 +76,8 @@
 		Attempts int           `json:"attempts,omitempty"`
 		Hedges   int           `json:"hedges,omitempty"`
 		Retries  int           `json:"retries,omitempty"`
+		Restarts int           `json:"restarts,omitempty"`
+		Spent    int           `json:"spent,omitempty"`
 		Late     int           `json:"late,omitempty"`
 	}
 
@@ -117,27 +137,64 @@
 }
 
 func encodePlan(p fanout.Plan) *wirePlan {
-	w := &wirePlan{Snapshot: uint64(p.Snapshot), Shards: make([]wireShard, 0, len(p.Shards))}
-	for _, s := range p.Shards {
-		one := wireShard{ID: string(s.ID)}
-		for _, id := range s.Replicas {
-			one.Replicas = append(one.Replicas, string(id))
-		}
-		w.Shards = append(w.Shards, one)
+	w := &wirePlan{
+		Snapshot: uint64(p.Snapshot),
+		Shards:   encodeShards(p.Shards),
+		Terms: wireTerms{
+			Aim:       string(p.Terms.Aim),
+			Minimum:   float64(p.Terms.Minimum),
+			Hedge:     micros(p.Terms.HedgeAfter),
+			Allowance: p.Terms.Allowance,
+			Expected:  micros(p.Terms.Expected),
+		},
+	}
+	for _, v := range p.Fallback {
+		w.Fallback = append(w.Fallback, wireVersion{Snapshot: uint64(v.Snapshot), Shards: encodeShards(v.Shards)})
 	}
 	return w
 }
 
 func (w *wirePlan) decode() fanout.Plan {
-	p := fanout.Plan{Snapshot: unit.SnapshotID(w.Snapshot)}
-	for _, s := range w.Shards {
-		one := fanout.Shard{ID: unit.ShardID(s.ID)}
+	p := fanout.Plan{
+		Snapshot: unit.SnapshotID(w.Snapshot),
+		Shards:   decodeShards(w.Shards),
+		Terms: fanout.Terms{
+			Aim:        catalog.Aim(w.Terms.Aim),
+			Minimum:    unit.Share(w.Terms.Minimum),
+			HedgeAfter: w.Terms.Hedge.duration(),
+			Allowance:  w.Terms.Allowance,
+			Expected:   w.Terms.Expected.duration(),
+		},
+	}
+	for _, v := range w.Fallback {
+		version := fanout.Version{Snapshot: unit.SnapshotID(v.Snapshot), Shards: decodeShards(v.Shards)}
+		p.Fallback = append(p.Fallback, version)
+	}
+	return p
+}
+
+func encodeShards(shards []fanout.Shard) []wireShard {
+	all := make([]wireShard, 0, len(shards))
+	for _, s := range shards {
+		one := wireShard{ID: string(s.ID), Healthy: s.Healthy}
 		for _, id := range s.Replicas {
+			one.Replicas = append(one.Replicas, string(id))
+		}
+		all = append(all, one)
+	}
+	return all
+}
+
+func decodeShards(all []wireShard) []fanout.Shard {
+	var shards []fanout.Shard
+	for _, w := range all {
+		one := fanout.Shard{ID: unit.ShardID(w.ID), Healthy: w.Healthy}
+		for _, id := range w.Replicas {
 			one.Replicas = append(one.Replicas, unit.EndpointID(id))
 		}
-		p.Shards = append(p.Shards, one)
+		shards = append(shards, one)
 	}
-	return p
+	return shards
 }
 
 func encodeReply(r fanout.Reply) *wireReply {
@@ -210,6 +267,8 @@
 		Attempts: a.Extra.Attempts,
 		Hedges:   a.Extra.Hedges,
 		Retries:  a.Extra.Retries,
+		Restarts: a.Extra.Restarts,
+		Spent:    a.Extra.Spent,
 		Late:     a.Extra.Late,
 	}
 	for _, p := range a.Parts {
@@ -228,7 +287,14 @@
 		Message:  w.Message,
 		Snapshot: unit.SnapshotID(w.Snapshot),
 		Asked:    w.Asked,
-		Extra:    fanout.Extra{Attempts: w.Attempts, Hedges: w.Hedges, Retries: w.Retries, Late: w.Late},
+		Extra: fanout.Extra{
+			Attempts: w.Attempts,
+			Hedges:   w.Hedges,
+			Retries:  w.Retries,
+			Restarts: w.Restarts,
+			Late:     w.Late,
+			Spent:    w.Spent,
+		},
 	}
 	for _, p := range w.Parts {
 		part := fanout.Part{Shard: unit.ShardID(p.Shard), Endpoint: unit.EndpointID(p.Endpoint), Body: body(p.Body)}
