Add the operators' commands and what the operator port shows

Cause: an operator could serve, query and run the demo, but not check, show or compare a folder, see why an endpoint gets no work, or begin a stop without curl; wrong arguments ended with 1 and without a next step.

Wrong arguments of any command end with 2 and name the help to read. View has fields for the time of acceptance and the refused revision; the control state does not fill them yet, and status then says that they are not known.

--- a/internal/cmd/query/query.go
+++ b/internal/cmd/query/query.go
@@ -14,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 
 	"basilspan/internal/cmd/stream"
+	"basilspan/internal/config/process"
 	"basilspan/internal/core/unit"
 )
 
@@ -30,6 +31,35 @@
 	Body    []byte `json:"body"`
 }
 
+type (
+	// wireAnswer is the answer as the entry VM writes it.
+	wireAnswer struct {
+		ID       string        `json:"id"`
+		Code     unit.Code     `json:"code"`
+		Message  string        `json:"message"`
+		Snapshot uint64        `json:"snapshot"`
+		Asked    int           `json:"asked"`
+		Parts    []wirePart    `json:"parts"`
+		Missing  []wireMissing `json:"missing"`
+		Extra    wireExtra     `json:"extra"`
+	}
+
+	wirePart struct {
+		Shard    string `json:"shard"`
+		Endpoint string `json:"endpoint"`
+		Body     []byte `json:"body"`
+	}
+
+	wireMissing struct {
+		Shard string    `json:"shard"`
+		Code  unit.Code `json:"code"`
+	}
+
+	wireExtra struct {
+		Attempts int `json:"attempts"`
+	}
+)
+
 // Options are what the command works with.
 type Options struct {
 	Streams stream.Streams
@@ -40,6 +70,7 @@
 	Timeout time.Duration
 	Once    bool
 	Body    string
+	JSON    bool
 	Now     func() time.Time
 	// Do sends an HTTP request.
 	Do func(req *http.Request) (*http.Response, error)
@@ -53,19 +84,27 @@
 		run = Run
 	}
 	return &cli.Command{
-		Name:        "query",
-		Usage:       "send one query and print the answer as JSON",
-		Description: "Examples:\n   basilspan query --search fitter-desk --rank fitter --body 'tap 12'",
+		Name:  "query",
+		Usage: "send one query and print the answer",
+		Description: "The exit code is 3 for an answer that is not whole; docs/RESULTS.md lists the codes.\n\n" +
+			"Examples:\n   basilspan query --search fitter-desk --rank fitter --body 'tap 12'\n" +
+			"   basilspan query --search order-track --rank fitter --once --json",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "entry", Usage: "address for callers", Value: "127.0.0.1:8080", Destination: &opts.Entry},
+			&cli.StringFlag{Name: "entry", Usage: "address for callers", Value: "127.0.0.1:8080", Sources: cli.EnvVars(process.Env("caller")), Destination: &opts.Entry},
 			&cli.StringFlag{Name: "id", Usage: "request id; made from the time if empty", Destination: &opts.ID},
 			&cli.StringFlag{Name: "search", Usage: "name of the search", Required: true, Destination: &opts.Search},
 			&cli.StringFlag{Name: "rank", Usage: "rank of the work", Required: true, Destination: &opts.Rank},
 			&cli.DurationFlag{Name: "timeout", Usage: "time for the answer", Value: time.Second, Destination: &opts.Timeout},
 			&cli.BoolFlag{Name: "once", Usage: "never run the request twice", Destination: &opts.Once},
 			&cli.StringFlag{Name: "body", Usage: "body of the request", Destination: &opts.Body},
+			stream.JSONFlag(&opts.JSON),
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			if _, err := stream.Args(cmd, 0, 0, "no argument"); err != nil {
+				return err
+			}
+			return run(ctx, opts)
 		},
-		Action: func(ctx context.Context, _ *cli.Command) error { return run(ctx, opts) },
 	}
 }
 
@@ -101,21 +140,36 @@
 	if err != nil {
 		return errors.Wrap(err, "read the answer")
 	}
-	opts.Streams.Printf("%s\n", content)
-	return verdict(content)
+	return opts.print(content)
 }
 
-// verdict gives an error for an answer that is not whole.
-func verdict(content []byte) error {
-	var answer struct {
-		Code unit.Code `json:"code"`
-	}
+// print prints the answer and gives an error for one that is not whole.
+func (o *Options) print(content []byte) error {
+	var answer wireAnswer
 	if err := json.Unmarshal(content, &answer); err != nil {
 		return errors.Wrap(err, "decode the answer")
 	}
+	if o.JSON {
+		o.Streams.Printf("%s\n", content)
+	} else {
+		o.text(answer)
+	}
 	if answer.Code == unit.CodeWhole {
 		return nil
 	}
-	err := errors.Newf("code %d: %s; see docs/RESULTS.md", answer.Code, answer.Code)
+	err := errors.Newf("code %d: %s; see docs/RESULTS.md", answer.Code, answer.Message)
 	return stream.WithExit(err, stream.ExitNegative)
 }
+
+// text prints the answer for a person.
+func (o *Options) text(a wireAnswer) {
+	p := o.Streams.Printf
+	p("%s: code %d, %s\n", a.ID, a.Code, a.Message)
+	p("snapshot %d, %d of %d shards, %d attempts\n", a.Snapshot, len(a.Parts), a.Asked, a.Extra.Attempts)
+	for _, part := range a.Parts {
+		p("  %s from %s: %q\n", part.Shard, part.Endpoint, part.Body)
+	}
+	for _, m := range a.Missing {
+		p("  %s is missing: code %d, %s\n", m.Shard, m.Code, m.Code)
+	}
+}
--- a/internal/cmd/version/version.go
+++ b/internal/cmd/version/version.go
@@ -11,13 +11,24 @@
 	"basilspan/internal/cmd/stream"
 )
 
+// wireVersion is the version as JSON.
+type wireVersion struct {
+	Version string `json:"version"`
+	Go      string `json:"go"`
+}
+
 // New makes the command.
 func New(streams stream.Streams) *cli.Command {
+	var asJSON bool
 	return &cli.Command{
 		Name:        "version",
 		Usage:       "print the version",
 		Description: "Examples:\n   basilspan version",
+		Flags:       []cli.Flag{stream.JSONFlag(&asJSON)},
 		Action: func(context.Context, *cli.Command) error {
+			if asJSON {
+				return streams.PrintJSON(wireVersion{Version: version(), Go: runtime.Version()})
+			}
 			streams.Printf("basilspan %s %s\n", version(), runtime.Version())
 			return nil
 		},
--- a/internal/core/view/view.go
+++ b/internal/core/view/view.go
@@ -16,6 +16,11 @@
 	// At is when the view was made; traffic checks its age.
 	At       time.Time
 	Revision unit.Revision
+	// Since is when the configuration came into force on this VM; zero means that it is not known.
+	Since time.Time
+	// Refused is the highest revision that was refused, and Problem the reason.
+	Refused unit.Revision
+	Problem string
 	// Catalog is nil before the first configuration is accepted.
 	Catalog *catalog.Catalog
 	Members []member.Member
--- a/internal/serve/operator/operator.go
+++ b/internal/serve/operator/operator.go
@@ -5,13 +5,14 @@
 	"context"
 	"net"
 	"net/http"
-	"sort"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/adaptor"
 	"github.com/cockroachdb/errors"
 
+	"basilspan/internal/config/process"
 	"basilspan/internal/core/kernel"
 	"basilspan/internal/core/metric"
 	"basilspan/internal/core/trace"
@@ -22,30 +23,16 @@
 	traceport "basilspan/internal/serve/trace"
 )
 
-type (
-	wireStatus struct {
-		Node     string       `json:"node"`
-		State    string       `json:"state"`
-		Revision uint64       `json:"revision"`
-		Age      int64        `json:"age"`
-		Members  []wireMember `json:"members"`
-		Leaving  []string     `json:"leaving"`
-	}
-
-	wireMember struct {
-		ID    string `json:"id"`
-		Peer  string `json:"peer"`
-		State string `json:"state"`
-	}
-)
-
 // Server is the port for operators. The function fields are its seams.
 type Server struct {
 	Now func() time.Time
 	// State gives the entry VM's lifecycle state, and Drain begins a planned stop.
 	State func() string
 	Drain func()
+	// Ejected says whether this entry VM asks an endpoint last after failures; nil says that of none.
+	Ejected func(now time.Time, search unit.SearchName, id unit.EndpointID) bool
 
+	pprof    bool
 	node     unit.NodeID
 	listen   unit.Address
 	listener net.Listener
@@ -81,6 +68,11 @@
 			if s.metrics, err = kernel.Find[*metric.Set](k, kernel.ServiceMetrics); err != nil {
 				return err
 			}
+			settings, err := kernel.Find[process.Settings](k, kernel.ServiceSettings)
+			if err != nil {
+				return err
+			}
+			s.pprof = settings.Pprof
 			recorder, err := kernel.Find[*trace.Recorder](k, kernel.ServiceTrace)
 			if err != nil {
 				return err
@@ -113,6 +105,10 @@
 	s.server.GET("/status", s.status)
 	s.server.GET("/debug/vars", s.vars)
 	s.server.POST("/drain", s.drain)
+	s.server.GET("/config", s.config)
+	if s.pprof {
+		s.server.GET("/debug/pprof/*profile", adaptor.HertzHandler(http.HandlerFunc(profile)))
+	}
 	s.server.GET(traceport.Path, s.traces.Handle)
 	go func() {
 		defer close(s.done)
@@ -147,21 +143,3 @@
 	s.Drain()
 	rc.Status(http.StatusAccepted)
 }
-
-func (s *Server) status(_ context.Context, rc *app.RequestContext) {
-	v := s.views.Load()
-	w := wireStatus{
-		Node:     string(s.node),
-		State:    s.State(),
-		Revision: uint64(v.Revision),
-		Age:      s.Now().Sub(v.At).Milliseconds(),
-	}
-	for _, m := range v.Members {
-		w.Members = append(w.Members, wireMember{ID: string(m.ID), Peer: string(m.Peer), State: string(m.State)})
-	}
-	for id := range v.Leaving {
-		w.Leaving = append(w.Leaving, string(id))
-	}
-	sort.Strings(w.Leaving)
-	rc.JSON(http.StatusOK, w)
-}
--- /dev/null
+++ b/internal/serve/operator/status.go
@@ -0,0 +1,153 @@
+package operator
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"basilspan/internal/config/folder"
+	"basilspan/internal/core/unit"
+	"basilspan/internal/core/view"
+	"basilspan/internal/policy/catalog"
+)
+
+type (
+	// wireStatus is the answer of GET /status. Ages are in milliseconds, and -1 when they are not known.
+	wireStatus struct {
+		Node     string `json:"node"`
+		State    string `json:"state"`
+		Revision uint64 `json:"revision"`
+		// Held is how long the revision has been in force on this VM, and Age how old the control state is.
+		Held int64 `json:"held"`
+		Age  int64 `json:"age"`
+		// Refused is the highest refused revision, and Problem the reason.
+		Refused   uint64         `json:"refused"`
+		Problem   string         `json:"problem"`
+		Members   []wireMember   `json:"members"`
+		Leaving   []string       `json:"leaving"`
+		Endpoints []wireEndpoint `json:"endpoints"`
+	}
+
+	wireMember struct {
+		ID     string `json:"id"`
+		Centre string `json:"centre"`
+		Peer   string `json:"peer"`
+		State  string `json:"state"`
+	}
+
+	wireEndpoint struct {
+		ID      string `json:"id"`
+		Search  string `json:"search"`
+		Shard   string `json:"shard"`
+		Address string `json:"address"`
+		// Idle is the reason why the endpoint gets no work, or why it is asked last; it is empty for the others.
+		Idle string `json:"idle"`
+	}
+
+	// wireConfig is the answer of GET /config.
+	wireConfig struct {
+		Revision uint64      `json:"revision"`
+		Values   []wireValue `json:"values"`
+	}
+
+	wireValue struct {
+		Path string `json:"path"`
+		JSON string `json:"value"`
+	}
+)
+
+// The reasons why an endpoint gets no work, or is asked last.
+const (
+	idleConfigured = "leaving: set in the configuration"
+	idleSigned     = "leaving: told by the endpoint, the platform or a peer"
+	idleUnlisted   = "its shard is not in the newest snapshot"
+	idleEjected    = "asked last: its recent calls failed"
+)
+
+func (s *Server) status(_ context.Context, rc *app.RequestContext) {
+	v, now := s.views.Load(), s.Now()
+	w := wireStatus{
+		Node:      string(s.node),
+		State:     s.State(),
+		Revision:  uint64(v.Revision),
+		Held:      age(now, v.Since),
+		Age:       age(now, v.At),
+		Refused:   uint64(v.Refused),
+		Problem:   v.Problem,
+		Members:   []wireMember{},
+		Leaving:   []string{},
+		Endpoints: []wireEndpoint{},
+	}
+	for _, m := range v.Members {
+		w.Members = append(w.Members, wireMember{
+			ID: string(m.ID), Centre: string(m.Centre), Peer: string(m.Peer), State: string(m.State),
+		})
+	}
+	for id := range v.Leaving {
+		w.Leaving = append(w.Leaving, string(id))
+	}
+	sort.Strings(w.Leaving)
+	if v.Catalog != nil {
+		w.Endpoints = append(w.Endpoints, s.endpoints(now, v)...)
+	}
+	rc.JSON(http.StatusOK, w)
+}
+
+// endpoints lists the endpoints by search and id.
+func (s *Server) endpoints(now time.Time, v *view.View) []wireEndpoint {
+	var all []wireEndpoint
+	for _, search := range v.Catalog.Searches {
+		listed := make(map[unit.ShardID]bool)
+		if newest, ok := search.Newest(); ok {
+			for _, shard := range newest.Shards {
+				listed[shard] = true
+			}
+		}
+		for _, e := range search.Endpoints {
+			all = append(all, wireEndpoint{
+				ID: string(e.ID), Search: string(search.Name), Shard: string(e.Shard), Address: string(e.Address),
+				Idle: s.idle(now, v, search.Name, e, listed[e.Shard]),
+			})
+		}
+	}
+	sort.Slice(all, func(i, j int) bool {
+		a, b := all[i], all[j]
+		return a.Search < b.Search || a.Search == b.Search && a.ID < b.ID
+	})
+	return all
+}
+
+// idle gives the reason why an endpoint gets no work, or is asked last.
+func (s *Server) idle(now time.Time, v *view.View, search unit.SearchName, e catalog.Endpoint, listed bool) string {
+	switch {
+	case e.Leaving:
+		return idleConfigured
+	case v.Leaving[e.ID]:
+		return idleSigned
+	case !listed:
+		return idleUnlisted
+	case s.Ejected != nil && s.Ejected(now, search, e.ID):
+		return idleEjected
+	}
+	return ""
+}
+
+func (s *Server) config(_ context.Context, rc *app.RequestContext) {
+	v := s.views.Load()
+	w := wireConfig{Revision: uint64(v.Revision), Values: []wireValue{}}
+	for _, value := range folder.Flatten(v.Catalog) {
+		w.Values = append(w.Values, wireValue{Path: value.Path, JSON: value.JSON})
+	}
+	rc.JSON(http.StatusOK, w)
+}
+
+// age gives the milliseconds since a time, or -1.
+func age(now, since time.Time) int64 {
+	if since.IsZero() {
+		return -1
+	}
+	return now.Sub(since).Milliseconds()
+}
