--- a/internal/core/query/query.go
+++ b/internal/core/query/query.go
@@ -66,7 +66,7 @@
 	if code := r.gates.enter(ctx, now, v, q); code != unit.CodeWhole {
 		return fanout.Refuse(q.ID, code, code.String())
 	}
-	defer func() { r.gates.leave(r.Now(), q.Search) }()
+	defer r.leave(q, r.Now())
 	plan, ok := r.fleet.plan(r.Now(), v, q)
 	if !ok {
 		return fanout.Refuse(q.ID, unit.CodeNoEndpoint, "the search has no snapshot")
