Hold the pages and the commands against the code

Cause: the pages for operators did not exist, and nothing kept pages and code in step.

Left: a check that links lead to files waits for INVARIANTS and CAPACITY to be written.

--- a/internal/config/folder/folder_test.go
+++ b/internal/config/folder/folder_test.go
@@ -343,3 +343,23 @@
 	}
 	return ""
 }
+
+// TestDocsNameEveryKey holds the table of docs/CONFIG.md against the format.
+func TestDocsNameEveryKey(t *testing.T) {
+	tests := []struct {
+		wire any
+		path string
+	}{
+		{wireRank{}, "ranks.NAME."},
+		{wireSearch{}, "searches.NAME."},
+		{wireSnapshot{}, "searches.NAME.snapshots.NUMBER."},
+		{wireEndpoint{}, "searches.NAME.endpoints.NAME."},
+	}
+	page, err := os.ReadFile("../../../docs/CONFIG.md")
+	assert.NilError(t, err)
+	for _, tt := range tests {
+		for key := range strict.Keys(reflect.TypeOf(tt.wire)) {
+			assert.Assert(t, strings.Contains(string(page), "| `"+tt.path+key), "%s%s is not in docs/CONFIG.md", tt.path, key)
+		}
+	}
+}
--- a/internal/config/process/process_test.go
+++ b/internal/config/process/process_test.go
@@ -1,12 +1,15 @@
 package process
 
 import (
+	"os"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"basilspan/internal/config/strict"
 	"basilspan/internal/core/unit"
 )
 
@@ -102,3 +105,16 @@
 		assert.Assert(t, strings.HasPrefix(line, want[i]), "%s\nwant %s", line, want[i])
 	}
 }
+
+// TestDocsNameEveryKey holds the table of docs/CONFIG.md against the settings file.
+func TestDocsNameEveryKey(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/CONFIG.md")
+	assert.NilError(t, err)
+	known := strict.Keys(reflect.TypeOf(wireSettings{}))
+	for key := range known {
+		row := "\n| `--" + key + "` | `" + Env(key) + "` | "
+		assert.Assert(t, strings.Contains(string(page), row), row)
+	}
+	// The page has one flag more, that of the file itself.
+	assert.Equal(t, strings.Count(string(page), "\n| `--"), len(known)+1)
+}
