--- a/internal/config/folder/search.go
+++ b/internal/config/folder/search.go
@@ -78,6 +78,7 @@
 		Centre:      unit.CentreName(c.name(path+".centre", w.Centre)),
 		Slots:       unit.Slots(c.count(path+".slots", w.Slots, maxSlots)),
 		Connections: unit.Connections(c.count(path+".connections", w.Connections, maxConnections)),
+		Incarnation: unit.Incarnation(value(w.Incarnation)),
 		Leaving:     value(w.Leaving),
 	}
 	if w.Shard == nil {
--- a/internal/config/process/process.go
+++ b/internal/config/process/process.go
@@ -27,6 +27,8 @@
 	Operator unit.Address
 	Peer     unit.Address
 	Platform unit.Address
+	// Advertise is the address at which the other entry VMs reach this one; empty means Peer.
+	Advertise unit.Address
 	// Peers are other entry VMs to ask when the platform's list cannot be read; it may be empty.
 	Peers []unit.Address
 	// Lag is how long the balancer may go on sending callers after this entry VM says that it is not ready.
@@ -41,17 +43,18 @@
 
 // wireSettings is the settings file; a nil field was not given.
 type wireSettings struct {
-	Node     *string  `json:"node"`
-	Centre   *string  `json:"centre"`
-	Caller   *string  `json:"caller"`
-	Operator *string  `json:"operator"`
-	Peer     *string  `json:"peer"`
-	Platform *string  `json:"platform"`
-	Peers    []string `json:"peers"`
-	Lag      *string  `json:"lag"`
-	Pprof    *bool    `json:"pprof"`
-	Trace    *bool    `json:"trace"`
-	LogJSON  *bool    `json:"log-json"`
+	Node      *string  `json:"node"`
+	Centre    *string  `json:"centre"`
+	Caller    *string  `json:"caller"`
+	Operator  *string  `json:"operator"`
+	Peer      *string  `json:"peer"`
+	Platform  *string  `json:"platform"`
+	Advertise *string  `json:"advertise"`
+	Peers     []string `json:"peers"`
+	Lag       *string  `json:"lag"`
+	Pprof     *bool    `json:"pprof"`
+	Trace     *bool    `json:"trace"`
+	LogJSON   *bool    `json:"log-json"`
 }
 
 // Env gives the environment variable of the setting with that flag.
@@ -76,6 +79,7 @@
 	merge(&s.Operator, w.Operator, isSet("operator"))
 	merge(&s.Peer, w.Peer, isSet("peer"))
 	merge(&s.Platform, w.Platform, isSet("platform"))
+	merge(&s.Advertise, w.Advertise, isSet("advertise"))
 	mergeFlag(&s.Pprof, w.Pprof, isSet("pprof"))
 	mergeFlag(&s.Trace, w.Trace, isSet("trace"))
 	mergeFlag(&s.LogJSON, w.LogJSON, isSet("log-json"))
@@ -129,6 +133,9 @@
 	c.address("operator", s.Operator)
 	c.address("peer", s.Peer)
 	c.address("platform", s.Platform)
+	if s.Advertise != "" {
+		c.address("advertise", s.Advertise)
+	}
 	for _, p := range s.Peers {
 		c.address("peers", p)
 	}
