--- a/internal/config/process/process_test.go
+++ b/internal/config/process/process_test.go
@@ -50,7 +50,7 @@
 
 func TestMergeTakesWhatNoFlagSets(t *testing.T) {
 	all := `{"node": "f1", "centre": "irbid", "caller": "127.0.0.2:1", "operator": "127.0.0.2:2", "peer": "127.0.0.2:3",
-"platform": "127.0.0.2:4", "advertise": "127.0.0.2:6", "peers": ["127.0.0.2:5"], "lag": "2s", "pprof": true, "trace": true, "log-json": true}`
+"platform": "127.0.0.2:4", "peers": ["127.0.0.2:5"], "advertise": "127.0.0.2:6", "lag": "2s", "pprof": true, "trace": true, "log-json": true}`
 	tests := []struct {
 		name    string
 		content string
@@ -64,7 +64,7 @@
 				Platform: "127.0.0.2:4", Advertise: "127.0.0.2:6", Peers: []unit.Address{"127.0.0.2:5"}, Lag: 2 * time.Second, Pprof: true, Trace: true, LogJSON: true,
 			}
 		}, nil},
-		{"flags go first", all, "node centre caller operator peer platform peers lag pprof trace log-json", func(*Settings) {}, nil},
+		{"flags go first", all, "node centre caller operator peer advertise platform peers lag pprof trace log-json", func(*Settings) {}, nil},
 		{"faults", "{\n\"nod\": \"x\",\n\"pprof\": 1}", "", nil, []string{
 			`s.json:2: nod: unknown key`, `s.json:3: pprof: must be true or false, not a number`,
 		}},
--- a/internal/config/strict/strict.go
+++ b/internal/config/strict/strict.go
@@ -213,6 +213,15 @@
 		into.SetFloat(x)
 		return
 	}
+	if into.CanUint() {
+		x, err := strconv.ParseUint(n.text, 10, into.Type().Bits())
+		if err != nil {
+			d.add(n.line, path, "must be a whole number of 0 or more, not %s", n.text)
+			at.spoil()
+		}
+		into.SetUint(x)
+		return
+	}
 	x, err := strconv.ParseInt(n.text, 10, into.Type().Bits())
 	if err != nil {
 		d.add(n.line, path, "must be a whole number, not %s", n.text)
--- a/internal/config/strict/strict_test.go
+++ b/internal/config/strict/strict_test.go
@@ -10,6 +10,7 @@
 type wireThing struct {
 	Name  string                `json:"name"`
 	Count int64                 `json:"count,omitempty"`
+	Turn  uint64                `json:"turn"`
 	On    bool                  `json:"on"`
 	Body  []byte                `json:"body"`
 	Tags  []string              `json:"tags"`
@@ -24,9 +25,9 @@
 		problem string
 	}{
 		{
-			"every kind", `{"name": "a", "count": -3, "on": true, "body": "aGk=", "tags": ["x"], "more": {"b": {"name": "c"}}}`,
+			"every kind", `{"name": "a", "count": -3, "turn": 18446744073709551615, "on": true, "body": "aGk=", "tags": ["x"], "more": {"b": {"name": "c"}}}`,
 			wireThing{
-				Name: "a", Count: -3, On: true, Body: []byte("hi"), Tags: []string{"x"},
+				Name: "a", Count: -3, Turn: 1<<64 - 1, On: true, Body: []byte("hi"), Tags: []string{"x"},
 				More: map[string]*wireThing{"b": {Name: "c"}},
 			},
 			"",
@@ -35,6 +36,7 @@
 		{"null elsewhere", `{"name": null}`, wireThing{}, "1: name: must be a string, not null"},
 		{"no base64", `{"body": "&"}`, wireThing{Body: []byte{}}, "1: body: must be bytes in base64"},
 		{"too large", `{"count": 9223372036854775808}`, wireThing{Count: 9223372036854775807}, "1: count: must be a whole number"},
+		{"below zero", `{"turn": -1}`, wireThing{}, "1: turn: must be a whole number of 0 or more, not -1"},
 		{"unknown", "{\n\"nam\": 1}", wireThing{}, "2: nam: unknown key"},
 		{"repeated", `{"on": true, "on": false}`, wireThing{On: true}, "1: on: the key stands twice, first on line 1"},
 		{"trailing", `{} {}`, wireThing{}, "1: : is not valid JSON: there is more after its end"},
--- a/internal/core/control/control.go
+++ b/internal/core/control/control.go
@@ -71,6 +71,8 @@
 	// members and out are the parts of the view that change seldom.
 	members []member.Member
 	out     map[unit.EndpointID]bool
+	// since is when the configuration came into force on this VM.
+	since time.Time
 }
 
 // Install makes the control state and has loop hand it the events that it decides on. The incarnation of this VM is
@@ -169,9 +171,13 @@
 		c.tell()
 		c.Nudge()
 	}
+	refused, problem := c.holder.Refused()
 	c.Views.Publish(&view.View{
 		At:       now,
 		Revision: held.Revision,
+		Since:    c.since,
+		Refused:  refused,
+		Problem:  problem,
 		Catalog:  held.Catalog,
 		Members:  c.members,
 		Leaving:  c.out,
--- a/internal/core/control/learn.go
+++ b/internal/core/control/learn.go
@@ -88,6 +88,7 @@
 	held := c.holder.Held()
 	c.Log.Info("configuration in force", "revision", held.Revision, "digest", held.Digest, "from", origin)
 	c.files = files
+	c.since = now
 	c.leaving.Configure(held.Catalog)
 	c.leavingChanged(now)
 }
