Forget and close every kept connection

Cause: the operator port's tests took 5 s at times. A connection whose answer had left, but whose end was not yet noted when the idle ones were closed, was left open, and hertz's shutdown then waits its full time (65 s for callers). And the tracker forgot a connection by the end of its context, which hertz brings about only when the other side closes, so each one that this side closed stayed in its map for ever.

Change: the tracker closes such a connection when its request is over, and forgets each by port.OnClose.

After: TestConnectionsEnd, 8 times over under the race detector with the other serve packages. Shown to fail by mutation: forgetting by the context alone, no close after CloseIdle.

--- a/internal/serve/keepalive/keepalive.go
+++ b/internal/serve/keepalive/keepalive.go
@@ -12,6 +12,8 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network"
+
+	"basilspan/internal/serve/port"
 )
 
 // Tracker knows which connections of one server have a request in flight. It is a tracer of hertz, which calls Start
@@ -20,6 +22,8 @@
 	mu       sync.Mutex
 	busy     map[network.Conn]bool
 	draining bool
+	// closing says that CloseIdle has been called.
+	closing bool
 }
 
 // New makes a tracker without connections.
@@ -43,20 +47,24 @@
 	_, known := t.busy[conn]
 	t.busy[conn] = true
 	t.mu.Unlock()
-	if !known {
+	if !known && !port.OnClose(conn, func() { t.forget(conn) }) {
 		context.AfterFunc(ctx, func() { t.forget(conn) })
 	}
 	return ctx
 }
 
-// Finish notes that the answer has left.
+// Finish notes that the answer has left. It closes a connection that CloseIdle passed over.
 func (t *Tracker) Finish(_ context.Context, rc *app.RequestContext) {
 	conn := rc.GetConn()
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	if _, known := t.busy[conn]; known {
 		t.busy[conn] = false
 	}
+	closing := t.closing
+	t.mu.Unlock()
+	if closing {
+		_ = conn.Close()
+	}
 }
 
 // BeginDrain has each further answer end its connection; requests are served on.
@@ -75,9 +83,10 @@
 	}
 }
 
-// CloseIdle closes the connections that have no request in flight.
+// CloseIdle closes the connections that have no request in flight, and has the others closed after their answer.
 func (t *Tracker) CloseIdle() {
 	t.mu.Lock()
+	t.closing = true
 	var idle []network.Conn
 	for conn, busy := range t.busy {
 		if !busy {
