Prove replica choice, ejection, budget and the driver

Change: the stand-in flushes what it truncates. The end of an attempt that was given up still corrects its code, once, so that refusals that come in after the restart count as not run. The runner prefers endpoints of its own data centre among those as fast (Runner.Centre, not yet set by the entry). Tables and properties cover health, plan and driver.

--- a/internal/core/query/fleet.go
+++ b/internal/core/query/fleet.go
@@ -18,8 +18,10 @@
 	tracker *health.Tracker
 }
 
-// plan chooses the snapshot and the replicas of a query and sets its extra attempts aside.
-func (f *fleet) plan(now time.Time, v *view.View, q fanout.Query) (plan fanout.Plan, ok bool) {
+// plan chooses the snapshot and the replicas of a query and sets its extra attempts aside; centre is this VM's own.
+func (f *fleet) plan(
+	now time.Time, v *view.View, q fanout.Query, centre unit.CentreName,
+) (plan fanout.Plan, ok bool) {
 	search := v.Catalog.Searches[q.Search]
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -29,6 +31,7 @@
 		return fanout.Condition{
 			Leaving: v.Leaving[e.ID],
 			Ejected: c.Ejected,
+			Near:    e.Centre == centre,
 			Busy:    c.Busy,
 			Latency: c.Latency,
 			Lacks:   c.Lacks,
--- a/internal/core/query/query.go
+++ b/internal/core/query/query.go
@@ -23,6 +23,8 @@
 	Now     func() time.Time
 	Views   *view.Store
 	Metrics *metric.Set
+	// Centre is this VM's data centre; endpoints there are preferred to those that are as fast.
+	Centre unit.CentreName
 	// Send makes one attempt and waits for its end.
 	Send func(ctx context.Context, call endpoint.Call) fanout.Reply
 	// Record begins the log of a query's decisions; nil records nothing.
@@ -67,7 +69,7 @@
 		return fanout.Refuse(q.ID, code, code.String())
 	}
 	defer func() { r.gates.leave(r.Now(), q.Search) }()
-	plan, ok := r.fleet.plan(r.Now(), v, q)
+	plan, ok := r.fleet.plan(r.Now(), v, q, r.Centre)
 	if !ok {
 		return fanout.Refuse(q.ID, unit.CodeNoEndpoint, "the search has no snapshot")
 	}
--- /dev/null
+++ b/internal/core/query/query_test.go
@@ -0,0 +1,198 @@
+package query
+
+import (
+	"context"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilspan/internal/core/metric"
+	"basilspan/internal/core/unit"
+	"basilspan/internal/core/view"
+	"basilspan/internal/link/endpoint"
+	"basilspan/internal/policy/catalog"
+	"basilspan/internal/policy/fanout"
+)
+
+// send stands for Client.Send.
+type send = func(ctx context.Context, call endpoint.Call) fanout.Reply
+
+// newRunner makes a runner over the shards "a" and "b" with two endpoints each.
+func newRunner(now func() time.Time, s send) *Runner {
+	search := &catalog.Search{Name: "s", Hedge: true, Snapshots: []catalog.Snapshot{
+		{ID: 1, Shards: []unit.ShardID{"a", "b"}},
+		{ID: 2, Shards: []unit.ShardID{"a", "b"}},
+	}}
+	for _, id := range []unit.EndpointID{"a1", "a2", "b1", "b2"} {
+		search.Endpoints = append(search.Endpoints, catalog.Endpoint{ID: id, Shard: unit.ShardID(id[:1])})
+	}
+	views := view.NewStore()
+	views.Publish(&view.View{At: now(), Revision: 1, Catalog: &catalog.Catalog{
+		Ranks:    map[unit.RankName]catalog.Rank{"r": {Name: "r", Urgency: 1}},
+		Searches: map[unit.SearchName]*catalog.Search{"s": search},
+	}})
+	return &Runner{Now: now, Views: views, Metrics: metric.NewSet(), Send: s}
+}
+
+func queryOf(timeout time.Duration) fanout.Query {
+	return fanout.Query{ID: "q", Search: "s", Rank: "r", Deadline: time.Now().Add(timeout)}
+}
+
+func whole(call endpoint.Call) fanout.Reply {
+	a := call.Attempt
+	return fanout.Reply{Attempt: a.ID, Code: unit.CodeWhole, Snapshot: a.Snapshot, Shard: a.Shard}
+}
+
+// until waits for the end of the call and gives that code.
+func until(ctx context.Context, call endpoint.Call, code unit.Code) fanout.Reply {
+	<-ctx.Done()
+	return fanout.Reply{Attempt: call.Attempt.ID, Code: code}
+}
+
+func TestRun(t *testing.T) {
+	tests := []struct {
+		name    string
+		timeout time.Duration
+		send    send
+		code    unit.Code
+		missing int
+	}{
+		{"whole", time.Minute, func(_ context.Context, call endpoint.Call) fanout.Reply { return whole(call) }, unit.CodeWhole, 0},
+		{
+			"a shard is silent", 50 * time.Millisecond,
+			func(ctx context.Context, call endpoint.Call) fanout.Reply {
+				if call.Attempt.Shard == "a" {
+					return until(ctx, call, unit.CodeCancelled)
+				}
+				return whole(call)
+			}, unit.CodePartial, 1,
+		},
+		{
+			"no attempt gets a connection", 50 * time.Millisecond,
+			func(ctx context.Context, call endpoint.Call) fanout.Reply { return until(ctx, call, unit.CodeNotSent) },
+			unit.CodeTooLate, 2,
+		},
+		{
+			"every attempt is lost", time.Minute,
+			func(_ context.Context, call endpoint.Call) fanout.Reply {
+				return fanout.Reply{Attempt: call.Attempt.ID, Code: unit.CodeConnection}
+			}, unit.CodeConnection, 2,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRunner(time.Now, tt.send)
+			answer := r.Run(context.Background(), queryOf(tt.timeout))
+			assert.Equal(t, answer.Code, tt.code)
+			assert.Equal(t, len(answer.Missing), tt.missing)
+			assert.NilError(t, r.Close())
+		})
+	}
+}
+
+// TestCloseWaitsForAttempts has attempts that outlive their query: Close returns after their end, and none is left.
+func TestCloseWaitsForAttempts(t *testing.T) {
+	before := runtime.NumGoroutine()
+	release := make(chan struct{})
+	var ended atomic.Int64
+	r := newRunner(time.Now, func(ctx context.Context, call endpoint.Call) fanout.Reply {
+		<-ctx.Done()
+		<-release
+		ended.Add(1)
+		return whole(call)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	answer := r.Run(ctx, queryOf(100*time.Millisecond))
+	assert.Equal(t, answer.Code.Outcome(), unit.OutcomeUnknown)
+	closed := make(chan struct{})
+	go func() {
+		_ = r.Close()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+		t.Fatal("closed while attempts run")
+	case <-time.After(20 * time.Millisecond):
+	}
+	close(release)
+	<-closed
+	assert.Equal(t, ended.Load(), int64(2))
+	// A closed goroutine may take a moment to go.
+	for range 1000 {
+		if runtime.NumGoroutine() <= before {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatalf("%d goroutines, %d before", runtime.NumGoroutine(), before)
+}
+
+// TestRunWokenLate has the clock jump past the deadline between admission and the first send.
+func TestRunWokenLate(t *testing.T) {
+	var late atomic.Bool
+	now := func() time.Time {
+		if late.Load() {
+			return time.Now().Add(time.Hour)
+		}
+		return time.Now()
+	}
+	var sent atomic.Int64
+	r := newRunner(now, func(_ context.Context, call endpoint.Call) fanout.Reply {
+		sent.Add(1)
+		return whole(call)
+	})
+	m := fanout.New(queryOf(time.Minute), fanout.Plan{Snapshot: 1, Shards: []fanout.Shard{
+		{ID: "a", Replicas: []unit.EndpointID{"a1"}},
+	}})
+	late.Store(true)
+	answer := r.drive(context.Background(), m, newDriver(r, queryOf(time.Minute), &catalog.Search{}, 2), nil)
+	assert.Equal(t, answer.Code, unit.CodeTooLate)
+	assert.Equal(t, sent.Load(), int64(0))
+}
+
+// TestRunHedges lets one replica be silent after the usual latency is known.
+func TestRunHedges(t *testing.T) {
+	var silent atomic.Value
+	silent.Store(unit.EndpointID(""))
+	r := newRunner(time.Now, func(ctx context.Context, call endpoint.Call) fanout.Reply {
+		if call.Attempt.Endpoint == silent.Load() {
+			return until(ctx, call, unit.CodeCancelled)
+		}
+		time.Sleep(time.Millisecond)
+		return whole(call)
+	})
+	for range 60 {
+		assert.Equal(t, r.Run(context.Background(), queryOf(time.Minute)).Code, unit.CodeWhole)
+	}
+	for _, id := range []unit.EndpointID{"a1", "a2"} {
+		silent.Store(id)
+		for range 3 {
+			assert.Equal(t, r.Run(context.Background(), queryOf(time.Minute)).Code, unit.CodeWhole)
+		}
+	}
+	assert.Assert(t, r.Metrics.Get("fanout.hedges") > 0)
+	assert.NilError(t, r.Close())
+}
+
+// TestRunTellsOfDraining hands the endpoints that drain to whoever wants to know.
+func TestRunTellsOfDraining(t *testing.T) {
+	r := newRunner(time.Now, func(_ context.Context, call endpoint.Call) fanout.Reply {
+		if call.Attempt.Shard == "a" {
+			return fanout.Reply{Attempt: call.Attempt.ID, Code: unit.CodeDraining}
+		}
+		return whole(call)
+	})
+	var told atomic.Int64
+	r.Draining = func(id unit.EndpointID) {
+		assert.Equal(t, id[:1], unit.EndpointID("a"))
+		told.Add(1)
+	}
+	answer := r.Run(context.Background(), queryOf(time.Minute))
+	assert.Equal(t, answer.Code, unit.CodePartial)
+	assert.Equal(t, answer.Missing[0].Code, unit.CodeDraining)
+	assert.Equal(t, told.Load(), int64(2))
+}
--- a/internal/policy/fanout/machine.go
+++ b/internal/policy/fanout/machine.go
@@ -61,7 +61,7 @@
 func (m *Machine) Start(now time.Time) []Action {
 	if !now.Before(m.query.Deadline) {
 		for _, s := range m.current().shards {
-			s.worst = unit.CodeTooLate
+			s.unasked = unit.CodeTooLate
 		}
 		m.phase = phaseDone
 		return nil
@@ -98,18 +98,26 @@
 // Reply takes the end of an attempt. A reply to an attempt that has ended already is counted and dropped.
 func (m *Machine) Reply(now time.Time, reply Reply) []Action {
 	a := m.find(reply.Attempt)
-	if a == nil || !a.open || m.Done() {
+	if a == nil || m.Done() {
 		m.extra.Late++
 		return nil
 	}
 	code := check(a, reply)
+	if !a.open {
+		m.extra.Late++
+		a.late(code)
+		return nil
+	}
+	if m.phase == phaseSettling {
+		code = m.settledCode(code)
+	}
 	a.end(code)
 	var actions []Action
 	switch {
 	case code == unit.CodeWhole:
 		actions = m.answered(a, reply)
 	case m.phase == phaseSettling:
-		m.settled(a.shard, code)
+		m.settled(a.shard)
 	default:
 		actions = m.failed(now, a.shard, code)
 	}
@@ -149,15 +157,20 @@
 	return actions
 }
 
-// settled takes the end of an attempt that Stop has cancelled.
-func (m *Machine) settled(s *shardState, code unit.Code) {
+// settledCode gives the code of an attempt that Stop has cancelled.
+func (m *Machine) settledCode(code unit.Code) unit.Code {
 	switch {
 	case code == unit.CodeCancelled:
-		code = m.stopCode
+		return m.stopCode
 	case code == unit.CodeNotSent && m.stopCode == unit.CodeDeadline:
-		code = unit.CodeTooLate
+		return unit.CodeTooLate
+	default:
+		return code
 	}
-	s.failed(code)
+}
+
+// settled takes the end of an attempt that Stop has cancelled.
+func (m *Machine) settled(s *shardState) {
 	if s.open == 0 {
 		m.current().pending--
 		m.finish()
@@ -212,12 +225,11 @@
 	s.answered = &Part{Shard: s.shard.ID, Endpoint: a.attempt.Endpoint, Body: reply.Body}
 	m.current().pending--
 	m.finish()
-	return m.cancel(nil, s)
+	return m.cancel(nil, s, unit.CodeCancelled)
 }
 
 // failed decides what follows an attempt without a usable reply.
 func (m *Machine) failed(now time.Time, s *shardState, code unit.Code) []Action {
-	s.failed(code)
 	if s.open > 0 {
 		return nil
 	}
@@ -321,30 +333,27 @@
 	s.open++
 	s.sent = now
 	m.extra.Attempts++
-	m.attempts = append(m.attempts, &attemptState{attempt: attempt, shard: s, open: true})
+	a := &attemptState{attempt: attempt, shard: s, open: true}
+	s.attempts = append(s.attempts, a)
+	m.attempts = append(m.attempts, a)
 	return Action{Kind: ActionSend, Attempt: attempt}
 }
 
-// abandon cancels every open attempt of the current round and gives code as the reason.
+// abandon gives up every open attempt of the current round, with code as the reason.
 func (m *Machine) abandon(code unit.Code) []Action {
 	var actions []Action
 	for _, s := range m.current().shards {
-		if s.answered == nil && s.open > 0 {
-			s.failed(code)
-		}
-		actions = m.cancel(actions, s)
+		actions = m.cancel(actions, s, code)
 	}
 	return actions
 }
 
-// cancel gives up the open attempts of a shard.
-func (m *Machine) cancel(actions []Action, s *shardState) []Action {
-	if s.open == 0 {
-		return actions
-	}
-	for _, a := range m.attempts {
-		if a.shard == s && a.open {
-			a.end(unit.CodeCancelled)
+// cancel gives up the open attempts of a shard, with code as the reason.
+func (m *Machine) cancel(actions []Action, s *shardState, code unit.Code) []Action {
+	for _, a := range s.attempts {
+		if a.open {
+			a.end(code)
+			a.cancelled = true
 			actions = append(actions, Action{Kind: ActionCancel, Attempt: a.attempt})
 		}
 	}
--- /dev/null
+++ b/internal/policy/fanout/plan_test.go
@@ -0,0 +1,152 @@
+package fanout
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/catalog"
+)
+
+// searchOf makes a search over the shards "a" and "b" with two endpoints each.
+func searchOf(snapshots ...catalog.Snapshot) *catalog.Search {
+	s := &catalog.Search{Name: "s", Snapshots: snapshots}
+	for _, shard := range []unit.ShardID{"a", "b"} {
+		for _, replica := range []string{"1", "2"} {
+			s.Endpoints = append(s.Endpoints, catalog.Endpoint{ID: unit.EndpointID(string(shard) + replica), Shard: shard})
+		}
+	}
+	return s
+}
+
+func TestChooseSnapshot(t *testing.T) {
+	old := catalog.Snapshot{ID: 1, Shards: []unit.ShardID{"a", "b"}}
+	next := catalog.Snapshot{ID: 2, Shards: []unit.ShardID{"a", "b"}}
+	split := catalog.Snapshot{ID: 3, Shards: []unit.ShardID{"a", "b", "c"}}
+	lacks := func(ids ...unit.SnapshotID) Condition { return Condition{Lacks: ids} }
+	tests := []struct {
+		name       string
+		snapshots  []catalog.Snapshot
+		conditions map[unit.EndpointID]Condition
+		chosen     unit.SnapshotID
+		asked      int
+		fallback   []unit.SnapshotID
+	}{
+		{"the newest", []catalog.Snapshot{old, next}, nil, 2, 2, []unit.SnapshotID{1}},
+		{
+			"one replica lacks the newest",
+			[]catalog.Snapshot{old, next},
+			map[unit.EndpointID]Condition{"a1": lacks(2)},
+			2, 2,
+			[]unit.SnapshotID{1},
+		},
+		{
+			"a shard lacks the newest",
+			[]catalog.Snapshot{old, next},
+			map[unit.EndpointID]Condition{"a1": lacks(2), "a2": lacks(2)},
+			1, 2,
+			[]unit.SnapshotID{2},
+		},
+		{
+			"a replica that has it is leaving",
+			[]catalog.Snapshot{old, next},
+			map[unit.EndpointID]Condition{"a1": lacks(2), "a2": {Leaving: true}},
+			1, 2,
+			[]unit.SnapshotID{2},
+		},
+		{"a new shard has no endpoint yet", []catalog.Snapshot{old, split}, nil, 1, 2, []unit.SnapshotID{3}},
+		{
+			"no snapshot is whole",
+			[]catalog.Snapshot{old, next},
+			map[unit.EndpointID]Condition{"a1": lacks(1, 2), "a2": lacks(1, 2)},
+			2, 2,
+			[]unit.SnapshotID{1},
+		},
+		{
+			"nothing can be asked",
+			[]catalog.Snapshot{old, next},
+			map[unit.EndpointID]Condition{
+				"a1": {Leaving: true}, "a2": {Leaving: true}, "b1": {Leaving: true}, "b2": {Leaving: true},
+			},
+			2, 2, nil,
+		},
+		{"an empty snapshot is no better", []catalog.Snapshot{old, {ID: 4}}, nil, 1, 2, nil},
+		{"only an empty snapshot", []catalog.Snapshot{{ID: 4}}, nil, 4, 0, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			plan, ok := Choose(searchOf(tt.snapshots...), "r", func(e catalog.Endpoint) Condition { return tt.conditions[e.ID] })
+			assert.Assert(t, ok)
+			assert.Equal(t, plan.Snapshot, tt.chosen)
+			assert.Equal(t, len(plan.Shards), tt.asked)
+			var fallback []unit.SnapshotID
+			for _, v := range plan.Fallback {
+				fallback = append(fallback, v.Snapshot)
+			}
+			assert.DeepEqual(t, fallback, tt.fallback)
+		})
+	}
+}
+
+func TestChooseWithoutSnapshot(t *testing.T) {
+	_, ok := Choose(searchOf(), "r", func(catalog.Endpoint) Condition { return Condition{} })
+	assert.Assert(t, !ok)
+}
+
+func TestChooseReplicas(t *testing.T) {
+	tests := []struct {
+		name    string
+		first   Condition
+		second  Condition
+		want    []unit.EndpointID
+		healthy int
+	}{
+		{"the faster", Condition{Latency: 50 * ms}, Condition{Latency: 5 * ms}, []unit.EndpointID{"a2", "a1"}, 2},
+		{"the less busy", Condition{Busy: 2}, Condition{}, []unit.EndpointID{"a2", "a1"}, 2},
+		{
+			"a fast one with a queue",
+			Condition{Latency: 5 * ms, Busy: 3},
+			Condition{Latency: 10 * ms},
+			[]unit.EndpointID{"a2", "a1"},
+			2,
+		},
+		{"the nearer of two alike", Condition{Latency: 5 * ms}, Condition{Latency: 6 * ms, Near: true}, []unit.EndpointID{"a2", "a1"}, 2},
+		{"near does not outweigh slow", Condition{Latency: 5 * ms}, Condition{Latency: 50 * ms, Near: true}, []unit.EndpointID{"a1", "a2"}, 2},
+		{"an ejected one comes last", Condition{Ejected: true}, Condition{Latency: 50 * ms}, []unit.EndpointID{"a2", "a1"}, 1},
+		{
+			"both ejected are both asked",
+			Condition{Ejected: true, Busy: 5},
+			Condition{Ejected: true},
+			[]unit.EndpointID{"a2", "a1"},
+			0,
+		},
+		{"a leaving one is not asked", Condition{Leaving: true}, Condition{Ejected: true}, []unit.EndpointID{"a2"}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			conditions := map[unit.EndpointID]Condition{"a1": tt.first, "a2": tt.second}
+			search := searchOf(catalog.Snapshot{ID: 1, Shards: []unit.ShardID{"a"}})
+			plan, ok := Choose(search, "r", func(e catalog.Endpoint) Condition { return conditions[e.ID] })
+			assert.Assert(t, ok)
+			assert.DeepEqual(t, plan.Shards[0].Replicas, tt.want)
+			assert.Equal(t, plan.Shards[0].Healthy, tt.healthy)
+		})
+	}
+}
+
+// TestChooseSpreads asks both of two equal replicas first, by the request's id.
+func TestChooseSpreads(t *testing.T) {
+	first := make(map[unit.EndpointID]int)
+	search := searchOf(catalog.Snapshot{ID: 1, Shards: []unit.ShardID{"a", "b"}})
+	for i := range 1000 {
+		plan, _ := Choose(search, unit.RequestID(fmt.Sprint(i)), func(catalog.Endpoint) Condition { return Condition{} })
+		for _, s := range plan.Shards {
+			first[s.Replicas[0]]++
+		}
+	}
+	for _, id := range []unit.EndpointID{"a1", "a2", "b1", "b2"} {
+		assert.Assert(t, first[id] > 400, "%s was first %d times", id, first[id])
+	}
+}
--- a/internal/policy/fanout/round.go
+++ b/internal/policy/fanout/round.go
@@ -17,7 +17,7 @@
 func newRound(v Version) *round {
 	r := &round{snapshot: v.Snapshot}
 	for _, shard := range v.Shards {
-		r.shards = append(r.shards, &shardState{shard: shard, worst: unit.CodeNoEndpoint})
+		r.shards = append(r.shards, &shardState{shard: shard, unasked: unit.CodeNoEndpoint})
 	}
 	return r
 }
@@ -48,22 +48,22 @@
 	absent bool
 	// answered holds the part once the first whole reply has come.
 	answered *Part
-	// worst is the code that the answer gives when the shard stays missing.
-	worst unit.Code
+	// unasked is the reason that the shard is missing when it has no attempt.
+	unasked  unit.Code
+	attempts []*attemptState
 }
 
-// failed takes the code of an attempt that has ended without a usable reply.
-func (s *shardState) failed(code unit.Code) {
-	s.worst = worse(s.worst, code)
-	s.absent = s.absent || code == unit.CodeSnapshotAbsent
-}
-
-// reason gives the code of a shard that the answer lacks; a part of a round that was given up has run all the same.
+// reason gives the code of a shard that the answer lacks: the one of its attempts that says most. A part of a round
+// that was given up has run all the same.
 func (s *shardState) reason() unit.Code {
 	if s.answered != nil {
 		return unit.CodeCancelled
 	}
-	return s.worst
+	code := s.unasked
+	for _, a := range s.attempts {
+		code = worse(code, a.code)
+	}
+	return code
 }
 
 // mayHedge says whether the shard waits for a single attempt and has a healthy replica left.
@@ -76,6 +76,8 @@
 	attempt Attempt
 	shard   *shardState
 	open    bool
+	// cancelled is set when the attempt was given up and its end has not come in yet.
+	cancelled bool
 	// code is how the attempt ended, once it is not open.
 	code unit.Code
 }
@@ -85,6 +87,15 @@
 	a.open = false
 	a.code = code
 	a.shard.open--
+	a.shard.absent = a.shard.absent || code == unit.CodeSnapshotAbsent
+}
+
+// late takes the end of an attempt that was given up: if it turns out not to have run, its code says so.
+func (a *attemptState) late(code unit.Code) {
+	if a.cancelled && isFailure(code) {
+		a.code = code
+	}
+	a.cancelled = false
 }
 
 // check gives CodeWhole only for a reply of the attempt's own shard and snapshot.
--- a/internal/policy/fanout/scenario_test.go
+++ b/internal/policy/fanout/scenario_test.go
@@ -275,6 +275,27 @@
 			},
 			code: unit.CodeWhole, snapshot: 6, parts: 1, extra: Extra{Attempts: 3, Retries: 1, Restarts: 1},
 		},
+		{
+			name: "a refusal that comes in after the restart still says not run", version: pairs(7, "a", "b"),
+			fallback: []Version{pairs(8, "a")}, start: []string{"send a1@7", "send b1@7"},
+			events: []event{
+				fails(1*ms, 1, absent, "send a2@7"), fails(2*ms, 3, absent, "cancel b1@7", "send a1@8"),
+				fails(3*ms, 2, absent), fails(4*ms, 4, absent, "send a2@8"), fails(5*ms, 5, absent),
+			},
+			code: absent, snapshot: 8, missing: []Missing{{"a", absent}},
+			extra: Extra{Attempts: 5, Retries: 2, Restarts: 1, Late: 1},
+		},
+		{
+			name: "but not after another end of the same attempt", version: pairs(7, "a", "b"),
+			fallback: []Version{pairs(8, "a")}, start: []string{"send a1@7", "send b1@7"},
+			events: []event{
+				fails(1*ms, 1, absent, "send a2@7"), fails(2*ms, 3, absent, "cancel b1@7", "send a1@8"),
+				fails(3*ms, 2, unit.CodeConnection), fails(3*ms, 2, absent),
+				fails(4*ms, 4, absent, "send a2@8"), fails(5*ms, 5, absent),
+			},
+			code: unit.CodeConnection, snapshot: 8, missing: []Missing{{"a", absent}},
+			extra: Extra{Attempts: 5, Retries: 2, Restarts: 1, Late: 2},
+		},
 		{
 			name: "the round with the greater coverage is the answer", version: pairs(7, "a", "b", "c"),
 			fallback: []Version{pairs(8, "a", "b", "c")}, start: []string{"send a1@7", "send b1@7", "send c1@7"},
--- /dev/null
+++ b/internal/policy/health/tracker_test.go
@@ -0,0 +1,206 @@
+package health
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"basilspan/internal/core/unit"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const ms = time.Millisecond
+
+// end gives the end of an attempt at "e1" after 5 ms.
+func end(code unit.Code) Result {
+	return Result{Search: "s", Endpoint: "e1", Snapshot: 7, Code: code, Took: 5 * ms}
+}
+
+// attempts has tr take attempts at "e1" that end in that way.
+func attempts(tr *Tracker, now time.Time, n int, r Result) {
+	for range n {
+		tr.Sent(now, r.Endpoint)
+		tr.Ended(now, r)
+	}
+}
+
+// usual makes 5 ms the usual latency of the search.
+func usual(tr *Tracker, now time.Time) {
+	attempts(tr, now, 100, Result{Search: "s", Endpoint: "e0", Snapshot: 7, Code: unit.CodeWhole, Took: 5 * ms})
+}
+
+func TestTrackerEjects(t *testing.T) {
+	late := end(unit.CodeDeadline)
+	late.Took = time.Second
+	tests := []struct {
+		name    string
+		result  Result
+		times   int
+		ejected bool
+	}{
+		{"two lost connections", end(unit.CodeConnection), 2, false},
+		{"three lost connections", end(unit.CodeConnection), 3, true},
+		{"three failed connects", end(unit.CodeNotConnected), 3, true},
+		{"three bad replies", end(unit.CodeBadReply), 3, true},
+		{"three errors", end(unit.CodeEndpointError), 3, true},
+		{"three long deadlines", late, 3, true},
+		{"three deadlines that were short", end(unit.CodeDeadline), 3, false},
+		{"the endpoint says that it leaves", end(unit.CodeDraining), 1, true},
+		{"refusals under load", end(unit.CodeRefused), 9, false},
+		{"cancelled losers", end(unit.CodeCancelled), 9, false},
+		{"a missing snapshot", end(unit.CodeSnapshotAbsent), 9, false},
+		{"whole replies", end(unit.CodeWhole), 9, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tr := New()
+			usual(tr, start)
+			attempts(tr, start, tt.times, tt.result)
+			assert.Equal(t, tr.Condition(start, "s", "e1").Ejected, tt.ejected)
+			assert.Equal(t, tr.Condition(start, "s", "e0").Ejected, false)
+		})
+	}
+}
+
+// TestTrackerReadmits lets an ejection pass: one attempt at a time, and each failure ejects for twice as long.
+func TestTrackerReadmits(t *testing.T) {
+	tr := New()
+	ejected := func(after time.Duration) bool { return tr.Condition(start.Add(after), "s", "e1").Ejected }
+	attempts(tr, start, 3, end(unit.CodeConnection))
+	assert.Assert(t, ejected(999*ms))
+	assert.Assert(t, !ejected(1000*ms))
+	tr.Sent(start.Add(1000*ms), "e1")
+	assert.Assert(t, ejected(1000*ms), "a second attempt on probation")
+	tr.Ended(start.Add(1000*ms), end(unit.CodeConnection))
+	assert.Assert(t, ejected(2999*ms))
+	assert.Assert(t, !ejected(3000*ms))
+	attempts(tr, start.Add(3000*ms), 2, end(unit.CodeWhole))
+	tr.Sent(start.Add(3000*ms), "e1")
+	assert.Assert(t, ejected(3000*ms), "still on probation")
+	tr.Ended(start.Add(3000*ms), end(unit.CodeWhole))
+	tr.Sent(start.Add(3000*ms), "e1")
+	assert.Assert(t, !ejected(3000*ms), "readmitted")
+}
+
+func TestTrackerRemembersLacks(t *testing.T) {
+	tr := New()
+	lacks := func(after time.Duration) int { return len(tr.Condition(start.Add(after), "s", "e1").Lacks) }
+	attempts(tr, start, 1, end(unit.CodeSnapshotAbsent))
+	assert.Equal(t, lacks(999*ms), 1)
+	assert.Equal(t, lacks(1000*ms), 0)
+	attempts(tr, start.Add(1000*ms), 5, end(unit.CodeSnapshotAbsent))
+	assert.Equal(t, lacks(2999*ms), 1)
+	assert.Equal(t, lacks(3000*ms), 0)
+	attempts(tr, start.Add(1000*ms), 1, end(unit.CodeWhole))
+	assert.Equal(t, lacks(1000*ms), 0)
+}
+
+// TestTrackerForgetsSlowness lets a slow endpoint be tried again after a while, and learns from cancelled attempts.
+func TestTrackerForgetsSlowness(t *testing.T) {
+	tr := New()
+	usual(tr, start)
+	slow := end(unit.CodeCancelled)
+	slow.Took = 100 * ms
+	attempts(tr, start, 20, slow)
+	latency := func(after time.Duration) time.Duration { return tr.Condition(start.Add(after), "s", "e1").Latency }
+	assert.Assert(t, latency(0) > 90*ms)
+	assert.Assert(t, latency(2*time.Second) < 60*ms)
+	assert.Assert(t, latency(20*time.Second) < 7*ms)
+	assert.Assert(t, latency(20*time.Second) >= 5*ms)
+}
+
+func TestReserve(t *testing.T) {
+	type phase struct {
+		took time.Duration
+		// queries of 40 shards each are sent 10 ms apart, and use all that they may.
+		queries int
+	}
+	tests := []struct {
+		name   string
+		phases []phase
+		// least and most bound the extra attempts of the last phase as a share of its first attempts.
+		least, most float64
+	}{
+		{"usual", []phase{{5 * ms, 2000}}, 0.049, 0.0505},
+		{"slow as a whole", []phase{{5 * ms, 500}, {50 * ms, 2000}}, 0, 0.01},
+		{"as fast as before again", []phase{{5 * ms, 500}, {50 * ms, 2000}, {5 * ms, 3000}}, 0.03, 0.0505},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tr := New()
+			now := start
+			share := 0.0
+			for _, p := range tt.phases {
+				used := 0
+				for range p.queries {
+					now = now.Add(10 * ms)
+					used += tr.Reserve(now, "s", 40).Allowance
+					attempts(tr, now, 40, Result{Search: "s", Endpoint: "e0", Code: unit.CodeWhole, Took: p.took})
+				}
+				share = float64(used) / float64(40*p.queries)
+			}
+			assert.Assert(t, share >= tt.least && share <= tt.most, "share %f", share)
+		})
+	}
+}
+
+func TestReservePace(t *testing.T) {
+	tests := []struct {
+		name  string
+		slow  int
+		after time.Duration
+	}{
+		{"too little is known", -1, 0},
+		{"all alike", 0, 5 * ms},
+		{"a few slow ones are hedged", 2, 5 * ms},
+		{"many slow ones are the rule", 50, 100 * ms},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tr := New()
+			if tt.slow >= 0 {
+				attempts(tr, start, 100-tt.slow, end(unit.CodeWhole))
+				slow := end(unit.CodeWhole)
+				slow.Took = 100 * ms
+				attempts(tr, start, tt.slow, slow)
+			}
+			after := tr.Reserve(start, "s", 40).HedgeAfter
+			assert.Assert(t, after >= tt.after && after <= tt.after*11/10, "after %s", after)
+		})
+	}
+}
+
+// TestBudgetProperties reserves and refunds at random: what is used never passes the start and the earned share.
+func TestBudgetProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := budget{tokens: budgetStart}
+		first, used, out := 0, 0, 0
+		for range rapid.IntRange(0, 200).Draw(t, "steps") {
+			if out > 0 && rapid.Bool().Draw(t, "refund") {
+				n := rapid.IntRange(0, out).Draw(t, "unused")
+				b.refund(n)
+				used += out - n
+				out = 0
+				continue
+			}
+			shards := rapid.IntRange(0, 200).Draw(t, "shards")
+			first += shards
+			n := b.reserve(shards, rapid.Bool().Draw(t, "slow"))
+			assert.Assert(t, n >= 0 && b.tokens >= 0)
+			out += n
+		}
+		assert.Assert(t, float64(used+out) <= budgetStart+extraShare*float64(first)+1e-6)
+	})
+}
+
+func TestTrackerSweeps(t *testing.T) {
+	tr := New()
+	attempts(tr, start, 1, end(unit.CodeWhole))
+	tr.Sent(start, "e2")
+	tr.Sent(start.Add(forgetAfter+sweepPeriod), "e3")
+	assert.Assert(t, tr.endpoints["e1"] == nil)
+	assert.Assert(t, tr.endpoints["e2"] != nil, "one with an open attempt is kept")
+}
--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/standin/endpoint/endpoint.go
@@ -269,6 +269,7 @@
 		panic(http.ErrAbortHandler)
 	case faults.Truncate:
 		_, _ = w.Write(body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	case faults.Hang:
 		<-r.Context().Done()
