Let a burst of failures be retried from a larger budget, and count a failing endpoint as slower

Change: the budget saves up to 80, held from the start; a query reserves up to a quarter of it; a failure makes an endpoint count as four times slower for 1 s.

Shown failing first by mutations: suspectFactor 1, budgetPart 1 (go test ./internal/policy/health).

--- a/internal/policy/health/budget.go
+++ b/internal/policy/health/budget.go
@@ -5,13 +5,14 @@
 	extraShare = 0.05
 	// slowShare replaces extraShare while the endpoints are slow as a whole.
 	slowShare = 0.002
-	// budgetStart is what a budget holds at first.
-	budgetStart = 8
-	// budgetMax is the most that a budget saves up, and budgetSlow while the endpoints are slow as a whole.
-	budgetMax  = 40
+	// budgetMax is what a budget holds at first and the most that it saves up, so that a burst of failures, such as a
+	// lost rack, can be retried; budgetSlow is the most while the endpoints are slow as a whole.
+	budgetMax  = 80
 	budgetSlow = 2
-	// queryShare is the share of a query's shards that it may reserve extra attempts for.
-	queryShare = 0.1
+	// budgetPart is the part of the budget, and queryShare the share of a query's shards, that one query may reserve,
+	// so that queries under way at the same time each get some.
+	budgetPart = 0.25
+	queryShare = 0.5
 )
 
 // budget caps the hedges and retries of one search together as a share of its first attempts.
@@ -26,7 +27,8 @@
 		share, most = slowShare, budgetSlow
 	}
 	b.tokens = min(most, b.tokens+share*float64(shards))
-	n := min(int(b.tokens), max(1, int(queryShare*float64(shards))))
+	n := max(1, int(min(budgetPart*b.tokens, queryShare*float64(shards))))
+	n = min(n, int(b.tokens))
 	b.tokens -= float64(n)
 	return n
 }
--- a/internal/policy/health/tracker.go
+++ b/internal/policy/health/tracker.go
@@ -32,7 +32,7 @@
 	Ejected bool
 	// Busy is how many attempts are open there.
 	Busy int
-	// Latency is the recent latency of its replies, 0 when there is none.
+	// Latency is the latency to expect of it, 0 when nothing is known; a failure raises it for a while.
 	Latency time.Duration
 	// Lacks are the snapshots that it has lately said it does not hold.
 	Lacks []unit.SnapshotID
@@ -135,7 +135,7 @@
 	return Condition{
 		Ejected: e.ejected(now),
 		Busy:    e.busy,
-		Latency: e.expected(now, usual),
+		Latency: e.suspected(now, e.expected(now, usual)),
 		Lacks:   e.lacked(now),
 	}
 }
@@ -167,7 +167,7 @@
 func (t *Tracker) search(name unit.SearchName) *searchState {
 	s := t.searches[name]
 	if s == nil {
-		s = &searchState{budget: budget{tokens: budgetStart}}
+		s = &searchState{budget: budget{tokens: budgetMax}}
 		t.searches[name] = s
 	}
 	return s
--- a/internal/policy/health/tracker_test.go
+++ b/internal/policy/health/tracker_test.go
@@ -85,6 +85,40 @@
 	assert.Assert(t, !ejected(3000*ms), "readmitted")
 }
 
+// TestTrackerSuspects has one failure make an endpoint count as slower for a second.
+func TestTrackerSuspects(t *testing.T) {
+	tests := []struct {
+		name   string
+		result Result
+		after  time.Duration
+		slower bool
+	}{
+		{"a lost connection", end(unit.CodeConnection), 999 * ms, true},
+		{"a second later", end(unit.CodeConnection), 1000 * ms, false},
+		{"a refusal under load", end(unit.CodeRefused), 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tr := New()
+			usual(tr, start)
+			attempts(tr, start, 1, end(unit.CodeWhole))
+			attempts(tr, start, 1, tt.result)
+			latency := tr.Condition(start.Add(tt.after), "s", "e1").Latency
+			assert.Equal(t, latency >= 20*ms, tt.slower, "latency %s", latency)
+		})
+	}
+}
+
+// TestReserveSharesBurst has queries that are under way together each get a part of what was saved up.
+func TestReserveSharesBurst(t *testing.T) {
+	tr := New()
+	var got []int
+	for range 4 {
+		got = append(got, tr.Reserve(start, "s", 40).Allowance)
+	}
+	assert.DeepEqual(t, got, []int{20, 15, 12, 9})
+}
+
 func TestTrackerRemembersLacks(t *testing.T) {
 	tr := New()
 	lacks := func(after time.Duration) int { return len(tr.Condition(start.Add(after), "s", "e1").Lacks) }
@@ -124,7 +158,7 @@
 		// least and most bound the extra attempts of the last phase as a share of its first attempts.
 		least, most float64
 	}{
-		{"usual", []phase{{5 * ms, 2000}}, 0.049, 0.0505},
+		{"usual", []phase{{5 * ms, 500}, {5 * ms, 2000}}, 0.049, 0.0505},
 		{"slow as a whole", []phase{{5 * ms, 500}, {50 * ms, 2000}}, 0, 0.01},
 		{"as fast as before again", []phase{{5 * ms, 500}, {50 * ms, 2000}, {5 * ms, 3000}}, 0.03, 0.0505},
 	}
@@ -176,7 +210,7 @@
 // TestBudgetProperties reserves and refunds at random: what is used never passes the start and the earned share.
 func TestBudgetProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := budget{tokens: budgetStart}
+		b := budget{tokens: budgetMax}
 		first, used, out := 0, 0, 0
 		for range rapid.IntRange(0, 200).Draw(t, "steps") {
 			if out > 0 && rapid.Bool().Draw(t, "refund") {
@@ -192,7 +226,7 @@
 			assert.Assert(t, n >= 0 && b.tokens >= 0)
 			out += n
 		}
-		assert.Assert(t, float64(used+out) <= budgetStart+extraShare*float64(first)+1e-6)
+		assert.Assert(t, float64(used+out) <= budgetMax+extraShare*float64(first)+1e-6)
 	})
 }
 
