Bring endpoints back by a configured incarnation

Ruled out: the exchange and the stand-in platform; the processes' output showed the panic. The control goroutine refuses files on which the check fails, since a configuration that ends every node would end each fresh one too. The test asks for the revision as well: an entry that does not answer had counted as one that does not list the endpoint. Before: go test -run LeavingEndpointGets ./internal/standin/proc failed with 'it gets work again'; after: passed.

--- a/internal/config/folder/folder_test.go
+++ b/internal/config/folder/folder_test.go
@@ -123,6 +123,10 @@
 		{"the last endpoint leaving warns", []string{`{"searches": {"find": {"endpoints": {"s0-a": {"leaving": true}}}}}`}, 1, []string{
 			`10.json:7: searches.find.snapshots.1.shards: every endpoint of shard "s0" is leaving; it will be missing from answers`,
 		}},
+		{"an incarnation", []string{`{"searches": {"find": {"endpoints": {"s0-a": {"incarnation": 2}}}}}`}, 0, nil},
+		{"a negative incarnation", []string{`{"searches": {"find": {"endpoints": {"s0-a": {"incarnation": -1}}}}}`}, 0, []string{
+			`20.json:1: searches.find.endpoints.s0-a.incarnation: must be at least 0, not -1`,
+		}},
 		{"null", []string{`{"ranks": {"upkeep": null, "bulk": null, "desk": {"floor": null}}}`}, 1, []string{
 			`20.json:1: ranks.desk.floor: must be a number, not null; null removes only a whole rank, search, snapshot or endpoint`,
 			`20.json:1: ranks.bulk: null removes nothing: no earlier file makes the entry`,
--- a/internal/config/folder/merge.go
+++ b/internal/config/folder/merge.go
@@ -35,7 +35,7 @@
 		Centre      *string `json:"centre,omitempty"`
 		Slots       *int    `json:"slots,omitempty"`
 		Connections *int    `json:"connections,omitempty"`
-		Incarnation *uint64 `json:"incarnation,omitempty"`
+		Incarnation *int    `json:"incarnation,omitempty"`
 		Leaving     *bool   `json:"leaving,omitempty"`
 	}
 )
--- a/internal/config/folder/search.go
+++ b/internal/config/folder/search.go
@@ -78,7 +78,7 @@
 		Centre:      unit.CentreName(c.name(path+".centre", w.Centre)),
 		Slots:       unit.Slots(c.count(path+".slots", w.Slots, maxSlots)),
 		Connections: unit.Connections(c.count(path+".connections", w.Connections, maxConnections)),
-		Incarnation: unit.Incarnation(value(w.Incarnation)),
+		Incarnation: c.incarnation(path+".incarnation", w.Incarnation),
 		Leaving:     value(w.Leaving),
 	}
 	if w.Shard == nil {
@@ -90,6 +90,15 @@
 	return e
 }
 
+// incarnation gives the number of an endpoint's life; the first one is 0.
+func (c *checker) incarnation(path string, w *int) unit.Incarnation {
+	if value(w) < 0 {
+		c.add(path, "must be at least 0, not "+strconv.Itoa(*w))
+		return 0
+	}
+	return unit.Incarnation(value(w))
+}
+
 // shards warns where snapshots and endpoints don't match. These are no errors: a repartitioning passes through such
 // states one small file at a time, and the answers state the lower coverage.
 func (c *checker) shards(path string, s *catalog.Search) {
--- a/internal/config/process/process_test.go
+++ b/internal/config/process/process_test.go
@@ -61,7 +61,7 @@
 				Platform: "127.0.0.2:4", Advertise: "127.0.0.2:6", Peers: []unit.Address{"127.0.0.2:5"}, Lag: 2 * time.Second, Pprof: true, Trace: true, LogJSON: true,
 			}
 		}, nil},
-		{"flags go first", all, "node centre caller operator peer platform peers lag pprof trace log-json", func(*Settings) {}, nil},
+		{"flags go first", all, "node centre caller operator peer platform advertise peers lag pprof trace log-json", func(*Settings) {}, nil},
 		{"faults", "{\n\"nod\": \"x\",\n\"pprof\": 1}", "", nil, []string{
 			`s.json:2: nod: unknown key`, `s.json:3: pprof: must be true or false, not a number`,
 		}},
--- a/internal/core/control/learn.go
+++ b/internal/core/control/learn.go
@@ -1,12 +1,14 @@
 package control
 
 import (
+	"fmt"
 	"time"
 
 	"basilspan/internal/config/folder"
 	"basilspan/internal/core/exchange"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/link/platform"
+	"basilspan/internal/policy/catalog"
 	"basilspan/internal/policy/leaving"
 	"basilspan/internal/policy/member"
 	"basilspan/internal/policy/replay"
@@ -43,11 +45,7 @@
 		c.Metrics.Add("config.old", 1)
 		return
 	}
-	built, problems := folder.Build(files)
-	offer.Catalog = built
-	if len(problems) > 0 {
-		offer.Problem = problems[0].String()
-	}
+	offer.Catalog, offer.Problem = build(files)
 	verdict := c.holder.Take(offer)
 	c.record(now, held, offer, verdict)
 	switch verdict {
@@ -68,6 +66,21 @@
 	}
 }
 
+// build checks the files; problem is empty when they are valid. Files on which the check itself fails are refused, as
+// every node would otherwise end on them.
+func build(files []folder.File) (built *catalog.Catalog, problem string) {
+	defer func() {
+		if r := recover(); r != nil {
+			built, problem = nil, fmt.Sprintf("the check failed: %v", r)
+		}
+	}()
+	built, problems := folder.Build(files)
+	if len(problems) > 0 {
+		problem = problems[0].String()
+	}
+	return built, problem
+}
+
 // record records an offer, what was held before it and the verdict.
 func (c *Control) record(now time.Time, held, offer revision.Offer, verdict revision.Verdict) {
 	if c.Record == nil {
--- a/internal/standin/proc/leaving_test.go
+++ b/internal/standin/proc/leaving_test.go
@@ -68,7 +68,9 @@
 	everyNode(t, leavingTime, d.Nodes, "the endpoint is still leaving", isLeaving("ot-02-a"))
 	last := d.Stats("ot-02-a").Last
 	d.Publish("97-back.json", `{"searches": {"order-track": {"endpoints": {"ot-02-a": {"incarnation": 1}}}}}`)
-	everyNode(t, inForceTime, d.Nodes, "the endpoint is back", func(n *Node) bool { return !isLeaving("ot-02-a")(n) })
+	everyNode(t, inForceTime, d.Nodes, "the endpoint is back", func(n *Node) bool {
+		return holds(4)(n) && !isLeaving("ot-02-a")(n)
+	})
 	Eventually(t, readyTime, "it gets work again", func() bool { return d.Stats("ot-02-a").Last.After(last) })
 	b.Close()
 	assert.Equal(t, b.cut.Load(), int64(0), b.first)
