--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"os"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 	"basilspan/internal/core/kernel"
 	"basilspan/internal/core/metric"
 	"basilspan/internal/core/query"
+	"basilspan/internal/core/route"
 	"basilspan/internal/core/trace"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/core/view"
@@ -29,7 +31,7 @@
 )
 
 // endpointConnections is how many connections one entry VM opens to one endpoint.
-const endpointConnections unit.Connections = 3
+const endpointConnections unit.Connections = 4
 
 // postTime bounds the wait for the control goroutine at a planned stop.
 const postTime = time.Second
@@ -86,8 +88,15 @@
 	told := exchange.New(e.loop, link, now)
 	told.Self = e.PeerAddress
 	e.installControl(told, watcher, recorder)
+	routing, err := route.ReadSettings(os.Getenv)
+	if err != nil {
+		return err
+	}
 	guard := &sender{now: now, views: e.views, metrics: e.metrics, send: client.Send, leaving: e.endpointLeaving}
-	runner := &query.Runner{Now: now, Views: e.views, Metrics: e.metrics, Send: guard.Send}
+	router := route.New(routing, link)
+	router.Now, router.Self, router.Views, router.Metrics = now, e.settings.Node, e.views, e.metrics
+	router.Direct = guard.Send
+	runner := &query.Runner{Now: now, Views: e.views, Metrics: e.metrics, Send: router.Send}
 	runner.Record = recorder.Fanout
 	services := []kernel.Service{
 		{Name: kernel.ServiceSettings, Value: e.settings},
@@ -99,6 +108,7 @@
 		told.Service(kernel.ServiceExchange),
 		watcher.Service(kernel.ServicePlatform),
 		{Name: kernel.ServiceEndpoint, Value: client, Close: client.Close},
+		router.Service(kernel.ServiceRoute),
 		{Name: kernel.ServiceQuery, Value: runner, Close: runner.Close},
 	}
 	for _, s := range services {
--- a/internal/standin/proc/config_test.go
+++ b/internal/standin/proc/config_test.go
@@ -213,10 +213,10 @@
 	d.Platform.Kill()
 	d.Publish(changeFile, floor("0.04"))
 	d.StartPlatform()
-	d.StartNode(d.AddNode(nil))
 	everyNode(t, recoverTime, d.Nodes[:2], "the conflict is seen", func(n *Node) bool {
 		return counter(n, "config.conflict") > 0
 	})
+	d.StartNode(d.AddNode(nil))
 	last := func(n *Node) string {
 		all := versions(n)
 		return append([]string{""}, all...)[len(all)]
