Test the end of kept connections and measure control state

Cause: the rolling stop passed without the closing of kept connections, since its balancer stops sending before the lag is over. Change: a test asks during the lag whether the answer ends the connection; benchmarks measure a change in force, a leaving endpoint's last new request and a rolling stop with seven entries. Shown failing: without SetConnectionClose, go test -run DrainingNode ./internal/standin/proc fails with 'false != true: draining'.

--- a/internal/standin/proc/config_test.go
+++ b/internal/standin/proc/config_test.go
@@ -52,7 +52,7 @@
 }
 
 // everyNode waits until check holds on every node.
-func everyNode(t *testing.T, limit time.Duration, nodes []*Node, what string, check func(n *Node) bool) {
+func everyNode(t testing.TB, limit time.Duration, nodes []*Node, what string, check func(n *Node) bool) {
 	t.Helper()
 	for _, n := range nodes {
 		Eventually(t, limit, n.Name+": "+what, func() bool { return check(n) })
--- /dev/null
+++ b/internal/standin/proc/control_bench_test.go
@@ -0,0 +1,95 @@
+package proc
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"basilspan/internal/config/example"
+	"basilspan/internal/core/unit"
+)
+
+// benchEntries is how many entry VMs a deployment has today.
+const benchEntries = 7
+
+// report gives the median and the largest of some times, in milliseconds.
+func report(b *testing.B, times []time.Duration) {
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Milliseconds()), "ms-median")
+	b.ReportMetric(float64(times[len(times)-1].Milliseconds()), "ms-max")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkChangeInForce measures the time from a changed folder to the change in force on all entry VMs. Up to 200 ms
+// of it are the stand-in's two looks at the folder. The rows differ in who is cut off from the platform.
+func BenchmarkChangeInForce(b *testing.B) {
+	for _, cut := range []int{0, benchEntries - 1} {
+		b.Run(fmt.Sprintf("%d-cut-from-platform", cut), func(b *testing.B) {
+			var relays []*Relay
+			d := Start(b, Settings{Example: example.AlWadi, Entries: benchEntries, Prepare: func(d *Deployment, n *Node) {
+				r := NewRelay(b, d.platformAddress)
+				n.Platform = r.Address()
+				relays = append(relays, r)
+			}})
+			for _, r := range relays[:cut] {
+				r.Cut()
+			}
+			var times []time.Duration
+			revision := uint64(1)
+			for b.Loop() {
+				revision++
+				began := time.Now()
+				d.Publish(changeFile, floor(fmt.Sprintf("0.0%03d", revision)))
+				everyNode(b, inForceTime, d.Nodes, "the change is in force", holds(revision))
+				times = append(times, time.Since(began))
+			}
+			report(b, times)
+		})
+	}
+}
+
+// BenchmarkLeavingEndpoint measures the time from an endpoint's drain sign to its last new request, under load on all
+// entry VMs.
+func BenchmarkLeavingEndpoint(b *testing.B) {
+	d := Start(b, Settings{Example: example.AlWadi, Entries: benchEntries})
+	load := startBalanced(d, "order-track", "fitter")
+	defer load.Close()
+	ids := []unit.EndpointID{"ot-00-a", "ot-01-a", "ot-02-a", "ot-03-a", "ot-04-a"}
+	var times []time.Duration
+	for b.Loop() {
+		if len(times) == len(ids) {
+			continue
+		}
+		id := ids[len(times)]
+		began := time.Now()
+		drain(d, id)
+		everyNode(b, leavingTime, d.Nodes, "the endpoint is leaving", isLeaving(id))
+		time.Sleep(settleTime)
+		times = append(times, d.Stats(id).Last.Sub(began))
+	}
+	report(b, times)
+}
+
+// BenchmarkRollingStop stops and starts every entry VM in turn under load and counts the queries that were cut off.
+func BenchmarkRollingStop(b *testing.B) {
+	d := Start(b, Settings{Example: example.AlWadi, Entries: benchEntries})
+	load := startBalanced(d, "order-track", "fitter")
+	defer load.Close()
+	stops := 0
+	for b.Loop() {
+		for _, n := range d.Nodes {
+			n.Terminate()
+			n.Wait()
+			d.StartNode(n)
+			d.WaitReady()
+			stops++
+		}
+	}
+	load.Close()
+	b.ReportMetric(float64(stops), "stops")
+	b.ReportMetric(float64(load.whole.Load()), "whole")
+	b.ReportMetric(float64(load.refused.Load()), "refused")
+	b.ReportMetric(float64(load.cut.Load()), "cut-off")
+	b.ReportMetric(0, "ns/op")
+}
--- a/internal/standin/proc/deployment.go
+++ b/internal/standin/proc/deployment.go
@@ -58,6 +58,8 @@
 	Platform unit.Address
 	// Peers are asked for while the platform's list cannot be read.
 	Peers []unit.Address
+	// Lag is how long it serves on after it says that it is not ready.
+	Lag time.Duration
 }
 
 // Deployment is a running deployment.
@@ -134,7 +136,7 @@
 func (d *Deployment) AddNode(prepare func(d *Deployment, n *Node)) *Node {
 	n := &Node{
 		Name: nodeName(len(d.Nodes)), Caller: FreePort(d.t), Operator: FreePort(d.t), Peer: FreePort(d.t),
-		Platform: d.platformAddress,
+		Platform: d.platformAddress, Lag: balancerLag,
 	}
 	n.Advertise = n.Peer
 	if prepare != nil {
@@ -166,7 +168,7 @@
 	args := []string{
 		"serve", "--node", n.Name, "--centre", "loopback", "--caller", string(n.Caller), "--operator", string(n.Operator),
 		"--peer", string(n.Peer), "--advertise", string(n.Advertise), "--platform", string(n.Platform),
-		"--lag", balancerLag.String(),
+		"--lag", n.Lag.String(),
 	}
 	for _, p := range n.Peers {
 		args = append(args, "--peers", string(p))
--- a/internal/standin/proc/stop_test.go
+++ b/internal/standin/proc/stop_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -199,3 +200,32 @@
 		})
 	}
 }
+
+// TestDrainingNodeEndsKeptConnections asks an entry VM before and during the lag of a planned stop: it answers in
+// both, and in the second has its caller end the connection.
+func TestDrainingNodeEndsKeptConnections(t *testing.T) {
+	d := Start(t, Settings{Example: example.AlWadi, Entries: 1, Prepare: func(_ *Deployment, n *Node) {
+		n.Lag = readyTime
+	}})
+	n := d.Nodes[0]
+	body := `{"id": "kept", "search": "order-track", "rank": "fitter", "timeout": 20000, "body": ""}`
+	tests := []struct {
+		name string
+		do   func()
+		ends bool
+	}{
+		{"serving", func() {}, false},
+		{"draining", func() {
+			n.Terminate()
+			Eventually(t, readyTime, "it is not ready", func() bool { return n.Get("/ready") == http.StatusServiceUnavailable })
+		}, true},
+	}
+	for _, tt := range tests {
+		tt.do()
+		resp, err := http.Post("http://"+string(n.Caller)+"/query", "application/json", strings.NewReader(body))
+		assert.NilError(t, err, tt.name)
+		assert.Equal(t, resp.StatusCode, http.StatusOK, tt.name)
+		assert.Equal(t, resp.Close, tt.ends, tt.name)
+		assert.NilError(t, resp.Body.Close())
+	}
+}
