--- a/internal/standin/proc/control_bench_test.go
+++ b/internal/standin/proc/control_bench_test.go
@@ -1,11 +1,17 @@
 package proc
 
 import (
+	"bytes"
 	"fmt"
+	"os"
 	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"basilspan/internal/config/example"
 	"basilspan/internal/core/unit"
 )
@@ -93,3 +99,36 @@
 	b.ReportMetric(float64(load.cut.Load()), "cut-off")
 	b.ReportMetric(0, "ns/op")
 }
+
+// BenchmarkIdleControl measures the processor time of entry VMs without queries, in a fleet of seven.
+func BenchmarkIdleControl(b *testing.B) {
+	const span = 20 * time.Second
+	d := Start(b, Settings{Example: example.AlWadi, Entries: benchEntries})
+	before := make([]float64, len(d.Nodes))
+	for b.Loop() {
+		for i, n := range d.Nodes {
+			before[i] = processorSeconds(b, n)
+		}
+		time.Sleep(span)
+		most := 0.0
+		for i, n := range d.Nodes {
+			most = max(most, processorSeconds(b, n)-before[i])
+		}
+		b.ReportMetric(100*most/span.Seconds(), "%core-max")
+	}
+	b.ReportMetric(0, "ns/op")
+}
+
+// processorSeconds gives the processor time that a node's process has used.
+func processorSeconds(b *testing.B, n *Node) float64 {
+	b.Helper()
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", n.cmd.Process.Pid))
+	assert.NilError(b, err)
+	// The fields after the program's name in brackets; the 12th and 13th are user and system time in ticks of 10 ms.
+	fields := strings.Fields(string(content[bytes.LastIndexByte(content, ')')+2:]))
+	user, err := strconv.ParseFloat(fields[11], 64)
+	assert.NilError(b, err)
+	system, err := strconv.ParseFloat(fields[12], 64)
+	assert.NilError(b, err)
+	return (user + system) / 100
+}
