--- a/internal/standin/proc/config_test.go
+++ b/internal/standin/proc/config_test.go
@@ -52,7 +52,7 @@
 }
 
 // everyNode waits until check holds on every node.
-func everyNode(t *testing.T, limit time.Duration, nodes []*Node, what string, check func(n *Node) bool) {
+func everyNode(t testing.TB, limit time.Duration, nodes []*Node, what string, check func(n *Node) bool) {
 	t.Helper()
 	for _, n := range nodes {
 		Eventually(t, limit, n.Name+": "+what, func() bool { return check(n) })
@@ -213,10 +213,10 @@
 	d.Platform.Kill()
 	d.Publish(changeFile, floor("0.04"))
 	d.StartPlatform()
-	d.StartNode(d.AddNode(nil))
 	everyNode(t, recoverTime, d.Nodes[:2], "the conflict is seen", func(n *Node) bool {
 		return counter(n, "config.conflict") > 0
 	})
+	d.StartNode(d.AddNode(nil))
 	last := func(n *Node) string {
 		all := versions(n)
 		return append([]string{""}, all...)[len(all)]
--- a/internal/standin/proc/deployment.go
+++ b/internal/standin/proc/deployment.go
@@ -60,6 +60,8 @@
 	Platform unit.Address
 	// Peers are asked for while the platform's list cannot be read.
 	Peers []unit.Address
+	// Lag is how long it serves on after it says that it is not ready.
+	Lag time.Duration
 }
 
 // Deployment is a running deployment.
@@ -138,7 +140,7 @@
 func (d *Deployment) AddNode(prepare func(d *Deployment, n *Node)) *Node {
 	n := &Node{
 		Name: nodeName(len(d.Nodes)), Caller: FreePort(d.t), Operator: FreePort(d.t), Peer: FreePort(d.t),
-		Platform: d.platformAddress,
+		Platform: d.platformAddress, Lag: balancerLag,
 	}
 	n.Advertise = n.Peer
 	if prepare != nil {
@@ -173,7 +175,7 @@
 	}
 	if d.programs == "" {
 		// The first version knows neither a lag nor peers.
-		args = append(args, "--lag", balancerLag.String(), "--advertise", string(n.Advertise))
+		args = append(args, "--lag", n.Lag.String(), "--advertise", string(n.Advertise))
 	}
 	for _, p := range n.Peers {
 		args = append(args, "--peers", string(p))
