Keep the estimate of a rank that runs one query at a time

Change: the estimate holds until it is as old as itself; a query that its deadline ended counts for more than it took.

--- a/internal/core/query/gates.go
+++ b/internal/core/query/gates.go
@@ -45,7 +45,8 @@
 // leave takes the end of a running query, which took that long.
 func (g *gates) leave(now time.Time, q fanout.Query, took time.Duration) {
 	one := g.find(q.Search)
-	one.line.Do(func() []rank.Verdict { return one.admit.Done(now, q.Rank, took) })
+	ticket := rank.Ticket{Rank: q.Rank, Deadline: q.Deadline}
+	one.line.Do(func() []rank.Verdict { return one.admit.Done(now, ticket, took) })
 }
 
 func (g *gates) find(search unit.SearchName) *gate {
--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -18,6 +18,8 @@
 	leastRunning = 2
 	// timeWeight is the weight of a sample in a rank's average running time.
 	timeWeight = 1.0 / 16
+	// censoredFactor stretches the running time of a query that its deadline ended, since it would have taken longer.
+	censoredFactor = 1.5
 )
 
 // Settings bound one gate.
@@ -57,6 +59,8 @@
 type state struct {
 	running int
 	took    rank.Average
+	// ended is when a query of the rank last ended.
+	ended time.Time
 }
 
 // Gate admits the queries of one search. It is not safe for use by several goroutines.
@@ -94,10 +98,14 @@
 	return g.grant(now)
 }
 
-// Done takes the end of a running query of that rank, which took that long, and gives the verdicts that follow.
-func (g *Gate) Done(now time.Time, name unit.RankName, took time.Duration) []rank.Verdict {
-	s := g.state(name)
+// Done takes the end of a running query, which took that long, and gives the verdicts that follow.
+func (g *Gate) Done(now time.Time, t rank.Ticket, took time.Duration) []rank.Verdict {
+	s := g.state(t.Rank)
 	s.running--
+	s.ended = now
+	if !now.Before(t.Deadline) {
+		took = time.Duration(float64(took) * censoredFactor)
+	}
 	s.took.Add(took)
 	return g.grant(now)
 }
@@ -151,14 +159,16 @@
 	return ahead < g.settings.Running
 }
 
-// late says whether a query is expected to end after its deadline when it first waits that long. While none of its
-// rank runs it always says no, so that a running time of long ago can't keep every query away.
+// late says whether a query is expected to end after its deadline when it first waits that long. Once none of its rank
+// has run for as long as one is expected to take, it says no, so that a running time of long ago can't keep every query
+// away.
 func (g *Gate) late(now time.Time, t rank.Ticket, wait time.Duration) bool {
 	s := g.state(t.Rank)
-	if s.running == 0 {
+	likely := s.took.Likely()
+	if s.running == 0 && now.Sub(s.ended) >= likely {
 		return false
 	}
-	return now.Add(wait + s.took.Likely()).After(t.Deadline)
+	return now.Add(wait + likely).After(t.Deadline)
 }
 
 func (g *Gate) state(name unit.RankName) *state {
--- a/internal/policy/admit/admit_test.go
+++ b/internal/policy/admit/admit_test.go
@@ -40,7 +40,7 @@
 		{"so does the urgent one", func() []rank.Verdict { return g.Offer(start, fourth) }, nil},
 		{
 			"the urgent one is next",
-			func() []rank.Verdict { return g.Done(start, "desk", time.Millisecond) },
+			func() []rank.Verdict { return g.Done(start, first, time.Millisecond) },
 			[]rank.Verdict{{Ticket: fourth, Code: unit.CodeWhole}},
 		},
 	}
@@ -110,7 +110,7 @@
 			}
 			for range 20 {
 				now = now.Add(40 * time.Millisecond)
-				g.Done(now, "desk", 40*time.Millisecond)
+				g.Done(now, rank.Ticket{Rank: "desk", Deadline: deadline}, 40*time.Millisecond)
 			}
 			for i := range tt.waiting {
 				g.Offer(now, rank.Ticket{ID: uint64(100 + i), Rank: "desk", Deadline: deadline})
@@ -127,6 +127,41 @@
 	}
 }
 
+// TestEstimateOutlivesAnIdleGate runs one query at a time, as a rank at its floor does: the estimate holds between two
+// of them, counts a query that its deadline ended for more than it took, and is tried again once it has grown old.
+func TestEstimateOutlivesAnIdleGate(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	tests := []struct {
+		name string
+		// late says that the deadline ended the earlier query, which ran for 400 ms.
+		late  bool
+		after time.Duration
+		left  time.Duration
+		want  unit.Code
+	}{
+		{"enough time", false, 0, 450 * time.Millisecond, unit.CodeWhole},
+		{"too little", false, 0, 350 * time.Millisecond, unit.CodeTooLate},
+		{"too little after one that was cut short", true, 0, 450 * time.Millisecond, unit.CodeTooLate},
+		{"an old estimate", true, time.Second, 350 * time.Millisecond, unit.CodeWhole},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := New(Settings{Running: 1, Waiting: 30, Ranks: floors()})
+			now := start.Add(400 * time.Millisecond)
+			deadline := start.Add(time.Minute)
+			if tt.late {
+				deadline = now
+			}
+			first := rank.Ticket{ID: 1, Rank: "desk", Deadline: deadline}
+			g.Offer(start, first)
+			g.Done(now, first, 400*time.Millisecond)
+			now = now.Add(tt.after)
+			verdicts := g.Offer(now, rank.Ticket{ID: 2, Rank: "desk", Deadline: now.Add(tt.left)})
+			assert.Equal(t, verdicts[0].Code, tt.want)
+		})
+	}
+}
+
 func TestGateFollowsRanks(t *testing.T) {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	g := New(Settings{Running: 1, Waiting: 10, Ranks: floors()})
--- a/internal/policy/rank/average.go
+++ b/internal/policy/rank/average.go
@@ -3,7 +3,7 @@
 import "time"
 
 // deviations is how many mean deviations above the mean nearly every sample lies.
-const deviations = 4
+const deviations = 2
 
 // Average is a moving average of durations with its mean deviation.
 type Average struct {
@@ -35,7 +35,7 @@
 	return time.Duration(a.mean)
 }
 
-// Likely gives the time within which nearly every sample lies: the mean and four mean deviations.
+// Likely gives the time within which nearly every sample lies: the mean and two mean deviations.
 func (a *Average) Likely() time.Duration {
 	return time.Duration(a.mean + deviations*a.deviation)
 }
