--- a/internal/config/folder/folder_test.go
+++ b/internal/config/folder/folder_test.go
@@ -154,6 +154,9 @@
 			}
 			assert.Equal(t, len(r.Problems)-len(r.Errors()), tt.warnings)
 			assert.Equal(t, r.Catalog == nil, len(r.Errors()) > 0)
+			built, errs := Build(withBase(tt.add...))
+			assert.DeepEqual(t, built, r.Catalog)
+			assert.DeepEqual(t, errs, r.Errors())
 		})
 	}
 }
@@ -304,6 +307,9 @@
 		r, again := Check(files), Check(reversed(files))
 		assert.DeepEqual(t, r.Problems, again.Problems)
 		assert.DeepEqual(t, r.Catalog, again.Catalog)
+		built, errs := Build(files)
+		assert.DeepEqual(t, built, r.Catalog)
+		assert.DeepEqual(t, errs, r.Errors())
 		assert.Equal(t, r.Catalog == nil, len(r.Errors()) > 0)
 		for _, p := range r.Problems {
 			assert.Assert(t, p.Text != "" && (p.Line == 0 || p.File != ""), "%v", p)
@@ -343,3 +349,23 @@
 	}
 	return ""
 }
+
+// TestDocsNameEveryKey holds the table of docs/CONFIG.md against the format.
+func TestDocsNameEveryKey(t *testing.T) {
+	tests := []struct {
+		wire any
+		path string
+	}{
+		{wireRank{}, "ranks.NAME."},
+		{wireSearch{}, "searches.NAME."},
+		{wireSnapshot{}, "searches.NAME.snapshots.NUMBER."},
+		{wireEndpoint{}, "searches.NAME.endpoints.NAME."},
+	}
+	page, err := os.ReadFile("../../../docs/CONFIG.md")
+	assert.NilError(t, err)
+	for _, tt := range tests {
+		for key := range strict.Keys(reflect.TypeOf(tt.wire)) {
+			assert.Assert(t, strings.Contains(string(page), "| `"+tt.path+key), "%s%s is not in docs/CONFIG.md", tt.path, key)
+		}
+	}
+}
--- a/internal/config/folder/merge.go
+++ b/internal/config/folder/merge.go
@@ -35,6 +35,7 @@
 		Centre      *string `json:"centre,omitempty"`
 		Slots       *int    `json:"slots,omitempty"`
 		Connections *int    `json:"connections,omitempty"`
+		Incarnation *uint64 `json:"incarnation,omitempty"`
 		Leaving     *bool   `json:"leaving,omitempty"`
 	}
 )
@@ -46,12 +47,13 @@
 }
 
 // decode reads one file strictly.
-func decode(f File) decoded {
+func decode(f File, brief bool) decoded {
 	var one decoded
 	one.Result = strict.Decode(f.Content, &one.wire, strict.Options{
-		File: f.Name,
-		Name: strict.NameFault,
-		Null: "; null removes only a whole rank, search, snapshot or endpoint",
+		File:  f.Name,
+		Brief: brief,
+		Name:  strict.NameFault,
+		Null:  "; null removes only a whole rank, search, snapshot or endpoint",
 	})
 	return one
 }
@@ -107,6 +109,7 @@
 	set(&to.Centre, from.Centre)
 	set(&to.Slots, from.Slots)
 	set(&to.Connections, from.Connections)
+	set(&to.Incarnation, from.Incarnation)
 	set(&to.Leaving, from.Leaving)
 }
 
--- a/internal/core/query/query.go
+++ b/internal/core/query/query.go
@@ -12,7 +12,6 @@
 	"basilspan/internal/core/unit"
 	"basilspan/internal/core/view"
 	"basilspan/internal/link/endpoint"
-	"basilspan/internal/policy/catalog"
 	"basilspan/internal/policy/fanout"
 )
 
@@ -24,13 +23,25 @@
 	Now     func() time.Time
 	Views   *view.Store
 	Metrics *metric.Set
+	// Centre is this VM's data centre; endpoints there are preferred to those that are as fast.
+	Centre unit.CentreName
 	// Send makes one attempt and waits for its end.
 	Send func(ctx context.Context, call endpoint.Call) fanout.Reply
 	// Record begins the log of a query's decisions; nil records nothing.
 	Record func(now time.Time, q fanout.Query, plan fanout.Plan) *trace.FanoutLog
 
+	// Draining, when set, is told of each endpoint that answers that it is leaving.
+	Draining func(id unit.EndpointID)
+
 	gates gates
-	wg    sync.WaitGroup
+	fleet fleet
+	// wg counts the queries and attempts under way.
+	wg sync.WaitGroup
+}
+
+// RecordGates has record begin a log for each search's admission; it must be called before the first query.
+func (r *Runner) RecordGates(record func(now time.Time, search unit.SearchName) *trace.GateLog) {
+	r.gates.record = record
 }
 
 // Run answers one query; it returns by the query's deadline.
@@ -43,33 +54,37 @@
 	return answer
 }
 
-// Close waits for the queries under way.
+// Close waits for the queries and attempts under way.
 func (r *Runner) Close() error {
 	r.wg.Wait()
 	return nil
 }
 
 func (r *Runner) run(ctx context.Context, q fanout.Query, now time.Time) fanout.Answer {
-	v := r.Views.Load()
-	code, message := check(v, q, now)
+	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
+	defer cancel()
+	v, fresh := r.Views.Fresh(ctx, r.Now)
+	if !fresh {
+		return fanout.Refuse(q.ID, unit.CodeStaleView, unit.CodeStaleView.String())
+	}
+	code, message := check(v, q, r.Now())
 	if code != 0 {
 		return fanout.Refuse(q.ID, code, message)
 	}
 	search := v.Catalog.Searches[q.Search]
 	q.Once = q.Once || search.Once
-	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
-	defer cancel()
 	if code := r.gates.enter(ctx, now, v, q); code != unit.CodeWhole {
 		return fanout.Refuse(q.ID, code, code.String())
 	}
 	defer r.leave(q, r.Now())
-	plan, ok := fanout.Choose(search, func(e catalog.Endpoint) fanout.Condition {
-		return fanout.Condition{Leaving: v.Leaving[e.ID]}
-	})
+	plan, ok := r.fleet.plan(r.Now(), v, q, r.Centre)
 	if !ok {
 		return fanout.Refuse(q.ID, unit.CodeNoEndpoint, "the search has no snapshot")
 	}
-	return r.drive(ctx, fanout.New(q, plan), r.record(q, plan), q, search)
+	answer := r.drive(ctx, fanout.New(q, plan), newDriver(r, q, search, plan.MaxAttempts()), r.record(q, plan))
+	r.fleet.refund(q.Search, plan.Terms.Allowance-answer.Extra.Spent)
+	r.count(answer)
+	return answer
 }
 
 // check gives the reason to refuse a query, or 0.
@@ -100,14 +115,14 @@
 
 // drive carries out the machine's actions until the answer is final.
 func (r *Runner) drive(
-	ctx context.Context, m *fanout.Machine, log *trace.FanoutLog, q fanout.Query, search *catalog.Search,
+	ctx context.Context, m *fanout.Machine, d *driver, log *trace.FanoutLog,
 ) fanout.Answer {
-	d := newDriver(r, q, search)
 	defer d.close()
 	now := r.Now()
 	d.do(ctx, log.Start(now, m.Start(now)))
-	timer := time.NewTimer(time.Until(m.Wake()))
+	timer := time.NewTimer(m.Wake().Sub(r.Now()))
 	defer timer.Stop()
+	ended := ctx.Done()
 	for !m.Done() {
 		select {
 		case reply := <-d.replies:
@@ -116,15 +131,36 @@
 		case <-timer.C:
 			now = r.Now()
 			d.do(ctx, log.Tick(now, m.Tick(now)))
-		case <-ctx.Done():
+		case <-ended:
+			ended = nil
 			code := stopCode(ctx)
 			d.do(ctx, log.Stop(r.Now(), code, m.Stop(code)))
 		}
-		timer.Reset(time.Until(m.Wake()))
+		timer.Reset(m.Wake().Sub(r.Now()))
 	}
 	return log.Answer(r.Now(), m.Answer())
 }
 
+// attempt makes one attempt, waits for its end and has the fleet learn from it.
+func (r *Runner) attempt(ctx context.Context, call endpoint.Call) fanout.Reply {
+	began := r.Now()
+	reply := r.Send(ctx, call)
+	r.fleet.ended(r.Now(), began, call, reply.Code)
+	if reply.Code == unit.CodeDraining && r.Draining != nil {
+		r.Draining(call.Attempt.Endpoint)
+	}
+	return reply
+}
+
+// count adds up what a query's attempts cost.
+func (r *Runner) count(answer fanout.Answer) {
+	r.Metrics.Add("fanout.attempts", int64(answer.Extra.Attempts))
+	r.Metrics.Add("fanout.hedges", int64(answer.Extra.Hedges))
+	r.Metrics.Add("fanout.retries", int64(answer.Extra.Retries))
+	r.Metrics.Add("fanout.restarts", int64(answer.Extra.Restarts))
+	r.Metrics.Add("fanout.late", int64(answer.Extra.Late))
+}
+
 // stopCode gives the reason for a query that ends with its context.
 func stopCode(ctx context.Context) unit.Code {
 	if ctx.Err() == context.DeadlineExceeded {
--- a/internal/core/trace/codec.go
+++ b/internal/core/trace/codec.go
@@ -30,7 +30,11 @@
 type offset float64
 
 func since(start, at time.Time) offset {
-	return offset(at.Sub(start)) / offset(time.Microsecond)
+	return micros(at.Sub(start))
+}
+
+func micros(d time.Duration) offset {
+	return offset(d) / offset(time.Microsecond)
 }
 
 func (o offset) time() time.Time {
@@ -63,6 +67,7 @@
 		Actions []wireAction `json:"actions,omitempty"`
 		Answer  *wireAnswer  `json:"answer,omitempty"`
 		Offer   *wireOffer   `json:"offer,omitempty"`
+		Gate    *wireGate    `json:"gate,omitempty"`
 		Dropped int64        `json:"dropped,omitempty"`
 	}
 )
@@ -160,6 +165,9 @@
 	if r.Offer != nil {
 		w.Offer = encodeOffer(*r.Offer)
 	}
+	if r.Gate != nil {
+		w.Gate = encodeGate(start, r.Kind, *r.Gate)
+	}
 	if r.Fanout == nil {
 		return w
 	}
--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -98,18 +98,23 @@
 	return g.grant(now)
 }
 
-// Done takes the end of a running query, which took that long, and gives the verdicts that follow.
-func (g *Gate) Done(now time.Time, t rank.Ticket, took time.Duration) []rank.Verdict {
-	s := g.state(t.Rank)
+// Done takes the end of a running query of that rank and its charged running time, and gives the verdicts that follow.
+func (g *Gate) Done(now time.Time, name unit.RankName, took time.Duration) []rank.Verdict {
+	s := g.state(name)
 	s.running--
 	s.ended = now
-	if !now.Before(t.Deadline) {
-		took = time.Duration(float64(took) * censoredFactor)
-	}
 	s.took.Add(took)
 	return g.grant(now)
 }
 
+// Charge gives the running time that a query counts for: one that its deadline ended would have taken longer.
+func Charge(now, deadline time.Time, took time.Duration) time.Duration {
+	if now.Before(deadline) {
+		return took
+	}
+	return time.Duration(float64(took) * censoredFactor)
+}
+
 // Withdraw takes back a waiting ticket; it says false when the ticket does not wait.
 func (g *Gate) Withdraw(id uint64) bool {
 	return g.waiting.Remove(id)
