Prove the hop, the slots and the floods; say not sent for a cancelled wait

Cause: nothing showed the outcome at the hop for each way in which an owner can fail, nor that slots hold over five entries. The stand-in endpoint can refuse (shedding) and counts the most calls at once.

--- a/internal/core/route/hop.go
+++ b/internal/core/route/hop.go
@@ -98,6 +98,8 @@
 // hopFailure gives the code of a hop that has no reply.
 func hopFailure(ctx context.Context, err error) unit.Code {
 	switch {
+	case errors.Is(err, peer.ErrNotSent) && errors.Is(ctx.Err(), context.Canceled):
+		return unit.CodeNotSent
 	case errors.Is(err, peer.ErrNotSent) && ctx.Err() != nil:
 		return unit.CodeTooLate
 	case errors.Is(err, peer.ErrNotSent):
--- a/internal/core/turn/turn.go
+++ b/internal/core/turn/turn.go
@@ -17,8 +17,8 @@
 	wait map[uint64]chan unit.Code
 }
 
-// Take asks for a turn and waits for the verdict. When ctx ends first, the ticket is withdrawn and the code is
-// CodeTooLate; a verdict that came at the same moment holds.
+// Take asks for a turn and waits for the verdict. When ctx ends first, the ticket is withdrawn and the code says
+// why; a verdict that came at the same moment holds.
 func (l *Line) Take(
 	ctx context.Context, offer func(id uint64) []rank.Verdict, withdraw func(id uint64) bool,
 ) unit.Code {
@@ -32,11 +32,19 @@
 	defer l.mu.Unlock()
 	if withdraw(id) {
 		delete(l.wait, id)
-		return unit.CodeTooLate
+		return withdrawn(ctx)
 	}
 	return <-verdict
 }
 
+// withdrawn gives the code of a ticket that was taken back when ctx ended.
+func withdrawn(ctx context.Context) unit.Code {
+	if ctx.Err() == context.Canceled {
+		return unit.CodeNotSent
+	}
+	return unit.CodeTooLate
+}
+
 // Do calls decide and hands out the verdicts that follow.
 func (l *Line) Do(decide func() []rank.Verdict) {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/core/turn/turn_test.go
@@ -0,0 +1,44 @@
+package turn
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/rank"
+)
+
+func TestTakeEndsWithItsContext(t *testing.T) {
+	cancelled, cancel := context.WithCancel(context.Background())
+	cancel()
+	late, stop := context.WithDeadline(context.Background(), time.Now().Add(-time.Second))
+	defer stop()
+	tests := []struct {
+		name string
+		ctx  context.Context
+		// verdict is given at once when it is not 0.
+		verdict unit.Code
+		want    unit.Code
+	}{
+		{"a verdict holds", context.Background(), unit.CodeOverloaded, unit.CodeOverloaded},
+		{"cancelled while it waits", cancelled, 0, unit.CodeNotSent},
+		{"late while it waits", late, 0, unit.CodeTooLate},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var line Line
+			waiting := make(map[uint64]bool)
+			code := line.Take(tt.ctx, func(id uint64) []rank.Verdict {
+				if tt.verdict != 0 {
+					return []rank.Verdict{{Ticket: rank.Ticket{ID: id}, Code: tt.verdict}}
+				}
+				waiting[id] = true
+				return nil
+			}, func(id uint64) bool { return waiting[id] })
+			assert.Equal(t, code, tt.want)
+		})
+	}
+}
--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/standin/endpoint/endpoint.go
@@ -49,6 +49,8 @@
 	Slow float64 `json:"slow,omitempty"`
 	// Draining endpoints refuse new calls.
 	Draining bool `json:"draining,omitempty"`
+	// Shedding endpoints refuse new calls for a while, as overloaded ones do.
+	Shedding bool `json:"shedding,omitempty"`
 	// Held are the snapshots that the endpoint holds; empty means any.
 	Held []unit.SnapshotID `json:"held,omitempty"`
 	// CutAfterRun closes the connection after the call has run, without a reply.
@@ -77,6 +79,8 @@
 	Doubled int64 `json:"doubled"`
 	// Late are the calls whose deadline passed, or whose caller went, while they waited for a slot.
 	Late int64 `json:"late"`
+	// Most is the largest number of calls that ran or waited at once.
+	Most int64 `json:"most"`
 	// Last is when the newest call came in.
 	Last time.Time `json:"last"`
 }
@@ -175,12 +179,15 @@
 	switch {
 	case faults.Draining:
 		status = http.StatusServiceUnavailable
+	case faults.Shedding:
+		status = http.StatusTooManyRequests
 	case !holds(faults.Held, r.Header.Get(headerSnapshot)):
 		status = http.StatusConflict
 	case s.waiting >= s.settings.Queue+int(s.settings.Slots):
 		status = http.StatusTooManyRequests
 	default:
 		s.waiting++
+		s.stats.Most = max(s.stats.Most, int64(s.waiting))
 		return faults, 0
 	}
 	s.stats.Refused++
--- a/internal/standin/endpoint/fleet.go
+++ b/internal/standin/endpoint/fleet.go
@@ -145,6 +145,7 @@
 		sum.Wasted += one.Wasted
 		sum.Doubled += one.Doubled
 		sum.Late += one.Late
+		sum.Most = max(sum.Most, one.Most)
 		if one.Last.After(sum.Last) {
 			sum.Last = one.Last
 		}
--- /dev/null
+++ b/internal/standin/proc/limit_test.go
@@ -0,0 +1,76 @@
+package proc
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilspan/internal/core/unit"
+	"basilspan/internal/standin/endpoint"
+	"basilspan/internal/standin/load"
+)
+
+// flood sends more than the endpoints can take and gives the row. No query's deadline comes near, so that no call is
+// cancelled: an endpoint notices that a little later than the owner has filled the slot again.
+func flood(d *Deployment, run string) load.Row {
+	return load.Run(context.Background(), load.Settings{
+		Entries:  d.Callers(),
+		Flows:    []load.Flow{{Search: "plain", Rank: "upkeep", Rate: 200, Timeout: 60 * time.Second}},
+		Duration: 3 * time.Second,
+		Run:      run,
+	})[0]
+}
+
+// TestSlotsAreNotOverrun floods endpoints of two slots through five entry VMs: no endpoint ever has more calls than its
+// slots and the one that waits beside them.
+func TestSlotsAreNotOverrun(t *testing.T) {
+	d := Start(t, Settings{Files: plainFolder(4, 1, false), Entries: 5, Median: 20 * time.Millisecond})
+	waitMembers(t, d, 5)
+	row := flood(d, "slots")
+	stats := d.Stats("")
+	assert.Equal(t, row.Broken, int64(0))
+	assert.Equal(t, row.Whole, row.Sent)
+	if sum(d.Nodes, "route.detour")+sum(d.Nodes, "route.direct")+sum(d.Nodes, "route.guest") > 0 {
+		t.Log("an owner was gone round, so two VMs may have called one endpoint")
+		assert.Assert(t, stats.Most <= 3+5, "%d calls at once", stats.Most)
+		return
+	}
+	assert.Assert(t, stats.Most <= 3, "%d calls at once", stats.Most)
+}
+
+// TestOverrunIsBoundedWhileAnOwnerIsFrozen floods while the owner of an endpoint is frozen and comes back: each of the
+// other four VMs may add its guest's call, and the next owner its own.
+func TestOverrunIsBoundedWhileAnOwnerIsFrozen(t *testing.T) {
+	d := Start(t, Settings{Files: plainFolder(4, 1, false), Entries: 5, Median: 20 * time.Millisecond})
+	waitMembers(t, d, 5)
+	owner := ownerOf(d, "s0a")
+	time.AfterFunc(time.Second, owner.Freeze)
+	time.AfterFunc(2*time.Second, owner.Thaw)
+	row := flood(d, "frozen")
+	assert.Equal(t, row.Broken, int64(0))
+	most := d.Stats("s0a").Most
+	t.Logf("%d calls at once at an endpoint of two slots", most)
+	assert.Assert(t, most <= 3+3+5, "%d calls at once", most)
+}
+
+// TestSheddingEndpoint has one replica of each shard refuse everything: each query is answered by the other, and the
+// refusing ones are asked less than once for each query.
+func TestSheddingEndpoint(t *testing.T) {
+	d := Start(t, Settings{Files: plainFolder(3, 2, false), Entries: 3, Median: 5 * time.Millisecond})
+	waitMembers(t, d, 3)
+	for _, id := range []unit.EndpointID{"s0a", "s1a", "s2a"} {
+		d.SetFaults(id, endpoint.Faults{Shedding: true})
+	}
+	row := load.Run(context.Background(), load.Settings{
+		Entries:  d.Callers(),
+		Flows:    []load.Flow{{Search: "plain", Rank: "desk", Rate: 40, Timeout: 20 * time.Second}},
+		Duration: 2 * time.Second,
+		Run:      "shed",
+	})[0]
+	assert.Equal(t, row.Broken, int64(0))
+	assert.Equal(t, row.Whole, row.Sent)
+	assert.Equal(t, d.Stats("s0a").Runs, int64(0))
+	assert.Assert(t, d.Stats("s0a").Refused <= row.Sent)
+}
