--- a/internal/core/query/gates.go
+++ b/internal/core/query/gates.go
@@ -52,6 +52,7 @@
 // leave takes the end of a running query, which took that long.
 func (g *gates) leave(now time.Time, q fanout.Query, took time.Duration) {
 	one := g.find(now, q.Search)
+	took = admit.Charge(now, q.Deadline, took)
 	one.line.Do(func() []rank.Verdict { return one.log.Done(now, q.Rank, took, one.admit.Done(now, q.Rank, took)) })
 }
 
--- /dev/null
+++ b/internal/core/route/route_test.go
@@ -0,0 +1,212 @@
+package route
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"basilspan/internal/core/metric"
+	"basilspan/internal/core/unit"
+	"basilspan/internal/core/view"
+	"basilspan/internal/link/endpoint"
+	"basilspan/internal/link/peer"
+	"basilspan/internal/policy/catalog"
+	"basilspan/internal/policy/fanout"
+	"basilspan/internal/policy/member"
+)
+
+// views gives a store in which the members are live and one endpoint is configured.
+func views(ids ...unit.NodeID) *view.Store {
+	e := catalog.Endpoint{ID: "s0a", Shard: "s0", Slots: 2, Connections: 25}
+	store := view.NewStore()
+	v := &view.View{Catalog: &catalog.Catalog{
+		Ranks:    map[unit.RankName]catalog.Rank{"desk": {Name: "desk", Urgency: 1}},
+		Searches: map[unit.SearchName]*catalog.Search{"plain": {Name: "plain", Endpoints: []catalog.Endpoint{e}}},
+	}}
+	for _, id := range ids {
+		v.Members = append(v.Members, member.Member{ID: id, Peer: unit.Address(id), State: member.StateLive})
+	}
+	store.Publish(v)
+	return store
+}
+
+func call(once bool, left time.Duration) endpoint.Call {
+	return endpoint.Call{
+		Query:   fanout.Query{ID: "q", Search: "plain", Rank: "desk", Once: once, Deadline: time.Now().Add(left)},
+		Attempt: fanout.Attempt{ID: 1, Shard: "s0", Endpoint: "s0a", Snapshot: 1},
+	}
+}
+
+// TestOutcomeAtTheHop has the owner answer or fail in each way, and counts the calls that are made directly after it.
+func TestOutcomeAtTheHop(t *testing.T) {
+	notSent := errors.Mark(errors.New("refused"), peer.ErrNotSent)
+	lost := errors.New("the connection closed")
+	tests := []struct {
+		name   string
+		once   bool
+		err    error
+		reply  unit.Code
+		want   unit.Code
+		direct int64
+	}{
+		{"answered", false, nil, unit.CodeWhole, unit.CodeWhole, 0},
+		{"the endpoint refused", false, nil, unit.CodeRefused, unit.CodeRefused, 0},
+		{"the owner's queue refused", true, nil, unit.CodeTooLate, unit.CodeTooLate, 0},
+		{"the owner stops", true, nil, unit.CodeStopping, unit.CodeWhole, 1},
+		{"not sent", false, notSent, 0, unit.CodeWhole, 1},
+		{"not sent, once only", true, notSent, 0, unit.CodeWhole, 1},
+		{"lost after the send", false, lost, 0, unit.CodeWhole, 1},
+		{"lost after the send, once only", true, lost, 0, unit.CodeOwnerLost, 0},
+		{"an unknown end at the endpoint, once only", true, nil, unit.CodeConnection, unit.CodeConnection, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var direct atomic.Int64
+			r := &Router{
+				Now: time.Now, Self: "self", Views: views("owner"), Metrics: metric.NewSet(),
+				settings: Settings{Mode: ModeOwner, Extra: 1},
+				Direct: func(context.Context, endpoint.Call) fanout.Reply {
+					direct.Add(1)
+					return fanout.Reply{Attempt: 1, Code: unit.CodeWhole}
+				},
+				Peer: func(_ context.Context, _ unit.Address, _ peer.Method, _, result any) error {
+					result.(*wireReply).Code = int(tt.reply)
+					return tt.err
+				},
+			}
+			reply := r.Send(context.Background(), call(tt.once, time.Minute))
+			assert.Equal(t, reply.Code, tt.want)
+			assert.Equal(t, direct.Load(), tt.direct)
+		})
+	}
+}
+
+// TestSilentOwner has an owner that never replies: an idempotent call goes round it, a once-only call waits until its
+// deadline and is unknown.
+func TestSilentOwner(t *testing.T) {
+	tests := []struct {
+		name   string
+		once   bool
+		left   time.Duration
+		want   unit.Code
+		direct int64
+	}{
+		{"idempotent", false, time.Minute, unit.CodeWhole, 1},
+		{"once only", true, 500 * time.Millisecond, unit.CodeDeadline, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var direct atomic.Int64
+			r := &Router{
+				Now: time.Now, Self: "self", Views: views("owner"), Metrics: metric.NewSet(),
+				settings: Settings{Mode: ModeOwner, Extra: 1}, quit: make(chan struct{}),
+				Direct: func(context.Context, endpoint.Call) fanout.Reply {
+					direct.Add(1)
+					return fanout.Reply{Attempt: 1, Code: unit.CodeWhole}
+				},
+				Peer: func(ctx context.Context, _ unit.Address, _ peer.Method, _, _ any) error {
+					<-ctx.Done()
+					return ctx.Err()
+				},
+			}
+			assert.NilError(t, r.start(context.Background()))
+			ctx, cancel := context.WithTimeout(context.Background(), tt.left)
+			defer cancel()
+			reply := r.Send(ctx, call(tt.once, tt.left))
+			assert.Equal(t, reply.Code, tt.want)
+			assert.Equal(t, direct.Load(), tt.direct)
+			assert.NilError(t, r.close())
+		})
+	}
+}
+
+// TestAnswerLeaf has this VM asked as an owner: it answers from its own view, and keeps to a guest's ceiling when it
+// takes another VM for the owner.
+func TestAnswerLeaf(t *testing.T) {
+	tests := []struct {
+		name    string
+		members []unit.NodeID
+		change  func(w *wireLeaf)
+		leaving bool
+		// open is how many calls run at once at most.
+		open int64
+		want unit.Code
+	}{
+		{"as the owner", []unit.NodeID{"self"}, func(*wireLeaf) {}, false, 3, unit.CodeWhole},
+		{"as a guest", []unit.NodeID{"other"}, func(*wireLeaf) {}, false, 1, unit.CodeWhole},
+		{"past deadline", []unit.NodeID{"self"}, func(w *wireLeaf) { w.Left = 0 }, false, 0, unit.CodeTooLate},
+		{"leaving endpoint", []unit.NodeID{"self"}, func(*wireLeaf) {}, true, 0, unit.CodeDraining},
+		{"unknown endpoint", []unit.NodeID{"self"}, func(w *wireLeaf) { w.Endpoint = "x" }, false, 0, unit.CodeNoConfig},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var open, most atomic.Int64
+			r := &Router{
+				Now: time.Now, Self: "self", Views: views(tt.members...), Metrics: metric.NewSet(),
+				settings: Settings{Mode: ModeOwner, Extra: 1},
+				Direct: func(context.Context, endpoint.Call) fanout.Reply {
+					raise(&most, open.Add(1))
+					time.Sleep(2 * time.Millisecond)
+					open.Add(-1)
+					return fanout.Reply{Attempt: 1, Code: unit.CodeWhole}
+				},
+			}
+			if tt.leaving {
+				r.Views.Load().Leaving = map[unit.EndpointID]bool{"s0a": true}
+			}
+			codes := make(chan unit.Code, 60)
+			for range cap(codes) {
+				go func() {
+					w := encode(time.Now(), call(false, time.Minute))
+					tt.change(&w)
+					reply, err := r.answerLeaf(context.Background(), w)
+					assert.Check(t, err)
+					codes <- unit.Code(reply.Code)
+				}()
+			}
+			for range cap(codes) {
+				assert.Equal(t, <-codes, tt.want)
+			}
+			assert.Assert(t, most.Load() <= tt.open, "%d at once", most.Load())
+		})
+	}
+}
+
+// raise sets most to n unless it is higher.
+func raise(most *atomic.Int64, n int64) {
+	for m := most.Load(); n > m; m = most.Load() {
+		if most.CompareAndSwap(m, n) {
+			return
+		}
+	}
+}
+
+func TestReadSettings(t *testing.T) {
+	tests := []struct {
+		name  string
+		mode  string
+		extra string
+		want  Settings
+		fails bool
+	}{
+		{"defaults", "", "", Settings{Mode: ModeOwner, Extra: 1}, false},
+		{"shared", "shared", "2", Settings{Mode: ModeShared, Extra: 2}, false},
+		{"unknown way", "both", "", Settings{}, true},
+		{"negative", "", "-1", Settings{}, true},
+		{"too many", "", "9", Settings{}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			set := map[string]string{envMode: tt.mode, envExtra: tt.extra}
+			got, err := ReadSettings(func(name string) string { return set[name] })
+			assert.Equal(t, err != nil, tt.fails)
+			if !tt.fails {
+				assert.Equal(t, got, tt.want)
+			}
+		})
+	}
+}
