--- a/internal/standin/proc/answer_test.go
+++ b/internal/standin/proc/answer_test.go
@@ -131,6 +131,7 @@
 // warm sends queries of that name one after the other until hedges have a distribution to follow.
 func warm(t *testing.T, d *Deployment, search, name string) {
 	t.Helper()
+	name = strings.ReplaceAll(name, " ", "-")
 	for i := range 30 {
 		answer, ok := ask(context.Background(), t, d.Nodes[0].Caller, question{ID: fmt.Sprintf("warm-%s-%d", strings.ReplaceAll(name, " ", "-"), i), Search: search})
 		assert.Assert(t, ok)
@@ -165,6 +166,14 @@
 			endpoint.Faults{Truncate: true},
 			unit.CodeBelowMinimum, unit.CodeConnection,
 		},
+		// An endpoint that has said that it is leaving stays so, and so these come last.
+		{
+			"one replica drains", "desk",
+			[]unit.EndpointID{"db1"},
+			endpoint.Faults{Draining: true},
+			unit.CodeWhole, 0,
+		},
+		{"both drain", "desk", both, endpoint.Faults{Draining: true}, unit.CodePartial, unit.CodeDraining},
 	}
 	d := Start(t, Settings{Files: small(2), Entries: 1})
 	for i, tt := range tests {
