Try at most one doubtful endpoint a query

Change: an endpoint that has failed is asked after the sound ones until it answers; each query asks one of them first. The slower-for-a-second rule that this replaces is gone.

Shown by go test ./internal/policy/fanout -run TestChooseTriesOneDoubtful and ./internal/policy/health.

--- a/internal/core/query/fleet.go
+++ b/internal/core/query/fleet.go
@@ -29,12 +29,13 @@
 	plan, ok = fanout.Choose(search, q.ID, func(e catalog.Endpoint) fanout.Condition {
 		c := tracker.Condition(now, q.Search, e.ID)
 		return fanout.Condition{
-			Leaving: v.Leaving[e.ID],
-			Ejected: c.Ejected,
-			Near:    e.Centre == centre,
-			Busy:    c.Busy,
-			Latency: c.Latency,
-			Lacks:   c.Lacks,
+			Leaving:  v.Leaving[e.ID],
+			Ejected:  c.Ejected,
+			Doubtful: c.Doubtful,
+			Near:     e.Centre == centre,
+			Busy:     c.Busy,
+			Latency:  c.Latency,
+			Lacks:    c.Lacks,
 		}
 	})
 	if !ok {
--- a/internal/policy/fanout/plan.go
+++ b/internal/policy/fanout/plan.go
@@ -25,6 +25,8 @@
 	Leaving bool
 	// Ejected endpoints are asked last.
 	Ejected bool
+	// Doubtful endpoints have failed and not answered since; a query tries one of them first.
+	Doubtful bool
 	// Near is true for endpoints in the entry VM's own data centre.
 	Near bool
 	// Busy is how many attempts this entry VM has open there.
@@ -111,9 +113,47 @@
 		}
 		slices.SortStableFunc(all, func(a, b candidate) int { return compare(a, b, best) })
 	}
+	try(byShard)
 	return byShard, leaving
 }
 
+// try puts one doubtful endpoint before a sound one of its shard, so that doubtful ones are tried again at the cost of
+// at most one retry a query.
+func try(byShard map[unit.ShardID][]candidate) {
+	var shard unit.ShardID
+	at, turn := 0, uint64(0)
+	for id, all := range byShard {
+		i := slices.IndexFunc(all, func(c candidate) bool { return c.condition.rank() == rankDoubtful })
+		if i > 0 && (at == 0 || all[i].turn < turn) {
+			shard, at, turn = id, i, all[i].turn
+		}
+	}
+	if at > 0 {
+		all := byShard[shard]
+		tried := all[at]
+		copy(all[1:at+1], all[:at])
+		all[0] = tried
+	}
+}
+
+// The ranks of candidates; a lower one is asked first.
+const (
+	rankSound = iota
+	rankDoubtful
+	rankEjected
+)
+
+func (c Condition) rank() int {
+	switch {
+	case c.Ejected:
+		return rankEjected
+	case c.Doubtful:
+		return rankDoubtful
+	default:
+		return rankSound
+	}
+}
+
 func byTurn(a, b candidate) int {
 	if a.turn < b.turn {
 		return -1
@@ -121,11 +161,11 @@
 	return 1
 }
 
-// compare orders the candidates of one shard: not ejected before ejected; then those with a cost alike to the best
+// compare orders the candidates of one shard: sound before doubtful before ejected; then those with a cost alike to the best
 // one, the near before the far; then by cost.
 func compare(a, b candidate, best float64) int {
-	if a.condition.Ejected != b.condition.Ejected {
-		return order(b.condition.Ejected)
+	if a.condition.rank() != b.condition.rank() {
+		return order(a.condition.rank() < b.condition.rank())
 	}
 	costA, costB := cost(a.condition), cost(b.condition)
 	goodA, goodB := costA <= alike*best, costB <= alike*best
--- a/internal/policy/fanout/plan_test.go
+++ b/internal/policy/fanout/plan_test.go
@@ -136,6 +136,27 @@
 	}
 }
 
+// TestChooseTriesOneDoubtful has both shards hold a doubtful endpoint: each plan tries exactly one of them, and over
+// many requests both.
+func TestChooseTriesOneDoubtful(t *testing.T) {
+	tried := make(map[unit.EndpointID]int)
+	search := searchOf(catalog.Snapshot{ID: 1, Shards: []unit.ShardID{"a", "b"}})
+	for i := range 100 {
+		plan, _ := Choose(search, unit.RequestID(fmt.Sprint(i)), func(e catalog.Endpoint) Condition {
+			return Condition{Doubtful: e.ID == "a1" || e.ID == "b1"}
+		})
+		n := 0
+		for _, s := range plan.Shards {
+			if first := s.Replicas[0]; first == "a1" || first == "b1" {
+				tried[first]++
+				n++
+			}
+		}
+		assert.Equal(t, n, 1)
+	}
+	assert.Assert(t, tried["a1"] > 20 && tried["b1"] > 20, "%v", tried)
+}
+
 // TestChooseSpreads asks both of two equal replicas first, by the request's id.
 func TestChooseSpreads(t *testing.T) {
 	first := make(map[unit.EndpointID]int)
--- a/internal/policy/health/endpoint.go
+++ b/internal/policy/health/endpoint.go
@@ -20,11 +20,6 @@
 	// lackMax.
 	lackFirst = time.Second
 	lackMax   = 30 * time.Second
-	// suspectTime is how long an endpoint counts as slower after a failure, by suspectFactor for each one in a row.
-	suspectTime   = time.Second
-	suspectFactor = 4
-	// leastLatency stands for the latency of a suspect that has never answered.
-	leastLatency = 5 * time.Millisecond
 	// maxLacks bounds the snapshots that are kept for one endpoint.
 	maxLacks = 8
 	// latencyWeight is the weight of a new latency in the mean.
@@ -42,7 +37,6 @@
 	// failures and successes are counted in a row.
 	failures  int
 	successes int
-	failedAt  time.Time
 	// ejections is above 0 from the first ejection until the endpoint is readmitted.
 	ejections int
 	until     time.Time
@@ -73,7 +67,6 @@
 func (e *endpointState) failed(now time.Time) {
 	e.successes = 0
 	e.failures++
-	e.failedAt = now
 	onProbation := e.ejections > 0 && !now.Before(e.until)
 	if e.failures >= ejectAfter || onProbation {
 		e.eject(now)
@@ -150,13 +143,9 @@
 	return usual + time.Duration(float64(e.latency-usual)*math.Exp2(-max(0, halves)))
 }
 
-// suspected gives the latency that the choice of a replica works with: a failure makes an endpoint count as slower for
-// a while, before further ones eject it.
-func (e *endpointState) suspected(now time.Time, latency time.Duration) time.Duration {
-	if e.failures == 0 || !now.Before(e.failedAt.Add(suspectTime)) {
-		return latency
-	}
-	return max(latency, leastLatency) * time.Duration(suspectFactor*e.failures)
+// doubtful says whether the endpoint has failed and has not been readmitted since.
+func (e *endpointState) doubtful() bool {
+	return e.failures > 0 || e.ejections > 0
 }
 
 // doubled gives first doubled n times, and at most limit.
--- a/internal/policy/health/tracker.go
+++ b/internal/policy/health/tracker.go
@@ -30,9 +30,11 @@
 type Condition struct {
 	// Ejected endpoints are to be asked last.
 	Ejected bool
+	// Doubtful endpoints have failed and not been readmitted since.
+	Doubtful bool
 	// Busy is how many attempts are open there.
 	Busy int
-	// Latency is the latency to expect of it, 0 when nothing is known; a failure raises it for a while.
+	// Latency is the recent latency of its replies, 0 when there is none.
 	Latency time.Duration
 	// Lacks are the snapshots that it has lately said it does not hold.
 	Lacks []unit.SnapshotID
@@ -133,10 +135,11 @@
 		usual, _ = s.latencies.quantile(usualQuantile)
 	}
 	return Condition{
-		Ejected: e.ejected(now),
-		Busy:    e.busy,
-		Latency: e.suspected(now, e.expected(now, usual)),
-		Lacks:   e.lacked(now),
+		Ejected:  e.ejected(now),
+		Doubtful: e.doubtful(),
+		Busy:     e.busy,
+		Latency:  e.expected(now, usual),
+		Lacks:    e.lacked(now),
 	}
 }
 
