--- a/internal/policy/fanout/plan.go
+++ b/internal/policy/fanout/plan.go
@@ -161,8 +161,8 @@
 	return 1
 }
 
-// compare orders the candidates of one shard: sound before doubtful before ejected; then those with a cost alike to the best
-// one, the near before the far; then by cost.
+// compare orders the candidates of one shard: sound before doubtful before ejected; then those with a cost alike to the
+// best one, the near before the far; then by cost.
 func compare(a, b candidate, best float64) int {
 	if a.condition.rank() != b.condition.rank() {
 		return order(a.condition.rank() < b.condition.rank())
--- a/internal/policy/fanout/round.go
+++ b/internal/policy/fanout/round.go
@@ -17,7 +17,7 @@
 func newRound(v Version) *round {
 	r := &round{snapshot: v.Snapshot}
 	for _, shard := range v.Shards {
-		r.shards = append(r.shards, &shardState{shard: shard, unasked: unit.CodeNoEndpoint})
+		r.shards = append(r.shards, &shardState{shard: shard, unasked: unasked(shard)})
 	}
 	return r
 }
--- a/internal/policy/fanout/scenario_test.go
+++ b/internal/policy/fanout/scenario_test.go
@@ -404,6 +404,10 @@
 			unit.CodeNoEndpoint,
 			[]Missing{{"a", unit.CodeNoEndpoint}},
 		},
+		{
+			"every replica known to be leaving", 0, Version{Snapshot: 7, Shards: []Shard{{ID: "a", Leaving: true}}}, 0,
+			unit.CodeDraining, []Missing{{"a", unit.CodeDraining}},
+		},
 		{"woken up too late", 0, pairs(7, "a"), time.Second, unit.CodeTooLate, []Missing{{"a", unit.CodeTooLate}}},
 	}
 	for _, tt := range tests {
