--- a/internal/policy/fanout/scenario_test.go
+++ b/internal/policy/fanout/scenario_test.go
@@ -405,8 +405,11 @@
 			[]Missing{{"a", unit.CodeNoEndpoint}},
 		},
 		{
-			"every replica known to be leaving", 0, Version{Snapshot: 7, Shards: []Shard{{ID: "a", Leaving: true}}}, 0,
-			unit.CodeDraining, []Missing{{"a", unit.CodeDraining}},
+			"every replica known to be leaving", 0,
+			Version{Snapshot: 7, Shards: []Shard{{ID: "a", Leaving: true}}},
+			0,
+			unit.CodeDraining,
+			[]Missing{{"a", unit.CodeDraining}},
 		},
 		{"woken up too late", 0, pairs(7, "a"), time.Second, unit.CodeTooLate, []Missing{{"a", unit.CodeTooLate}}},
 	}
