--- a/internal/config/folder/folder_test.go
+++ b/internal/config/folder/folder_test.go
@@ -123,6 +123,10 @@
 		{"the last endpoint leaving warns", []string{`{"searches": {"find": {"endpoints": {"s0-a": {"leaving": true}}}}}`}, 1, []string{
 			`10.json:7: searches.find.snapshots.1.shards: every endpoint of shard "s0" is leaving; it will be missing from answers`,
 		}},
+		{"an incarnation", []string{`{"searches": {"find": {"endpoints": {"s0-a": {"incarnation": 2}}}}}`}, 0, nil},
+		{"a negative incarnation", []string{`{"searches": {"find": {"endpoints": {"s0-a": {"incarnation": -1}}}}}`}, 0, []string{
+			`20.json:1: searches.find.endpoints.s0-a.incarnation: must be at least 0, not -1`,
+		}},
 		{"null", []string{`{"ranks": {"upkeep": null, "bulk": null, "desk": {"floor": null}}}`}, 1, []string{
 			`20.json:1: ranks.desk.floor: must be a number, not null; null removes only a whole rank, search, snapshot or endpoint`,
 			`20.json:1: ranks.bulk: null removes nothing: no earlier file makes the entry`,
@@ -154,6 +158,9 @@
 			}
 			assert.Equal(t, len(r.Problems)-len(r.Errors()), tt.warnings)
 			assert.Equal(t, r.Catalog == nil, len(r.Errors()) > 0)
+			built, errs := Build(withBase(tt.add...))
+			assert.DeepEqual(t, built, r.Catalog)
+			assert.DeepEqual(t, errs, r.Errors())
 		})
 	}
 }
@@ -304,6 +311,9 @@
 		r, again := Check(files), Check(reversed(files))
 		assert.DeepEqual(t, r.Problems, again.Problems)
 		assert.DeepEqual(t, r.Catalog, again.Catalog)
+		built, errs := Build(files)
+		assert.DeepEqual(t, built, r.Catalog)
+		assert.DeepEqual(t, errs, r.Errors())
 		assert.Equal(t, r.Catalog == nil, len(r.Errors()) > 0)
 		for _, p := range r.Problems {
 			assert.Assert(t, p.Text != "" && (p.Line == 0 || p.File != ""), "%v", p)
@@ -343,3 +353,23 @@
 	}
 	return ""
 }
+
+// TestDocsNameEveryKey holds the table of docs/CONFIG.md against the format.
+func TestDocsNameEveryKey(t *testing.T) {
+	tests := []struct {
+		wire any
+		path string
+	}{
+		{wireRank{}, "ranks.NAME."},
+		{wireSearch{}, "searches.NAME."},
+		{wireSnapshot{}, "searches.NAME.snapshots.NUMBER."},
+		{wireEndpoint{}, "searches.NAME.endpoints.NAME."},
+	}
+	page, err := os.ReadFile("../../../docs/CONFIG.md")
+	assert.NilError(t, err)
+	for _, tt := range tests {
+		for key := range strict.Keys(reflect.TypeOf(tt.wire)) {
+			assert.Assert(t, strings.Contains(string(page), "| `"+tt.path+key), "%s%s is not in docs/CONFIG.md", tt.path, key)
+		}
+	}
+}
--- a/internal/policy/leaving/leaving_test.go
+++ b/internal/policy/leaving/leaving_test.go
@@ -87,6 +87,27 @@
 	}
 }
 
+// TestSetDropsEarlierLives has a configuration bring endpoints back: their signs are no longer passed on.
+func TestSetDropsEarlierLives(t *testing.T) {
+	tests := []struct {
+		name string
+		next *catalog.Catalog
+		want int
+	}{
+		{"unchanged", configured(endpoint(1, "10.0.0.1:1", false)), 1},
+		{"a higher incarnation", configured(endpoint(2, "10.0.0.1:1", false)), 0},
+		{"another address", configured(endpoint(1, "10.0.0.2:1", false)), 0},
+		{"removed", configured(), 0},
+	}
+	for _, tt := range tests {
+		set := New()
+		set.Configure(configured(endpoint(1, "10.0.0.1:1", false)))
+		set.Add(Sign{Endpoint: "e", Incarnation: 1, Address: "10.0.0.1:1"})
+		set.Configure(tt.next)
+		assert.Equal(t, len(set.Signs()), tt.want, tt.name)
+	}
+}
+
 // TestSetMerge gives two nodes with the same configuration the same signs in different orders and more than once:
 // both end alike, and no sign is taken back.
 func TestSetMerge(t *testing.T) {
--- a/internal/standin/proc/proc.go
+++ b/internal/standin/proc/proc.go
@@ -23,25 +23,18 @@
 // stopTime bounds the wait for a process to end after a signal.
 const stopTime = 30 * time.Second
 
-const (
-	// firstPort and lastPort bound the ports that FreePort gives.
-	firstPort = 10_000
-	lastPort  = 32_000
-	portTries = 100
-)
-
-// givenPorts are the addresses that FreePort has given.
-var givenPorts sync.Map
-
 var (
 	buildOnce sync.Once
 	buildDir  string
 	errBuild  error
 )
 
-// binary builds both programs once and gives the path of one.
+// binary builds both programs once and gives the path of one; a path to another build is given as it is.
 func binary(t testing.TB, name string) string {
 	t.Helper()
+	if filepath.IsAbs(name) {
+		return name
+	}
 	buildOnce.Do(func() {
 		if buildDir, errBuild = os.MkdirTemp("", "basilspan"); errBuild != nil {
 			return
@@ -146,6 +139,16 @@
 	}
 }
 
+const (
+	// firstPort and lastPort bound the ports that FreePort gives.
+	firstPort = 10_000
+	lastPort  = 32_000
+	portTries = 100
+)
+
+// givenPorts are the addresses that FreePort has given.
+var givenPorts sync.Map
+
 // FreePort gives an address of 127.0.0.1 that nothing listens at. It is outside the range from which the system takes
 // the ports of outgoing connections, and differs from those given before.
 func FreePort(t testing.TB) unit.Address {
