--- a/internal/serve/trace/trace.go
+++ b/internal/serve/trace/trace.go
@@ -92,8 +92,9 @@
 		return defaultTime, true
 	}
 	seconds, err := strconv.ParseFloat(text, 64)
-	if err != nil || seconds <= 0 || seconds > maxTime.Seconds() {
-		return 0, false
+	// A number that is none compares as false to all others.
+	if err == nil && seconds > 0 && seconds <= maxTime.Seconds() {
+		return time.Duration(seconds * float64(time.Second)), true
 	}
-	return time.Duration(seconds * float64(time.Second)), true
+	return 0, false
 }
