--- a/internal/core/query/query.go
+++ b/internal/core/query/query.go
@@ -23,6 +23,8 @@
 	Now     func() time.Time
 	Views   *view.Store
 	Metrics *metric.Set
+	// Centre is this VM's data centre; endpoints there are preferred to those that are as fast.
+	Centre unit.CentreName
 	// Send makes one attempt and waits for its end.
 	Send func(ctx context.Context, call endpoint.Call) fanout.Reply
 	// Record begins the log of a query's decisions; nil records nothing.
@@ -37,6 +39,11 @@
 	wg sync.WaitGroup
 }
 
+// RecordGates has record begin a log for each search's admission; it must be called before the first query.
+func (r *Runner) RecordGates(record func(now time.Time, search unit.SearchName) *trace.GateLog) {
+	r.gates.record = record
+}
+
 // Run answers one query; it returns by the query's deadline.
 func (r *Runner) Run(ctx context.Context, q fanout.Query) fanout.Answer {
 	r.wg.Add(1)
@@ -70,7 +77,7 @@
 		return fanout.Refuse(q.ID, code, code.String())
 	}
 	defer r.leave(q, r.Now())
-	plan, ok := r.fleet.plan(r.Now(), v, q)
+	plan, ok := r.fleet.plan(r.Now(), v, q, r.Centre)
 	if !ok {
 		return fanout.Refuse(q.ID, unit.CodeNoEndpoint, "the search has no snapshot")
 	}
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -25,6 +25,7 @@
 	"basilspan/internal/link/endpoint"
 	"basilspan/internal/link/peer"
 	"basilspan/internal/link/platform"
+	"basilspan/internal/policy/fanout"
 	"basilspan/internal/policy/leaving"
 	"basilspan/internal/serve/caller"
 	"basilspan/internal/serve/operator"
@@ -92,12 +93,13 @@
 	if err != nil {
 		return err
 	}
-	guard := &sender{now: now, views: e.views, metrics: e.metrics, send: client.Send, leaving: e.endpointLeaving}
 	router := route.New(routing, link)
 	router.Now, router.Self, router.Views, router.Metrics = now, e.settings.Node, e.views, e.metrics
-	router.Direct = guard.Send
-	runner := &query.Runner{Now: now, Views: e.views, Metrics: e.metrics, Send: router.Send}
-	runner.Record = recorder.Fanout
+	// A view is checked twice: before an attempt goes to the endpoint's owner, and there before it goes to the endpoint.
+	router.Direct = e.guard(client.Send)
+	runner := &query.Runner{Now: now, Views: e.views, Metrics: e.metrics, Send: e.guard(router.Send)}
+	runner.Record, runner.Centre = recorder.Fanout, e.settings.Centre
+	runner.RecordGates(recorder.Gate)
 	services := []kernel.Service{
 		{Name: kernel.ServiceSettings, Value: e.settings},
 		{Name: kernel.ServiceMetrics, Value: e.metrics},
@@ -141,6 +143,14 @@
 	})
 }
 
+// guard puts a check of the view before send.
+func (e *Entry) guard(send func(ctx context.Context, call endpoint.Call) fanout.Reply) func(
+	ctx context.Context, call endpoint.Call,
+) fanout.Reply {
+	s := &sender{now: e.options.Now, views: e.views, metrics: e.metrics, send: send, leaving: e.endpointLeaving}
+	return s.Send
+}
+
 // endpointLeaving hands the sign of a leaving endpoint to the control goroutine.
 func (e *Entry) endpointLeaving(ctx context.Context, sign leaving.Sign) {
 	_ = kernel.Post(ctx, e.loop, control.EndpointLeaving{Sign: sign})
--- a/internal/standin/proc/proc.go
+++ b/internal/standin/proc/proc.go
@@ -23,15 +23,28 @@
 // stopTime bounds the wait for a process to end after a signal.
 const stopTime = 30 * time.Second
 
+const (
+	// firstPort and lastPort bound the ports that FreePort gives.
+	firstPort = 10_000
+	lastPort  = 32_000
+	portTries = 100
+)
+
+// givenPorts are the addresses that FreePort has given.
+var givenPorts sync.Map
+
 var (
 	buildOnce sync.Once
 	buildDir  string
 	errBuild  error
 )
 
-// binary builds both programs once and gives the path of one.
+// binary builds both programs once and gives the path of one; a path to another build is given as it is.
 func binary(t testing.TB, name string) string {
 	t.Helper()
+	if filepath.IsAbs(name) {
+		return name
+	}
 	buildOnce.Do(func() {
 		if buildDir, errBuild = os.MkdirTemp("", "basilspan"); errBuild != nil {
 			return
@@ -136,26 +149,22 @@
 	}
 }
 
-const (
-	// firstPort and lastPort bound the ports that FreePort gives. They lie below those that the system hands out by
-	// itself, to the endpoints' listeners and to outgoing connections, so that none of these takes one meanwhile.
-	firstPort = 12_000
-	lastPort  = 32_000
-)
-
-// FreePort gives an address of 127.0.0.1 that nothing listens at.
+// FreePort gives an address of 127.0.0.1 that nothing listens at. It is outside the range from which the system takes
+// the ports of outgoing connections, and differs from those given before.
 func FreePort(t testing.TB) unit.Address {
 	t.Helper()
-	for {
-		port := firstPort + rand.IntN(lastPort-firstPort)
-		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
-		if err != nil {
+	for range portTries {
+		address := "127.0.0.1:" + strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort))
+		if _, given := givenPorts.LoadOrStore(address, true); given {
 			continue
 		}
-		address := unit.Address(l.Addr().String())
-		assert.NilError(t, l.Close())
-		return address
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return unit.Address(address)
+		}
 	}
+	t.Fatal("no free port")
+	return ""
 }
 
 // Eventually waits until check says true, or fails the test after limit.
