--- a/internal/standin/proc/control_bench_test.go
+++ b/internal/standin/proc/control_bench_test.go
@@ -19,8 +19,8 @@
 // benchEntries is how many entry VMs a deployment has today.
 const benchEntries = 7
 
-// report gives the median and the largest of some times, in milliseconds.
-func report(b *testing.B, times []time.Duration) {
+// reportTimes gives the median and the largest of some times, in milliseconds.
+func reportTimes(b *testing.B, times []time.Duration) {
 	slices.Sort(times)
 	b.ReportMetric(float64(times[len(times)/2].Milliseconds()), "ms-median")
 	b.ReportMetric(float64(times[len(times)-1].Milliseconds()), "ms-max")
@@ -50,7 +50,7 @@
 				everyNode(b, inForceTime, d.Nodes, "the change is in force", holds(revision))
 				times = append(times, time.Since(began))
 			}
-			report(b, times)
+			reportTimes(b, times)
 		})
 	}
 }
@@ -74,7 +74,7 @@
 		time.Sleep(settleTime)
 		times = append(times, d.Stats(id).Last.Sub(began))
 	}
-	report(b, times)
+	reportTimes(b, times)
 }
 
 // BenchmarkRollingStop stops and starts every entry VM in turn under load and counts the queries that were cut off.
