Give the slow query of the stop's test a valid id

Change: ids without blanks; the test's checks stay. After: go test -run PlannedStopFinishes ./internal/standin/proc passes, both rows.

--- a/internal/standin/proc/stop_test.go
+++ b/internal/standin/proc/stop_test.go
@@ -186,7 +186,7 @@
 			before := d.Stats("").Runs
 			go func() {
 				defer close(done)
-				b.count(b.ask(n.Caller, tt.name))
+				b.count(b.ask(n.Caller, "slow-"+strconv.Itoa(i)))
 			}()
 			Eventually(t, readyTime, "the query runs", func() bool { return d.Stats("").Runs > before })
 			for range tt.signals {
