Choose owners with the slots alone under way, by measurement

Change: no call beside the slots by default (BASILSPAN_EXTRA). A trial query replaces an estimate that kept a rank out: in a recorded flood at a new entry VM the first queries all outlasted their deadline, and the rank stayed out for seconds. The trace of admission is recorded again, since its decisions changed; its outcome is stated anew.

--- a/internal/core/route/route_test.go
+++ b/internal/core/route/route_test.go
@@ -193,7 +193,7 @@
 		want  Settings
 		fails bool
 	}{
-		{"defaults", "", "", Settings{Mode: ModeOwner, Extra: 1}, false},
+		{"defaults", "", "", Settings{Mode: ModeOwner, Extra: 0}, false},
 		{"shared", "shared", "2", Settings{Mode: ModeShared, Extra: 2}, false},
 		{"unknown way", "both", "", Settings{}, true},
 		{"negative", "", "-1", Settings{}, true},
--- a/internal/core/route/settings.go
+++ b/internal/core/route/settings.go
@@ -24,9 +24,9 @@
 )
 
 const (
-	// defaultExtra is how many calls wait at an endpoint beside those in its slots, so that a slot that comes free
-	// is filled at once.
-	defaultExtra = 1
+	// defaultExtra is how many calls wait at an endpoint beside those in its slots. One or more fill a slot that comes
+	// free at once, and an urgent call then waits for them.
+	defaultExtra = 0
 	// maxExtra bounds the calls that wait at an endpoint, where nobody sorts them by rank.
 	maxExtra = 8
 )
--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -61,6 +61,8 @@
 	took    rank.Average
 	// ended is when a query of the rank last ended.
 	ended time.Time
+	// trial says that the query under way runs against the estimate, to find out whether it still holds.
+	trial bool
 }
 
 // Gate admits the queries of one search. It is not safe for use by several goroutines.
@@ -103,6 +105,10 @@
 	s := g.state(name)
 	s.running--
 	s.ended = now
+	if s.trial {
+		s.trial = false
+		s.took = rank.Average{Weight: timeWeight}
+	}
 	s.took.Add(took)
 	return g.grant(now)
 }
@@ -142,7 +148,7 @@
 			verdicts = append(verdicts, rank.Verdict{Ticket: t, Code: unit.CodeTooLate})
 			continue
 		}
-		g.state(t.Rank).running++
+		g.begin(now, t)
 		verdicts = append(verdicts, rank.Verdict{Ticket: t, Code: unit.CodeWhole})
 	}
 }
@@ -164,13 +170,20 @@
 	return ahead < g.settings.Running
 }
 
+// begin counts a query that runs from now on.
+func (g *Gate) begin(now time.Time, t rank.Ticket) {
+	s := g.state(t.Rank)
+	s.trial = s.running == 0 && now.Add(s.took.Likely()).After(t.Deadline)
+	s.running++
+}
+
 // late says whether a query is expected to end after its deadline when it first waits that long. Once none of its rank
-// has run for as long as one is expected to take, it says no, so that a running time of long ago can't keep every query
-// away.
+// has run for half as long as one is expected to take, it says no, so that a running time of long ago can't keep every
+// query away; the running time of the query that follows replaces the estimate.
 func (g *Gate) late(now time.Time, t rank.Ticket, wait time.Duration) bool {
 	s := g.state(t.Rank)
 	likely := s.took.Likely()
-	if s.running == 0 && now.Sub(s.ended) >= likely {
+	if s.running == 0 && now.Sub(s.ended) >= likely/2 {
 		return false
 	}
 	return now.Add(wait + likely).After(t.Deadline)
--- a/internal/policy/admit/admit_test.go
+++ b/internal/policy/admit/admit_test.go
@@ -162,6 +162,38 @@
 	}
 }
 
+// TestTrialReplacesTheEstimate has an entry VM begin with queries that all outlast their deadline: a single fast one
+// afterwards is enough for the rank to be admitted again.
+func TestTrialReplacesTheEstimate(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	g := New(Settings{Running: 8, Waiting: 30, Ranks: floors()})
+	left := 500 * time.Millisecond
+	now := start
+	for i := range 8 {
+		g.Offer(now, rank.Ticket{ID: uint64(i), Rank: "upkeep", Deadline: now.Add(left)})
+	}
+	now = now.Add(left)
+	for range 8 {
+		g.Done(now, "upkeep", Charge(now, now, left))
+	}
+	steps := []struct {
+		after time.Duration
+		want  unit.Code
+	}{
+		{0, unit.CodeTooLate}, {400 * time.Millisecond, unit.CodeWhole}, {10 * time.Millisecond, unit.CodeTooLate},
+	}
+	for i, step := range steps {
+		now = now.Add(step.after)
+		verdicts := g.Offer(now, rank.Ticket{ID: uint64(100 + i), Rank: "upkeep", Deadline: now.Add(left)})
+		assert.Equal(t, verdicts[0].Code, step.want, "step %d", i)
+	}
+	g.Done(now.Add(60*time.Millisecond), "upkeep", 60*time.Millisecond)
+	for i := range 8 {
+		verdicts := g.Offer(now, rank.Ticket{ID: uint64(200 + i), Rank: "upkeep", Deadline: now.Add(left)})
+		assert.Equal(t, verdicts[0].Code, unit.CodeWhole, "query %d", i)
+	}
+}
+
 func TestGateFollowsRanks(t *testing.T) {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	g := New(Settings{Running: 1, Waiting: 10, Ranks: floors()})
--- a/internal/policy/replay/replay_test.go
+++ b/internal/policy/replay/replay_test.go
@@ -137,8 +137,8 @@
 			verdicts[string(v.Ticket.Rank)+" "+strconv.Itoa(int(v.Code))]++
 		}
 	}
-	assert.DeepEqual(t, tickets, map[unit.RankName]int{"desk": 20, "upkeep": 193})
-	assert.DeepEqual(t, verdicts, map[string]int{"desk 100": 20, "upkeep 100": 104, "upkeep 208": 89})
+	assert.DeepEqual(t, tickets, map[unit.RankName]int{"desk": 27, "upkeep": 265})
+	assert.DeepEqual(t, verdicts, map[string]int{"desk 100": 27, "upkeep 100": 15, "upkeep 208": 250})
 }
 
 // names lists the committed traces.
--- a/internal/standin/proc/limit_test.go
+++ b/internal/standin/proc/limit_test.go
@@ -24,7 +24,7 @@
 }
 
 // TestSlotsAreNotOverrun floods endpoints of two slots through five entry VMs: no endpoint ever has more calls than its
-// slots and the one that waits beside them.
+// slots.
 func TestSlotsAreNotOverrun(t *testing.T) {
 	d := Start(t, Settings{Files: plainFolder(4, 1, false), Entries: 5, Median: 20 * time.Millisecond})
 	waitMembers(t, d, 5)
@@ -34,10 +34,10 @@
 	assert.Equal(t, row.Whole, row.Sent)
 	if suspicions(d) > 0 {
 		t.Log("an entry VM was silent for a while, so two VMs may have called one endpoint")
-		assert.Assert(t, stats.Most <= 3+3+3, "%d calls at once", stats.Most)
+		assert.Assert(t, stats.Most <= 2+2+3, "%d calls at once", stats.Most)
 		return
 	}
-	assert.Assert(t, stats.Most <= 3, "%d calls at once", stats.Most)
+	assert.Assert(t, stats.Most <= 2, "%d calls at once", stats.Most)
 }
 
 // TestOverrunIsBoundedWhileAnOwnerIsFrozen floods while the owner of an endpoint is frozen and comes back: each of the
@@ -52,7 +52,7 @@
 	assert.Equal(t, row.Broken, int64(0))
 	most := d.Stats("s0a").Most
 	t.Logf("%d calls at once at an endpoint of two slots", most)
-	assert.Assert(t, most <= 3+3+3, "%d calls at once", most)
+	assert.Assert(t, most <= 2+2+3, "%d calls at once", most)
 }
 
 // TestSheddingEndpoint has one replica of each shard refuse everything: each query is answered by the other, and the
