--- a/internal/core/exchange/exchange_bench_test.go
+++ b/internal/core/exchange/exchange_bench_test.go
@@ -11,8 +11,8 @@
 	"basilspan/internal/policy/member"
 )
 
-// BenchmarkBeat measures the encoding of one heartbeat that carries the records of that many VMs, and its size.
-func BenchmarkBeat(b *testing.B) {
+// BenchmarkEncodeBeat measures the encoding of one heartbeat that carries the records of that many VMs, and its size.
+func BenchmarkEncodeBeat(b *testing.B) {
 	for _, n := range []int{7, 880, 7900} {
 		b.Run(strconv.Itoa(n), func(b *testing.B) {
 			state := &State{}
--- a/internal/standin/proc/proc.go
+++ b/internal/standin/proc/proc.go
@@ -23,16 +23,6 @@
 // stopTime bounds the wait for a process to end after a signal.
 const stopTime = 30 * time.Second
 
-const (
-	// firstPort and lastPort bound the ports that FreePort gives.
-	firstPort = 10_000
-	lastPort  = 32_000
-	portTries = 100
-)
-
-// givenPorts are the addresses that FreePort has given.
-var givenPorts sync.Map
-
 var (
 	buildOnce sync.Once
 	buildDir  string
@@ -149,6 +139,16 @@
 	}
 }
 
+const (
+	// firstPort and lastPort bound the ports that FreePort gives.
+	firstPort = 10_000
+	lastPort  = 32_000
+	portTries = 100
+)
+
+// givenPorts are the addresses that FreePort has given.
+var givenPorts sync.Map
+
 // FreePort gives an address of 127.0.0.1 that nothing listens at. It is outside the range from which the system takes
 // the ports of outgoing connections, and differs from those given before.
 func FreePort(t testing.TB) unit.Address {
