Show rank order in the process test of floods

Cause: the process test of floods passed with the ranks reversed: the urgent rank's rate lay within its floor. Change: its rate is beyond its floor.

--- a/internal/standin/proc/flood_test.go
+++ b/internal/standin/proc/flood_test.go
@@ -18,6 +18,8 @@
 	const (
 		flooded = 400.0
 		calm    = 10.0
+		// busy is beyond the most urgent rank's floor, so that its rank has to serve it.
+		busy = 30.0
 	)
 	tests := []struct {
 		name  string
@@ -27,7 +29,7 @@
 	}{
 		{
 			"the least urgent",
-			map[unit.RankName]float64{"desk": calm, "member": calm, "upkeep": flooded},
+			map[unit.RankName]float64{"desk": busy, "member": calm, "upkeep": flooded},
 			[]unit.RankName{"desk", "member"},
 		},
 		{"the most urgent", map[unit.RankName]float64{"desk": flooded, "member": calm, "upkeep": calm}, nil},
