--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -98,7 +98,7 @@
 	// A view is checked twice: before an attempt goes to the endpoint's owner, and there before it goes to the endpoint.
 	router.Direct = e.guard(client.Send)
 	runner := &query.Runner{Now: now, Views: e.views, Metrics: e.metrics, Send: e.guard(router.Send)}
-	runner.Record = recorder.Fanout
+	runner.Record, runner.Centre = recorder.Fanout, e.settings.Centre
 	runner.RecordGates(recorder.Gate)
 	services := []kernel.Service{
 		{Name: kernel.ServiceSettings, Value: e.settings},
