--- a/internal/policy/health/endpoint.go
+++ b/internal/policy/health/endpoint.go
@@ -143,6 +143,11 @@
 	return usual + time.Duration(float64(e.latency-usual)*math.Exp2(-max(0, halves)))
 }
 
+// doubtful says whether the endpoint has failed and has not been readmitted since.
+func (e *endpointState) doubtful() bool {
+	return e.failures > 0 || e.ejections > 0
+}
+
 // doubled gives first doubled n times, and at most limit.
 func doubled(first time.Duration, n int, limit time.Duration) time.Duration {
 	for range n {
--- a/internal/policy/health/tracker.go
+++ b/internal/policy/health/tracker.go
@@ -30,6 +30,8 @@
 type Condition struct {
 	// Ejected endpoints are to be asked last.
 	Ejected bool
+	// Doubtful endpoints have failed and not been readmitted since.
+	Doubtful bool
 	// Busy is how many attempts are open there.
 	Busy int
 	// Latency is the recent latency of its replies, 0 when there is none.
@@ -133,10 +135,11 @@
 		usual, _ = s.latencies.quantile(usualQuantile)
 	}
 	return Condition{
-		Ejected: e.ejected(now),
-		Busy:    e.busy,
-		Latency: e.expected(now, usual),
-		Lacks:   e.lacked(now),
+		Ejected:  e.ejected(now),
+		Doubtful: e.doubtful(),
+		Busy:     e.busy,
+		Latency:  e.expected(now, usual),
+		Lacks:    e.lacked(now),
 	}
 }
 
@@ -167,7 +170,7 @@
 func (t *Tracker) search(name unit.SearchName) *searchState {
 	s := t.searches[name]
 	if s == nil {
-		s = &searchState{budget: budget{tokens: budgetStart}}
+		s = &searchState{budget: budget{tokens: budgetMax}}
 		t.searches[name] = s
 	}
 	return s
