Count a refusal as a slow reply, and let small queries retry every shard

A refusal left no trace in the endpoint's latency, so that an endpoint which refuses everything stayed unmeasured, looked the cheapest and got each first attempt; and a query over 3 shards could reserve one retry for three refusals. Ruled out: ejection on refusals (load is not the endpoint's fault, and TestTrackerEjects says so), retries outside the budget (the test of the allowance says so). Change: a refusal counts as four times the usual latency and fades like any other; a query over few shards may reserve up to 4 of the budget. The new table fails with the change of the tracker taken out. Conclusion: shedding endpoints are avoided and tried again after seconds.

--- a/internal/policy/health/budget.go
+++ b/internal/policy/health/budget.go
@@ -10,9 +10,10 @@
 	budgetMax  = 80
 	budgetSlow = 2
 	// budgetPart is the part of the budget, and queryShare the share of a query's shards, that one query may reserve,
-	// so that queries under way at the same time each get some.
+	// so that queries under way at the same time each get some. A query over few shards may reserve queryLeast.
 	budgetPart = 0.25
 	queryShare = 0.5
+	queryLeast = 4
 )
 
 // budget caps the hedges and retries of one search together as a share of its first attempts.
@@ -27,7 +28,7 @@
 		share, most = slowShare, budgetSlow
 	}
 	b.tokens = min(most, b.tokens+share*float64(shards))
-	n := max(1, int(min(budgetPart*b.tokens, queryShare*float64(shards))))
+	n := max(1, int(min(budgetPart*b.tokens, max(queryLeast, queryShare*float64(shards)))))
 	n = min(n, int(b.tokens))
 	b.tokens -= float64(n)
 	return n
--- a/internal/policy/health/endpoint.go
+++ b/internal/policy/health/endpoint.go
@@ -22,6 +22,9 @@
 	lackMax   = 30 * time.Second
 	// maxLacks bounds the snapshots that are kept for one endpoint.
 	maxLacks = 8
+	// refusedRatio is the ratio to the usual latency that a refusal counts as, and refusedLeast its least.
+	refusedRatio = 4
+	refusedLeast = 10 * time.Millisecond
 	// latencyWeight is the weight of a new latency in the mean.
 	latencyWeight = 0.2
 	// forgetHalf is the time in which a mean latency without new samples moves half the way back to the usual one.
@@ -73,6 +76,13 @@
 	}
 }
 
+// refused takes a refusal before the attempt ran. It counts as a slow reply, since the quickest refusal would otherwise
+// make a full endpoint look like the best one; it is no failure, since load is not the endpoint's fault.
+func (e *endpointState) refused(now time.Time, usual time.Duration) {
+	e.sampled = now
+	e.latency = max(e.latency, refusedLeast, refusedRatio*usual)
+}
+
 // eject has the endpoint asked last for a while.
 func (e *endpointState) eject(now time.Time) {
 	if now.Before(e.until) {
--- a/internal/policy/health/tracker.go
+++ b/internal/policy/health/tracker.go
@@ -110,6 +110,9 @@
 			e.failed(now)
 		}
 		t.givenUp(now, e, s, r)
+	case unit.CodeRefused:
+		usual, _ := s.latencies.quantile(usualQuantile)
+		e.refused(now, usual)
 	case unit.CodeNotConnected, unit.CodeConnection, unit.CodeBadReply, unit.CodeEndpointError:
 		e.failed(now)
 	}
--- a/internal/policy/health/tracker_test.go
+++ b/internal/policy/health/tracker_test.go
@@ -239,3 +239,28 @@
 	assert.Assert(t, tr.endpoints["e1"] == nil)
 	assert.Assert(t, tr.endpoints["e2"] != nil, "one with an open attempt is kept")
 }
+
+// TestTrackerRefusalsCountAsSlow compares an endpoint that refuses with one that answers at the usual latency.
+func TestTrackerRefusalsCountAsSlow(t *testing.T) {
+	tests := []struct {
+		name  string
+		after time.Duration
+		// slower says whether the refusing endpoint is still taken to be over twice as slow.
+		slower bool
+	}{
+		{"at once", 0, true},
+		{"after a second", time.Second, true},
+		{"after ten seconds it is tried again", 10 * time.Second, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tr := New()
+			usual(tr, start)
+			attempts(tr, start, 1, end(unit.CodeRefused))
+			now := start.Add(tt.after)
+			refusing, answering := tr.Condition(now, "s", "e1"), tr.Condition(now, "s", "e0")
+			assert.Assert(t, !refusing.Ejected)
+			assert.Equal(t, refusing.Latency > 2*answering.Latency, tt.slower)
+		})
+	}
+}
