--- a/internal/cmd/standin/load.go
+++ b/internal/cmd/standin/load.go
@@ -35,7 +35,10 @@
 func newLoad(streams stream.Streams) *cli.Command {
 	opts := &loadOptions{streams: streams}
 	return &cli.Command{
-		Name:  "load",
+		Name: "load",
+		// A flow holds commas, so that one flag is one value.
+		DisableSliceFlagSeparator: true,
+
 		Usage: "send queries at set rates and check every answer",
 		Description: "Examples:\n   standin load --entry 127.0.0.1:8080 " +
 			"--flow fitter-desk,fitter,50,500ms --flow order-track,member,5,1s,once",
--- a/internal/cmd/standin/standin.go
+++ b/internal/cmd/standin/standin.go
@@ -18,9 +18,6 @@
 	root := &cli.Command{
 		Name:  "standin",
 		Usage: "stand-ins for the platform and the endpoints, and a load sender",
-		// A flow holds commas, so that one flag is one value.
-		DisableSliceFlagSeparator: true,
-
 		Writer:         streams.Out,
 		ErrWriter:      streams.Err,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
