--- a/internal/cmd/standin/standin.go
+++ b/internal/cmd/standin/standin.go
@@ -16,8 +16,8 @@
 // Main runs the program with its arguments, the program's name first.
 func Main(ctx context.Context, streams stream.Streams, args []string) stream.ExitCode {
 	root := &cli.Command{
-		Name:  "standin",
-		Usage: "stand-ins for the platform and the endpoints, and a load sender",
+		Name:           "standin",
+		Usage:          "stand-ins for the platform and the endpoints, and a load sender",
 		Writer:         streams.Out,
 		ErrWriter:      streams.Err,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
