Make the way of calling endpoints a setting like the others

Cause: the router read two environment variables of its own while the entry VM was put together; they were in no table, no flag and no settings file, and a wrong value ended the start without saying where else to set it. After: the tests of config, cmd, serve and route pass. Conclusion: one place for a process's settings.

--- a/internal/cmd/serve/serve.go
+++ b/internal/cmd/serve/serve.go
@@ -16,6 +16,7 @@
 
 	"basilspan/internal/cmd/stream"
 	"basilspan/internal/config/process"
+	"basilspan/internal/policy/place"
 	"basilspan/internal/serve/entry"
 )
 
@@ -108,6 +109,13 @@
 			Sources:     cli.EnvVars(process.Env("lag")),
 			Destination: &s.Lag,
 		},
+		text("route", "which entry VMs call an endpoint: its owner, or all (shared)", string(place.ModeOwner), (*string)(&s.Route)),
+		&cli.IntFlag{
+			Name:        "extra",
+			Usage:       "calls that may wait at an endpoint beside those in its slots",
+			Sources:     cli.EnvVars(process.Env("extra")),
+			Destination: &s.Extra,
+		},
 		toggle("pprof", "add profiles to the operators' port, under /debug/pprof", &s.Pprof),
 		toggle("trace", "print the records of the decisions for replay", &s.Trace),
 		toggle("log-json", "print log lines as JSON", &s.LogJSON),
--- a/internal/config/process/process.go
+++ b/internal/config/process/process.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"strings"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"basilspan/internal/config/strict"
 	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/place"
 )
 
 // MaxLag is the longest time that a balancer may take to notice that an entry VM is not ready.
@@ -33,6 +35,10 @@
 	Peers []unit.Address
 	// Lag is how long the balancer may go on sending callers after this entry VM says that it is not ready.
 	Lag time.Duration
+	// Route says which entry VMs call an endpoint.
+	Route place.Mode
+	// Extra is how many calls may wait at an endpoint beside those in its slots.
+	Extra int
 	// Pprof adds the profiles to the operators' port.
 	Pprof bool
 	// Trace prints the records of the decisions to the standard output.
@@ -52,6 +58,8 @@
 	Advertise *string  `json:"advertise"`
 	Peers     []string `json:"peers"`
 	Lag       *string  `json:"lag"`
+	Route     *string  `json:"route"`
+	Extra     *int     `json:"extra"`
 	Pprof     *bool    `json:"pprof"`
 	Trace     *bool    `json:"trace"`
 	LogJSON   *bool    `json:"log-json"`
@@ -80,9 +88,11 @@
 	merge(&s.Peer, w.Peer, isSet("peer"))
 	merge(&s.Platform, w.Platform, isSet("platform"))
 	merge(&s.Advertise, w.Advertise, isSet("advertise"))
-	mergeFlag(&s.Pprof, w.Pprof, isSet("pprof"))
-	mergeFlag(&s.Trace, w.Trace, isSet("trace"))
-	mergeFlag(&s.LogJSON, w.LogJSON, isSet("log-json"))
+	merge(&s.Route, w.Route, isSet("route"))
+	mergeValue(&s.Extra, w.Extra, isSet("extra"))
+	mergeValue(&s.Pprof, w.Pprof, isSet("pprof"))
+	mergeValue(&s.Trace, w.Trace, isSet("trace"))
+	mergeValue(&s.LogJSON, w.LogJSON, isSet("log-json"))
 	if w.Peers != nil && !isSet("peers") {
 		s.Peers = Addresses(w.Peers)
 	}
@@ -108,8 +118,8 @@
 	}
 }
 
-// mergeFlag takes a flag that the file gives and no command line sets.
-func mergeFlag(to *bool, from *bool, set bool) {
+// mergeValue takes a value that the file gives and no flag sets.
+func mergeValue[T any](to *T, from *T, set bool) {
 	if from != nil && !set {
 		*to = *from
 	}
@@ -145,6 +155,12 @@
 	if s.Lag < 0 || s.Lag > MaxLag {
 		c.add("lag", "must be from 0s to "+MaxLag.String()+", not "+s.Lag.String())
 	}
+	if s.Route != place.ModeOwner && s.Route != place.ModeShared {
+		c.add("route", `must be "owner" or "shared", not "`+string(s.Route)+`"`)
+	}
+	if s.Extra < 0 || s.Extra > place.MaxExtra {
+		c.add("extra", "must be from 0 to "+strconv.Itoa(place.MaxExtra)+", not "+strconv.Itoa(s.Extra))
+	}
 	return c.all
 }
 
--- a/internal/config/process/process_test.go
+++ b/internal/config/process/process_test.go
@@ -11,12 +11,13 @@
 
 	"basilspan/internal/config/strict"
 	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/place"
 )
 
 func valid() Settings {
 	return Settings{
 		Node: "e1", Centre: "amman", Caller: "127.0.0.1:8080", Operator: "127.0.0.1:8081", Peer: "10.0.0.1:8082",
-		Platform: "10.0.9.9:80", Lag: time.Second,
+		Platform: "10.0.9.9:80", Lag: time.Second, Route: place.ModeOwner,
 	}
 }
 
@@ -31,6 +32,7 @@
 		{"nothing set", func(s *Settings) { *s = Settings{} }, []string{
 			`node: is missing; set --node, BASILSPAN_NODE or "node" in the settings file`,
 			"centre: is missing", "caller: is missing", "operator: is missing", "peer: is missing", "platform: is missing",
+			`route: must be "owner" or "shared", not ""`,
 		}},
 		{"a host name", func(s *Settings) { s.Platform = "config.example:80" }, []string{"platform: must be an IP number and port"}},
 		{"no port", func(s *Settings) { s.Peers = []unit.Address{"10.0.0.2"} }, []string{"peers: must be an IP number and port"}},
@@ -38,6 +40,9 @@
 		{"bad names", func(s *Settings) { s.Node, s.Centre = "e 1", "a\n" }, []string{"node: a name has", "centre: a name has"}},
 		{"one port twice", func(s *Settings) { s.Operator = s.Caller }, []string{"operator: is the same address as caller"}},
 		{"lag", func(s *Settings) { s.Lag = time.Hour }, []string{"lag: must be from 0s to 5m0s, not 1h0m0s"}},
+		{"unknown route", func(s *Settings) { s.Route = "both" }, []string{`route: must be "owner" or "shared", not "both"`}},
+		{"negative extra", func(s *Settings) { s.Extra = -1 }, []string{"extra: must be from 0 to 8, not -1"}},
+		{"too many extra", func(s *Settings) { s.Extra = 9 }, []string{"extra: must be from 0 to 8, not 9"}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -50,7 +55,7 @@
 
 func TestMergeTakesWhatNoFlagSets(t *testing.T) {
 	all := `{"node": "f1", "centre": "irbid", "caller": "127.0.0.2:1", "operator": "127.0.0.2:2", "peer": "127.0.0.2:3",
-"platform": "127.0.0.2:4", "peers": ["127.0.0.2:5"], "advertise": "127.0.0.2:6", "lag": "2s", "pprof": true, "trace": true, "log-json": true}`
+"platform": "127.0.0.2:4", "peers": ["127.0.0.2:5"], "advertise": "127.0.0.2:6", "lag": "2s", "route": "shared", "extra": 2, "pprof": true, "trace": true, "log-json": true}`
 	tests := []struct {
 		name    string
 		content string
@@ -61,10 +66,10 @@
 		{"every key", all, "", func(s *Settings) {
 			*s = Settings{
 				Node: "f1", Centre: "irbid", Caller: "127.0.0.2:1", Operator: "127.0.0.2:2", Peer: "127.0.0.2:3",
-				Platform: "127.0.0.2:4", Advertise: "127.0.0.2:6", Peers: []unit.Address{"127.0.0.2:5"}, Lag: 2 * time.Second, Pprof: true, Trace: true, LogJSON: true,
+				Platform: "127.0.0.2:4", Advertise: "127.0.0.2:6", Peers: []unit.Address{"127.0.0.2:5"}, Lag: 2 * time.Second, Route: place.ModeShared, Extra: 2, Pprof: true, Trace: true, LogJSON: true,
 			}
 		}, nil},
-		{"flags go first", all, "node centre caller operator peer advertise platform peers lag pprof trace log-json", func(*Settings) {}, nil},
+		{"flags go first", all, "node centre caller operator peer advertise platform peers lag route extra pprof trace log-json", func(*Settings) {}, nil},
 		{"faults", "{\n\"nod\": \"x\",\n\"pprof\": 1}", "", nil, []string{
 			`s.json:2: nod: unknown key`, `s.json:3: pprof: must be true or false, not a number`,
 		}},
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -79,7 +79,7 @@
 
 // Send makes one attempt and waits for its end.
 func (r *Router) Send(ctx context.Context, call endpoint.Call) fanout.Reply {
-	if r.settings.Mode == ModeShared {
+	if r.settings.Mode == place.ModeShared {
 		return r.local(ctx, call, r.share(call))
 	}
 	e, v := r.lookUp(call)
--- a/internal/core/route/route_test.go
+++ b/internal/core/route/route_test.go
@@ -17,6 +17,7 @@
 	"basilspan/internal/policy/catalog"
 	"basilspan/internal/policy/fanout"
 	"basilspan/internal/policy/member"
+	"basilspan/internal/policy/place"
 )
 
 // views gives a store in which the members are live and one endpoint is configured.
@@ -68,7 +69,7 @@
 			var direct atomic.Int64
 			r := &Router{
 				Now: time.Now, Self: "self", Views: views("owner"), Metrics: metric.NewSet(),
-				settings: Settings{Mode: ModeOwner, Extra: 1},
+				settings: Settings{Mode: place.ModeOwner, Extra: 1},
 				Direct: func(context.Context, endpoint.Call) fanout.Reply {
 					direct.Add(1)
 					return fanout.Reply{Attempt: 1, Code: unit.CodeWhole}
@@ -103,7 +104,7 @@
 			var direct atomic.Int64
 			r := &Router{
 				Now: time.Now, Self: "self", Views: views("owner"), Metrics: metric.NewSet(),
-				settings: Settings{Mode: ModeOwner, Extra: 1}, quit: make(chan struct{}),
+				settings: Settings{Mode: place.ModeOwner, Extra: 1}, quit: make(chan struct{}),
 				Direct: func(context.Context, endpoint.Call) fanout.Reply {
 					direct.Add(1)
 					return fanout.Reply{Attempt: 1, Code: unit.CodeWhole}
@@ -147,7 +148,7 @@
 			var open, most atomic.Int64
 			r := &Router{
 				Now: time.Now, Self: "self", Views: views(tt.members...), Metrics: metric.NewSet(),
-				settings: Settings{Mode: ModeOwner, Extra: 1},
+				settings: Settings{Mode: place.ModeOwner, Extra: 1},
 				Direct: func(context.Context, endpoint.Call) fanout.Reply {
 					raise(&most, open.Add(1))
 					time.Sleep(2 * time.Millisecond)
@@ -184,29 +185,3 @@
 		}
 	}
 }
-
-func TestReadSettings(t *testing.T) {
-	tests := []struct {
-		name  string
-		mode  string
-		extra string
-		want  Settings
-		fails bool
-	}{
-		{"defaults", "", "", Settings{Mode: ModeOwner, Extra: 0}, false},
-		{"shared", "shared", "2", Settings{Mode: ModeShared, Extra: 2}, false},
-		{"unknown way", "both", "", Settings{}, true},
-		{"negative", "", "-1", Settings{}, true},
-		{"too many", "", "9", Settings{}, true},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			set := map[string]string{envMode: tt.mode, envExtra: tt.extra}
-			got, err := ReadSettings(func(name string) string { return set[name] })
-			assert.Equal(t, err != nil, tt.fails)
-			if !tt.fails {
-				assert.Equal(t, got, tt.want)
-			}
-		})
-	}
-}
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -6,7 +6,6 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
-	"os"
 	"sync"
 	"time"
 
@@ -89,11 +88,7 @@
 	told := exchange.New(e.loop, link, now)
 	told.Self = e.PeerAddress
 	e.installControl(told, watcher, recorder)
-	routing, err := route.ReadSettings(os.Getenv)
-	if err != nil {
-		return err
-	}
-	router := route.New(routing, link)
+	router := route.New(route.Settings{Mode: e.settings.Route, Extra: e.settings.Extra}, link)
 	router.Now, router.Self, router.Views, router.Metrics = now, e.settings.Node, e.views, e.metrics
 	// A view is checked twice: before an attempt goes to the endpoint's owner, and there before it goes to the endpoint.
 	router.Direct = e.guard(client.Send)
--- a/internal/standin/bench/bench.go
+++ b/internal/standin/bench/bench.go
@@ -15,6 +15,7 @@
 	"basilspan/internal/config/process"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/policy/member"
+	"basilspan/internal/policy/place"
 	"basilspan/internal/serve/entry"
 	"basilspan/internal/serve/operator"
 	"basilspan/internal/standin/endpoint"
@@ -99,6 +100,7 @@
 		Operator: "127.0.0.1:0",
 		Peer:     "127.0.0.1:0",
 		Platform: b.Platform.Address(),
+		Route:    place.ModeOwner,
 	}, entry.Options{Now: time.Now, Log: log.With("node", string(id))})
 	if err != nil {
 		return nil, member.Member{}, err
