--- a/internal/core/query/query.go
+++ b/internal/core/query/query.go
@@ -30,9 +30,6 @@
 	// Record begins the log of a query's decisions; nil records nothing.
 	Record func(now time.Time, q fanout.Query, plan fanout.Plan) *trace.FanoutLog
 
-	// Draining, when set, is told of each endpoint that answers that it is leaving.
-	Draining func(id unit.EndpointID)
-
 	gates gates
 	fleet fleet
 	// wg counts the queries and attempts under way.
@@ -49,7 +46,7 @@
 	r.wg.Add(1)
 	defer r.wg.Done()
 	began := r.Now()
-	answer := r.run(ctx, q, began)
+	answer := r.run(ctx, q)
 	r.Metrics.Ended(q.Search, q.Rank, answer.Code, r.Now().Sub(began))
 	return answer
 }
@@ -60,7 +57,7 @@
 	return nil
 }
 
-func (r *Runner) run(ctx context.Context, q fanout.Query, now time.Time) fanout.Answer {
+func (r *Runner) run(ctx context.Context, q fanout.Query) fanout.Answer {
 	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
 	defer cancel()
 	v, fresh := r.Views.Fresh(ctx, r.Now)
@@ -73,7 +70,7 @@
 	}
 	search := v.Catalog.Searches[q.Search]
 	q.Once = q.Once || search.Once
-	if code := r.gates.enter(ctx, now, v, q); code != unit.CodeWhole {
+	if code := r.gates.enter(ctx, r.Now(), v, q); code != unit.CodeWhole {
 		return fanout.Refuse(q.ID, code, code.String())
 	}
 	defer r.leave(q, r.Now())
@@ -146,9 +143,6 @@
 	began := r.Now()
 	reply := r.Send(ctx, call)
 	r.fleet.ended(r.Now(), began, call, reply.Code)
-	if reply.Code == unit.CodeDraining && r.Draining != nil {
-		r.Draining(call.Attempt.Endpoint)
-	}
 	return reply
 }
 
