Have the link's Close wait for a connection that is being made

Cause: redial ran on a goroutine that nobody waited for, so that Close could return before it ended, and a connection made at that moment stayed open. Ruled out: waiting for the peer's answer (a paused peer gives none; the link's context ends the dial). Change: the goroutine is counted, a closed link makes no connection, and one that was made meanwhile is closed. Before: TestCloseWaitsForConnecting failed 5 of 5 times without the count. After: 5 of 5 runs pass under the race detector. Conclusion: Close waits.

--- a/internal/link/peer/peer.go
+++ b/internal/link/peer/peer.go
@@ -65,6 +65,8 @@
 	cancel   context.CancelFunc
 	ctx      context.Context
 	wg       sync.WaitGroup
+	// closed is set once no further connection is to be made.
+	closed bool
 }
 
 // dialled is the connection to one peer.
@@ -243,20 +245,38 @@
 		return nil, nil, errors.Newf("peer %s could not be reached just now", to)
 	}
 	d.conn = nil
+	if !l.begin() {
+		return nil, nil, errors.New("the link is closed")
+	}
 	d.dialling = make(chan struct{})
 	go l.redial(d, to)
 	return nil, d.dialling, nil
 }
 
+// begin counts a goroutine that close waits for; it says false once the link is closed.
+func (l *Link) begin() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return false
+	}
+	l.wg.Add(1)
+	return true
+}
+
 // redial makes the connection that d's callers wait for.
 func (l *Link) redial(d *dialled, to unit.Address) {
+	defer l.wg.Done()
 	conn, err := l.dial(l.ctx, to)
+	if err == nil && l.ctx.Err() != nil {
+		err = conn.Close()
+		conn = nil
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.conn = conn
 	if err != nil {
 		d.failed = time.Now()
-	} else {
-		d.conn = conn
 	}
 	close(d.dialling)
 	d.dialling = nil
@@ -284,6 +304,7 @@
 func (l *Link) close() error {
 	err := l.listener.Close()
 	l.mu.Lock()
+	l.closed = true
 	sessions := make([]*session, 0, len(l.in))
 	for s := range l.in {
 		sessions = append(sessions, s)
--- a/internal/link/peer/peer_test.go
+++ b/internal/link/peer/peer_test.go
@@ -188,3 +188,26 @@
 		}
 	}
 }
+
+// TestCloseWaitsForConnecting closes a link while it connects to a peer that takes the connection and never answers.
+func TestCloseWaitsForConnecting(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = silent.Close() }()
+	to := unit.Address(silent.Addr().String())
+	l := New("127.0.0.1:0")
+	assert.NilError(t, l.start(context.Background()))
+	called := make(chan error, 1)
+	go func() { called <- l.Call(context.Background(), to, "echo", wireEcho{}, nil) }()
+	c, err := silent.Accept()
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	assert.NilError(t, l.close())
+	d := l.to(to)
+	d.mu.Lock()
+	assert.Assert(t, d.dialling == nil)
+	assert.Assert(t, d.conn == nil)
+	d.mu.Unlock()
+	assert.Assert(t, errors.Is(<-called, ErrNotSent))
+	assert.Assert(t, errors.Is(l.Call(context.Background(), to, "echo", wireEcho{}, nil), ErrNotSent))
+}
