Take a leaving sign from an endpoint's own reply only

Ruled out: the endpoint's fault (it refused nothing then), a late sign of the old incarnation (signs carry theirs). Change: the check before an attempt goes to an owner hands on no sign; the one before the call of the endpoint does. Conclusion: a refusal of another VM says nothing of an endpoint's life.

--- a/internal/serve/entry/sender.go
+++ b/internal/serve/entry/sender.go
@@ -19,7 +19,8 @@
 	now     func() time.Time
 	views   *view.Store
 	metrics *metric.Set
-	// send makes the call, and leaving takes a sign.
+	// send makes the call, and leaving takes a sign. It is nil where the reply may be another entry VM's, whose view may
+	// be of an earlier life of the endpoint.
 	send    func(ctx context.Context, call endpoint.Call) fanout.Reply
 	leaving func(ctx context.Context, sign leaving.Sign)
 }
@@ -37,7 +38,7 @@
 		return fanout.Reply{Attempt: call.Attempt.ID, Code: unit.CodeDraining}
 	}
 	reply := s.send(ctx, call)
-	if reply.Code == unit.CodeDraining {
+	if reply.Code == unit.CodeDraining && s.leaving != nil {
 		if e, ok := find(v, call.Query.Search, id); ok && e.Address == call.Address {
 			s.leaving(context.WithoutCancel(ctx), leaving.SignOf(e))
 		}
--- a/internal/serve/entry/sender_test.go
+++ b/internal/serve/entry/sender_test.go
@@ -31,15 +31,22 @@
 		want    unit.Code
 		sent    int
 		signs   []leaving.Sign
+		// hop says that the reply is another entry VM's.
+		hop bool
 	}{
-		{"sent", 0, false, "10.0.0.1:1", unit.CodeWhole, unit.CodeWhole, 1, nil},
-		{"the view is too old", freshness.MaxAge + 1, false, "10.0.0.1:1", unit.CodeWhole, unit.CodeStaleView, 0, nil},
-		{"the endpoint is leaving", 0, true, "10.0.0.1:1", unit.CodeWhole, unit.CodeDraining, 0, nil},
+		{"sent", 0, false, "10.0.0.1:1", unit.CodeWhole, unit.CodeWhole, 1, nil, false},
+		{"the view is too old", freshness.MaxAge + 1, false, "10.0.0.1:1", unit.CodeWhole, unit.CodeStaleView, 0, nil, false},
+		{"the endpoint is leaving", 0, true, "10.0.0.1:1", unit.CodeWhole, unit.CodeDraining, 0, nil, false},
 		{
 			"it says that it is leaving", 0, false, "10.0.0.1:1", unit.CodeDraining, unit.CodeDraining, 1,
 			[]leaving.Sign{leaving.SignOf(known)},
+			false,
+		},
+		{"an address of before says so", 0, false, "10.0.0.9:1", unit.CodeDraining, unit.CodeDraining, 1, nil, false},
+		{
+			"an owner with an earlier view says so", 0, false, "10.0.0.1:1", unit.CodeDraining, unit.CodeDraining, 1,
+			nil, true,
 		},
-		{"an address of before says so", 0, false, "10.0.0.9:1", unit.CodeDraining, unit.CodeDraining, 1, nil},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -59,6 +66,9 @@
 				},
 				leaving: func(_ context.Context, sign leaving.Sign) { signs = append(signs, sign) },
 			}
+			if tt.hop {
+				s.leaving = nil
+			}
 			reply := s.Send(context.Background(), endpoint.Call{
 				Query:   fanout.Query{Search: "s"},
 				Attempt: fanout.Attempt{ID: 1, Endpoint: "a1"},
--- a/internal/serve/entry/services.go
+++ b/internal/serve/entry/services.go
@@ -18,7 +18,6 @@
 	"basilspan/internal/link/endpoint"
 	"basilspan/internal/link/peer"
 	"basilspan/internal/link/platform"
-	"basilspan/internal/policy/fanout"
 	"basilspan/internal/policy/leaving"
 	"basilspan/internal/serve/caller"
 	"basilspan/internal/serve/operator"
@@ -131,7 +130,7 @@
 }
 
 // addRoute adds the router. A view is checked twice: before an attempt goes to the endpoint's owner, and there before
-// it goes to the endpoint.
+// it goes to the endpoint. Only there is a reply the endpoint's own, and hands on its sign that it is leaving.
 func (e *Entry) addRoute(k *kernel.Kernel) error {
 	f := kernel.NewFinder(k)
 	link := kernel.Look[*peer.Link](f, kernel.ServicePeer)
@@ -143,7 +142,10 @@
 	}
 	router := route.New(route.Settings{Mode: e.settings.Route, Extra: e.settings.Extra}, link)
 	router.Now, router.Self, router.Views, router.Metrics = e.options.Now, e.settings.Node, views, metrics
-	router.Direct = e.guard(views, metrics, client.Send)
+	direct := &sender{
+		now: e.options.Now, views: views, metrics: metrics, send: client.Send, leaving: e.endpointLeaving,
+	}
+	router.Direct = direct.Send
 	return k.Register(router.Service(kernel.ServiceRoute))
 }
 
@@ -156,12 +158,13 @@
 	if err := f.Err(); err != nil {
 		return err
 	}
+	checked := &sender{now: e.options.Now, views: views, metrics: metrics, send: router.Send}
 	runner := &query.Runner{
 		Now:     e.options.Now,
 		Views:   views,
 		Metrics: metrics,
 		Centre:  e.settings.Centre,
-		Send:    e.guard(views, metrics, router.Send),
+		Send:    checked.Send,
 		Record:  recorder.Fanout,
 	}
 	runner.RecordGates(recorder.Gate)
@@ -177,14 +180,6 @@
 	return caller.Install(k, e.settings.Caller, e.options.Now)
 }
 
-// guard puts a check of the view before send.
-func (e *Entry) guard(
-	views *view.Store, metrics *metric.Set, send func(ctx context.Context, call endpoint.Call) fanout.Reply,
-) func(ctx context.Context, call endpoint.Call) fanout.Reply {
-	s := &sender{now: e.options.Now, views: views, metrics: metrics, send: send, leaving: e.endpointLeaving}
-	return s.Send
-}
-
 // endpointLeaving hands the sign of a leaving endpoint to the control goroutine.
 func (e *Entry) endpointLeaving(ctx context.Context, sign leaving.Sign) {
 	post(ctx, e.kernel, control.EndpointLeaving{Sign: sign})
