Have the two ports find their services as the other services do

Cause: both ports repeated a look-up and its error for each service, beside kernel.Finder, which the entry VM's other services use. Ruled out: one start for both ports (their options and routes differ). Change: both use kernel.Look; what they find and when is the same, and every missing name is reported, not the first alone. Conclusion: one way to find services.

--- a/internal/serve/caller/caller.go
+++ b/internal/serve/caller/caller.go
@@ -62,14 +62,13 @@
 		Name:  kernel.ServiceCaller,
 		Value: s,
 		Start: func(ctx context.Context) error {
-			runner, err := kernel.Find[*query.Runner](k, kernel.ServiceQuery)
-			if err != nil {
+			f := kernel.NewFinder(k)
+			runner := kernel.Look[*query.Runner](f, kernel.ServiceQuery)
+			s.metrics = kernel.Look[*metric.Set](f, kernel.ServiceMetrics)
+			if err := f.Err(); err != nil {
 				return err
 			}
 			s.Answer = runner.Run
-			if s.metrics, err = kernel.Find[*metric.Set](k, kernel.ServiceMetrics); err != nil {
-				return err
-			}
 			return s.start(ctx)
 		},
 		Close: s.close,
--- a/internal/serve/operator/operator.go
+++ b/internal/serve/operator/operator.go
@@ -63,29 +63,19 @@
 		Name:  kernel.ServiceOperator,
 		Value: s,
 		Start: func(ctx context.Context) error {
-			var err error
-			if s.views, err = kernel.Find[*view.Store](k, kernel.ServiceViews); err != nil {
-				return err
-			}
-			if s.metrics, err = kernel.Find[*metric.Set](k, kernel.ServiceMetrics); err != nil {
-				return err
-			}
-			settings, err := kernel.Find[process.Settings](k, kernel.ServiceSettings)
-			if err != nil {
+			f := kernel.NewFinder(k)
+			s.views = kernel.Look[*view.Store](f, kernel.ServiceViews)
+			s.metrics = kernel.Look[*metric.Set](f, kernel.ServiceMetrics)
+			settings := kernel.Look[process.Settings](f, kernel.ServiceSettings)
+			runner := kernel.Look[*query.Runner](f, kernel.ServiceQuery)
+			recorder := kernel.Look[*trace.Recorder](f, kernel.ServiceTrace)
+			if err := f.Err(); err != nil {
 				return err
 			}
 			s.pprof = settings.Pprof
-			runner, err := kernel.Find[*query.Runner](k, kernel.ServiceQuery)
-			if err != nil {
-				return err
-			}
 			if s.Ejected == nil {
 				s.Ejected = runner.Ejected
 			}
-			recorder, err := kernel.Find[*trace.Recorder](k, kernel.ServiceTrace)
-			if err != nil {
-				return err
-			}
 			s.traces = traceport.New(recorder)
 			return s.start(ctx)
 		},
