--- a/internal/cmd/root/root.go
+++ b/internal/cmd/root/root.go
@@ -9,6 +9,7 @@
 
 	"basilspan/internal/cmd/demo"
 	"basilspan/internal/cmd/query"
+	"basilspan/internal/cmd/replay"
 	"basilspan/internal/cmd/serve"
 	"basilspan/internal/cmd/stream"
 	"basilspan/internal/cmd/version"
@@ -39,6 +40,7 @@
 			serve.New(streams, nil),
 			query.New(streams, nil),
 			demo.New(streams, nil),
+			replay.New(streams, nil),
 			version.New(streams),
 		},
 	}
--- a/internal/cmd/serve/serve.go
+++ b/internal/cmd/serve/serve.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -21,6 +22,8 @@
 	Streams  stream.Streams
 	Settings process.Settings
 	LogJSON  bool
+	// Trace prints the records of the decisions to the standard output.
+	Trace bool
 	// Now gives the present time.
 	Now func() time.Time
 	// Signals gives a context that ends when the process is asked to stop.
@@ -62,6 +65,7 @@
 		text("peer", "address for the other entry VMs", "127.0.0.1:8082", (*string)(&s.Peer)),
 		text("platform", "address of the platform's service", "", (*string)(&s.Platform)),
 		&cli.BoolFlag{Name: "log-json", Usage: "print log lines as JSON", Destination: &opts.LogJSON},
+		&cli.BoolFlag{Name: "trace", Usage: "print the records of the decisions for replay", Destination: &opts.Trace},
 	}
 }
 
@@ -86,7 +90,7 @@
 	stop, cancel := opts.Signals(ctx)
 	defer cancel()
 	log := logger(opts).With("node", string(opts.Settings.Node))
-	e, err := entry.New(opts.Settings, entry.Options{Now: opts.Now, Log: log})
+	e, err := entry.New(opts.Settings, entry.Options{Now: opts.Now, Log: log, Trace: traceOut(opts)})
 	if err != nil {
 		return err
 	}
@@ -101,6 +105,14 @@
 	return e.Close()
 }
 
+// traceOut gives where the records of the decisions go, or nil.
+func traceOut(opts *Options) io.Writer {
+	if !opts.Trace {
+		return nil
+	}
+	return opts.Streams.Out
+}
+
 func logger(opts *Options) *slog.Logger {
 	if opts.LogJSON {
 		return slog.New(slog.NewJSONHandler(opts.Streams.Err, nil))
--- a/internal/core/control/control.go
+++ b/internal/core/control/control.go
@@ -14,11 +14,15 @@
 	"basilspan/internal/link/platform"
 	"basilspan/internal/policy/catalog"
 	"basilspan/internal/policy/member"
+	"basilspan/internal/policy/replay"
 	"basilspan/internal/policy/revision"
 )
 
 // Control is the state that the control goroutine owns.
 type Control struct {
+	// Record records an offered configuration and the verdict; nil records nothing.
+	Record func(now time.Time, offer replay.Offer)
+
 	log     *slog.Logger
 	views   *view.Store
 	metrics *metric.Set
@@ -42,7 +46,10 @@
 	if len(problems) > 0 {
 		offer.Problem = problems[0].String()
 	}
-	switch c.holder.Take(offer) {
+	held := c.holder.Held()
+	verdict := c.holder.Take(offer)
+	c.record(now, held, offer, verdict)
+	switch verdict {
 	case revision.VerdictAccepted:
 		c.metrics.Add("config.accepted", 1)
 		c.log.Info("configuration in force", "revision", offer.Revision)
@@ -59,6 +66,21 @@
 	}
 }
 
+// record records an offer, what was held before it and the verdict.
+func (c *Control) record(now time.Time, held, offer revision.Offer, verdict revision.Verdict) {
+	if c.Record == nil {
+		return
+	}
+	c.Record(now, replay.Offer{
+		Held:    replay.Content{Revision: held.Revision, Digest: held.Digest},
+		Offered: replay.Content{Revision: offer.Revision, Digest: offer.Digest},
+		Valid:   offer.Catalog != nil,
+		Problem: offer.Problem,
+		Verdict: verdict,
+		Force:   c.holder.Held().Revision,
+	})
+}
+
 func (c *Control) onVMs(now time.Time, event platform.VMs) {
 	c.members = event.Members
 	c.publish(now)
--- a/internal/core/kernel/names.go
+++ b/internal/core/kernel/names.go
@@ -10,6 +10,8 @@
 	ServiceViews Name = "views"
 	// ServiceMetrics is the set of counters and histograms.
 	ServiceMetrics Name = "metrics"
+	// ServiceTrace is the recorder of traces.
+	ServiceTrace Name = "trace"
 	// ServiceEndpoint is the client of the endpoints.
 	ServiceEndpoint Name = "endpoint"
 	// ServicePeer is the link to the other entry VMs.
--- a/internal/core/query/query.go
+++ b/internal/core/query/query.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"basilspan/internal/core/metric"
+	"basilspan/internal/core/trace"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/core/view"
 	"basilspan/internal/link/endpoint"
@@ -25,6 +26,8 @@
 	Metrics *metric.Set
 	// Send makes one attempt and waits for its end.
 	Send func(ctx context.Context, call endpoint.Call) fanout.Reply
+	// Record begins the log of a query's decisions; nil records nothing.
+	Record func(now time.Time, q fanout.Query, plan fanout.Plan) *trace.FanoutLog
 
 	gates gates
 	wg    sync.WaitGroup
@@ -66,7 +69,7 @@
 	if !ok {
 		return fanout.Refuse(q.ID, unit.CodeNoEndpoint, "the search has no snapshot")
 	}
-	return r.drive(ctx, fanout.New(q, plan), q, search)
+	return r.drive(ctx, fanout.New(q, plan), r.record(q, plan), q, search)
 }
 
 // check gives the reason to refuse a query, or 0.
@@ -87,25 +90,39 @@
 	return 0, ""
 }
 
+// record begins the log of a query's decisions; a nil log takes every call and does nothing.
+func (r *Runner) record(q fanout.Query, plan fanout.Plan) *trace.FanoutLog {
+	if r.Record == nil {
+		return nil
+	}
+	return r.Record(r.Now(), q, plan)
+}
+
 // drive carries out the machine's actions until the answer is final.
-func (r *Runner) drive(ctx context.Context, m *fanout.Machine, q fanout.Query, search *catalog.Search) fanout.Answer {
+func (r *Runner) drive(
+	ctx context.Context, m *fanout.Machine, log *trace.FanoutLog, q fanout.Query, search *catalog.Search,
+) fanout.Answer {
 	d := newDriver(r, q, search)
 	defer d.close()
-	d.do(ctx, m.Start(r.Now()))
+	now := r.Now()
+	d.do(ctx, log.Start(now, m.Start(now)))
 	timer := time.NewTimer(time.Until(m.Wake()))
 	defer timer.Stop()
 	for !m.Done() {
 		select {
 		case reply := <-d.replies:
-			d.do(ctx, m.Reply(r.Now(), reply))
+			now = r.Now()
+			d.do(ctx, log.Reply(now, reply, m.Reply(now, reply)))
 		case <-timer.C:
-			d.do(ctx, m.Tick(r.Now()))
+			now = r.Now()
+			d.do(ctx, log.Tick(now, m.Tick(now)))
 		case <-ctx.Done():
-			d.do(ctx, m.Stop(stopCode(ctx)))
+			code := stopCode(ctx)
+			d.do(ctx, log.Stop(r.Now(), code, m.Stop(code)))
 		}
 		timer.Reset(time.Until(m.Wake()))
 	}
-	return m.Answer()
+	return log.Answer(r.Now(), m.Answer())
 }
 
 // stopCode gives the reason for a query that ends with its context.
--- /dev/null
+++ b/internal/core/trace/trace_test.go
@@ -0,0 +1,207 @@
+package trace
+
+import (
+	"bytes"
+	"reflect"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/fanout"
+	"basilspan/internal/policy/replay"
+)
+
+var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func recorder() *Recorder {
+	return New(func() time.Time { return begin })
+}
+
+// fill sets every field under v to a value other than zero, so that a field without a wire form shows as a loss.
+func fill(t *testing.T, v reflect.Value, n *int) {
+	t.Helper()
+	*n++
+	switch v.Kind() {
+	case reflect.Struct:
+		if v.Type() == reflect.TypeFor[time.Time]() {
+			v.Set(reflect.ValueOf(epoch.Add(time.Duration(*n)*time.Millisecond + 7)))
+			return
+		}
+		for i := range v.NumField() {
+			fill(t, v.Field(i), n)
+		}
+	case reflect.Slice:
+		if v.Type().Elem().Kind() == reflect.Uint8 {
+			v.SetBytes([]byte("digest" + strconv.Itoa(*n)))
+			return
+		}
+		v.Set(reflect.MakeSlice(v.Type(), 2, 2))
+		fill(t, v.Index(0), n)
+		fill(t, v.Index(1), n)
+	case reflect.String:
+		v.SetString("text" + strconv.Itoa(*n))
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Float64:
+		v.SetFloat(float64(*n) / 1024)
+	case reflect.Int, reflect.Int64:
+		if v.Type() == reflect.TypeFor[fanout.ActionKind]() {
+			v.SetInt(int64(fanout.ActionSend))
+			return
+		}
+		v.SetInt(int64(*n))
+	case reflect.Uint32, reflect.Uint64:
+		v.SetUint(uint64(*n))
+	default:
+		t.Fatalf("a trace cannot hold a %s", v.Type())
+	}
+}
+
+// TestEveryFieldIsCarried fails when a field of an input or outcome has no place in the format.
+func TestEveryFieldIsCarried(t *testing.T) {
+	var query fanout.Query
+	var plan fanout.Plan
+	var reply fanout.Reply
+	var answer fanout.Answer
+	var offer replay.Offer
+	var actions []fanout.Action
+	n := 0
+	for _, v := range []any{&query, &plan, &reply, &answer, &offer, &actions} {
+		fill(t, reflect.ValueOf(v).Elem(), &n)
+	}
+	tests := []replay.Record{
+		{Line: 2, Run: 1, Kind: replay.KindPlan, Fanout: &replay.Fanout{Query: query, Plan: plan}},
+		{Line: 3, Run: 1, Kind: replay.KindStart, Fanout: &replay.Fanout{Actions: actions}},
+		{Line: 4, Run: 1, Kind: replay.KindReply, Fanout: &replay.Fanout{Reply: reply, Actions: actions}},
+		{Line: 5, Run: 1, Kind: replay.KindTick, Fanout: &replay.Fanout{Actions: actions}},
+		{Line: 6, Run: 1, Kind: replay.KindStop, Fanout: &replay.Fanout{Code: unit.CodeCancelled, Actions: actions}},
+		{Line: 7, Run: 1, Kind: replay.KindAnswer, Fanout: &replay.Fanout{Answer: answer}},
+		{Line: 8, Kind: replay.KindOffer, Offer: &offer},
+		{Line: 9, Kind: replay.KindEnd, Dropped: 3},
+	}
+	var b bytes.Buffer
+	e := NewEncoder(&b, epoch)
+	for i := range tests {
+		tests[i].At = epoch.Add(time.Duration(i) * 1001 * time.Nanosecond)
+		assert.NilError(t, e.Encode(tests[i]))
+	}
+	got, err := Decode(&b)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, tests)
+}
+
+func TestDecodeRefuses(t *testing.T) {
+	head := `{"kind":"trace","version":1}` + "\n"
+	tests := []struct {
+		name, text, want string
+	}{
+		{"nothing", "", "the trace is empty"},
+		{"no head", `{"kind":"plan","at":0}`, "line 1"},
+		{"another version", `{"kind":"trace","version":2}`, "version 1"},
+		{"an unknown field", head + `{"kind":"tick","at":0,"colour":1}`, "line 2"},
+		{"an unknown kind", head + `{"kind":"nap","at":0}`, "unknown kind"},
+		{"a plan without its query", head + `{"kind":"plan","at":0,"plan":{"snapshot":1,"shards":[]}}`, "query and plan"},
+		{"a reply without its fields", head + `{"kind":"reply","at":0}`, "reply"},
+		{"an answer without its fields", head + `{"kind":"answer","at":0}`, "answer"},
+		{"an offer without its fields", head + `{"kind":"offer","at":0}`, "offer"},
+		{"an unknown action", head + `{"kind":"tick","at":0,"actions":[{"kind":"nap"}]}`, "unknown kind"},
+		{"half a line", head + `{"kind":"tick","at`, "line 2"},
+		{"two values on a line", head + `{"kind":"tick","at":0} {"kind":"tick","at":0}`, "more than one"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := Decode(strings.NewReader(tt.text))
+			assert.ErrorContains(t, err, tt.want)
+		})
+	}
+}
+
+func TestRecorderIsOffUntilACaptureBegins(t *testing.T) {
+	r := recorder()
+	log := r.Fanout(begin, fanout.Query{}, fanout.Plan{})
+	assert.Assert(t, log == nil)
+	actions := []fanout.Action{{Kind: fanout.ActionSend}}
+	assert.DeepEqual(t, log.Start(begin, actions), actions)
+	assert.DeepEqual(t, log.Reply(begin, fanout.Reply{}, actions), actions)
+	assert.Equal(t, log.Answer(begin, fanout.Answer{ID: "r"}).ID, unit.RequestID("r"))
+	var none *Recorder
+	assert.Assert(t, none.Fanout(begin, fanout.Query{}, fanout.Plan{}) == nil)
+}
+
+func TestOneCaptureAtATime(t *testing.T) {
+	r := recorder()
+	first, err := r.Begin()
+	assert.NilError(t, err)
+	_, err = r.Begin()
+	assert.ErrorIs(t, err, ErrBusy)
+	r.End(first)
+	second, err := r.Begin()
+	assert.NilError(t, err)
+	r.End(first)
+	r.End(second)
+}
+
+// TestCaptureDropsWholeQueries fills a capture that nobody reads.
+func TestCaptureDropsWholeQueries(t *testing.T) {
+	r := recorder()
+	c, err := r.Begin()
+	assert.NilError(t, err)
+	const steps = 100
+	const queries = maxRecords/steps + 10
+	for range queries {
+		log := r.Fanout(begin, fanout.Query{Deadline: begin.Add(time.Second)}, fanout.Plan{})
+		for range steps - 2 {
+			log.Tick(begin, nil)
+		}
+		log.Answer(begin, fanout.Answer{})
+	}
+	assert.Assert(t, c.Dropped() > 0)
+	assert.Equal(t, c.Dropped()%steps, int64(0))
+	r.End(c)
+	var b bytes.Buffer
+	assert.NilError(t, c.Write(&b))
+	records, err := Decode(&b)
+	assert.NilError(t, err)
+	last := records[len(records)-1]
+	assert.Equal(t, last.Kind, replay.KindEnd)
+	assert.Equal(t, last.Dropped, c.Dropped())
+	assert.Equal(t, int64(len(records)-1)+last.Dropped, int64(queries*steps))
+}
+
+// FuzzDecode checks that what decodes encodes to the same records again.
+func FuzzDecode(f *testing.F) {
+	f.Add(`{"kind":"trace","version":1}` + "\n" + `{"kind":"tick","run":1,"at":1.5,"actions":[{"kind":"send","attempt":1}]}`)
+	f.Add(`{"kind":"trace","version":1}` + "\n" + `{"kind":"offer","at":0,"offer":{"offered":{"revision":2},"valid":true}}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		first, err := Decode(strings.NewReader(text))
+		if err != nil {
+			return
+		}
+		replay.Run(first)
+		var b bytes.Buffer
+		e := NewEncoder(&b, epoch)
+		for _, r := range first {
+			if r.At.Sub(epoch).Abs() > 24*time.Hour {
+				return
+			}
+			assert.NilError(t, e.Encode(r))
+		}
+		if len(first) == 0 {
+			return
+		}
+		second, err := Decode(&b)
+		assert.NilError(t, err)
+		assert.Equal(t, len(second), len(first))
+		for i := range first {
+			assert.Equal(t, second[i].Kind, first[i].Kind)
+			assert.Assert(t, second[i].At.Equal(first[i].At))
+			if first[i].Offer != nil {
+				assert.DeepEqual(t, second[i].Offer, first[i].Offer)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/policy/replay/replay_test.go
@@ -0,0 +1,250 @@
+package replay_test
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilspan/internal/core/trace"
+	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/fanout"
+	"basilspan/internal/policy/replay"
+)
+
+func read(t *testing.T, name string) []replay.Record {
+	t.Helper()
+	file, err := os.Open(filepath.Join("testdata", name+".jsonl"))
+	assert.NilError(t, err)
+	defer func() { _ = file.Close() }()
+	records, err := trace.Decode(file)
+	assert.NilError(t, err)
+	return records
+}
+
+// answerOf gives the last answer that the deciding code gives for a trace of one query.
+func answerOf(records []replay.Record) (answer fanout.Answer, found bool) {
+	for _, r := range records {
+		if r.Kind == replay.KindAnswer {
+			answer, found = r.Fanout.Answer, true
+		}
+	}
+	return answer, found
+}
+
+// TestRecordedTraces replays traces of real runs under faults. The outcomes are stated here by hand, so that neither a
+// changed decision nor a trace that was recorded again passes by itself.
+func TestRecordedTraces(t *testing.T) {
+	tests := []struct {
+		name string
+		code unit.Code
+		// parts and missing add up to the coverage; missing holds the reason for each missing shard.
+		parts    int
+		missing  []unit.Code
+		attempts int
+		hedges   int
+		retries  int
+	}{
+		{name: "whole", code: unit.CodeWhole, parts: 4, attempts: 4},
+		{name: "straggler", code: unit.CodeWhole, parts: 4, attempts: 4},
+		{name: "all-slow", code: unit.CodeWhole, parts: 4, attempts: 4},
+		{name: "cut-after-run", code: unit.CodeWhole, parts: 4, attempts: 5, retries: 1},
+		{name: "cut-after-run-once", code: unit.CodePartial, parts: 3, missing: []unit.Code{301}, attempts: 4},
+		{name: "truncated-body", code: unit.CodeWhole, parts: 4, attempts: 5, retries: 1},
+		{name: "snapshot-absent-at-one", code: unit.CodeWhole, parts: 4, attempts: 5, retries: 1},
+		{
+			name: "snapshot-absent-at-both",
+			code: unit.CodePartial, parts: 3, missing: []unit.Code{211}, attempts: 5, retries: 1,
+		},
+		{name: "draining", code: unit.CodeWhole, parts: 4, attempts: 5, retries: 1},
+		{name: "draining-both", code: unit.CodePartial, parts: 3, missing: []unit.Code{212}, attempts: 5, retries: 1},
+		{name: "deadline", code: unit.CodePartial, parts: 3, missing: []unit.Code{300}, attempts: 4},
+		{name: "frozen-entry", code: unit.CodeDeadline, missing: []unit.Code{300, 300, 300, 300}, attempts: 4},
+		{
+			name: "endpoints-killed",
+			code: unit.CodeConnection, missing: []unit.Code{301, 301, 301, 301}, attempts: 8, retries: 4,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			records := read(t, tt.name)
+			result := replay.Run(records)
+			assert.Equal(t, len(result.Differences), 0, "%+v", result.Differences)
+			assert.Equal(t, result.Runs, 1)
+			answer, found := answerOf(records)
+			assert.Assert(t, found)
+			assert.Equal(t, answer.Code, tt.code)
+			assert.Equal(t, len(answer.Parts), tt.parts)
+			assert.Equal(t, answer.Asked, tt.parts+len(tt.missing))
+			var missing []unit.Code
+			for _, m := range answer.Missing {
+				missing = append(missing, m.Code)
+			}
+			assert.DeepEqual(t, missing, tt.missing)
+			assert.Equal(t, answer.Extra.Attempts, tt.attempts)
+			assert.Equal(t, answer.Extra.Hedges, tt.hedges)
+			assert.Equal(t, answer.Extra.Retries, tt.retries)
+		})
+	}
+}
+
+// TestRecordedConfiguration replays the acceptance of three changes, of which the second is not valid.
+func TestRecordedConfiguration(t *testing.T) {
+	records := read(t, "configuration")
+	result := replay.Run(records)
+	assert.Equal(t, len(result.Differences), 0, "%+v", result.Differences)
+	assert.Equal(t, result.Outcomes, 3)
+	var force []unit.Revision
+	for _, r := range records {
+		if r.Kind == replay.KindOffer {
+			force = append(force, r.Offer.Force)
+		}
+	}
+	assert.DeepEqual(t, force, []unit.Revision{2, 2, 4})
+}
+
+// names lists the committed traces.
+func names(t *testing.T) []string {
+	t.Helper()
+	files, err := filepath.Glob("testdata/*.jsonl")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	var all []string
+	for _, f := range files {
+		base := filepath.Base(f)
+		all = append(all, base[:len(base)-len(".jsonl")])
+	}
+	return all
+}
+
+// mutation changes one record; it says false when the record has nothing to change.
+type mutation struct {
+	name   string
+	change func(r *replay.Record) bool
+}
+
+func mutations() []mutation {
+	withActions := func(change func(actions []fanout.Action) []fanout.Action) func(r *replay.Record) bool {
+		return func(r *replay.Record) bool {
+			if r.Fanout == nil || len(r.Fanout.Actions) == 0 {
+				return false
+			}
+			r.Fanout.Actions = change(append([]fanout.Action(nil), r.Fanout.Actions...))
+			return true
+		}
+	}
+	answer := func(change func(answer *fanout.Answer)) func(r *replay.Record) bool {
+		return func(r *replay.Record) bool {
+			if r.Kind != replay.KindAnswer {
+				return false
+			}
+			change(&r.Fanout.Answer)
+			return true
+		}
+	}
+	return []mutation{
+		{"an action less", withActions(func(a []fanout.Action) []fanout.Action { return a[1:] })},
+		{"another endpoint", withActions(func(a []fanout.Action) []fanout.Action {
+			a[0].Attempt.Endpoint = "other"
+			return a
+		})},
+		{"another snapshot", withActions(func(a []fanout.Action) []fanout.Action {
+			a[0].Attempt.Snapshot++
+			return a
+		})},
+		{"another code", answer(func(a *fanout.Answer) { a.Code++ })},
+		{"one shard more", answer(func(a *fanout.Answer) { a.Asked++ })},
+		{"an attempt less", answer(func(a *fanout.Answer) { a.Extra.Attempts-- })},
+		{"one missing shard more", answer(func(a *fanout.Answer) {
+			a.Missing = append(append([]fanout.Missing(nil), a.Missing...), fanout.Missing{Shard: "x", Code: 300})
+		})},
+		{"another body", answer(func(a *fanout.Answer) {
+			a.Parts = append([]fanout.Part(nil), a.Parts...)
+			a.Parts = append(a.Parts, fanout.Part{Shard: "x"})
+		})},
+		{"another verdict", func(r *replay.Record) bool {
+			if r.Offer == nil {
+				return false
+			}
+			r.Offer.Verdict++
+			return true
+		}},
+		{"another revision in force", func(r *replay.Record) bool {
+			if r.Offer == nil {
+				return false
+			}
+			r.Offer.Force++
+			return true
+		}},
+	}
+}
+
+// TestMutatedTracesDiffer changes every outcome of every committed trace in turn: each change must be found, at its
+// line.
+func TestMutatedTracesDiffer(t *testing.T) {
+	for _, m := range mutations() {
+		t.Run(m.name, func(t *testing.T) {
+			changed := 0
+			for _, name := range names(t) {
+				for i := range read(t, name) {
+					records := read(t, name)
+					if !m.change(&records[i]) {
+						continue
+					}
+					changed++
+					result := replay.Run(records)
+					assert.Assert(t, len(result.Differences) > 0, "%s line %d", name, records[i].Line)
+					assert.Equal(t, result.Differences[0].Line, records[i].Line, name)
+				}
+			}
+			assert.Assert(t, changed > 0)
+		})
+	}
+}
+
+// TestTracesWithoutARecordDiffer leaves out each input of a query in turn.
+func TestTracesWithoutARecordDiffer(t *testing.T) {
+	for _, name := range names(t) {
+		if name == "configuration" {
+			continue
+		}
+		for i, r := range read(t, name) {
+			if r.Kind == replay.KindEnd {
+				continue
+			}
+			t.Run(name+" line "+strconv.Itoa(r.Line), func(t *testing.T) {
+				records := read(t, name)
+				records = append(records[:i:i], records[i+1:]...)
+				assert.Assert(t, len(replay.Run(records).Differences) > 0)
+			})
+		}
+	}
+}
+
+// TestOffersMustFollowEachOther has a trace claim that something else was held than the offers before it left.
+func TestOffersMustFollowEachOther(t *testing.T) {
+	at := time.Unix(0, 0)
+	offer := func(line int, held, offered, force unit.Revision) replay.Record {
+		content := func(n unit.Revision) replay.Content { return replay.Content{Revision: n} }
+		return replay.Record{Line: line, At: at, Kind: replay.KindOffer, Offer: &replay.Offer{
+			Held: content(held), Offered: content(offered), Valid: true, Verdict: 1, Force: force,
+		}}
+	}
+	tests := []struct {
+		name    string
+		records []replay.Record
+		want    int
+	}{
+		{"each after the other", []replay.Record{offer(2, 0, 1, 1), offer(3, 1, 2, 2)}, 0},
+		{"one is missing between", []replay.Record{offer(2, 0, 1, 1), offer(3, 2, 3, 3)}, 1},
+		{"an older one in force", []replay.Record{offer(2, 0, 5, 5), offer(3, 5, 4, 4)}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			assert.Equal(t, len(replay.Run(tt.records).Differences), tt.want)
+		})
+	}
+}
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"sync"
 	"time"
@@ -14,6 +15,7 @@
 	"basilspan/internal/core/kernel"
 	"basilspan/internal/core/metric"
 	"basilspan/internal/core/query"
+	"basilspan/internal/core/trace"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/core/view"
 	"basilspan/internal/link/endpoint"
@@ -30,6 +32,8 @@
 type Options struct {
 	Now func() time.Time
 	Log *slog.Logger
+	// Trace gets the records of the decisions from start to end; nil records none.
+	Trace io.Writer
 }
 
 // Entry is one entry VM.
@@ -65,15 +69,19 @@
 func (e *Entry) install() error {
 	k, now := e.kernel, e.options.Now
 	loop := kernel.NewLoop(now)
-	control.Install(loop, e.views, e.metrics, e.options.Log)
+	recorder := trace.New(now)
+	recorder.Out = e.options.Trace
+	control.Install(loop, e.views, e.metrics, e.options.Log).Record = recorder.Offer
 	client := endpoint.New(now, endpointConnections)
 	link := peer.New(e.settings.Peer)
 	watcher := platform.New(e.settings.Platform, loop)
 	runner := &query.Runner{Now: now, Views: e.views, Metrics: e.metrics, Send: client.Send}
+	runner.Record = recorder.Fanout
 	services := []kernel.Service{
 		{Name: kernel.ServiceSettings, Value: e.settings},
 		{Name: kernel.ServiceMetrics, Value: e.metrics},
 		{Name: kernel.ServiceViews, Value: e.views},
+		recorder.Service(kernel.ServiceTrace),
 		loop.Service(kernel.ServiceControl),
 		link.Service(kernel.ServicePeer),
 		watcher.Service(kernel.ServicePlatform),
--- a/internal/serve/operator/operator.go
+++ b/internal/serve/operator/operator.go
@@ -14,8 +14,10 @@
 
 	"basilspan/internal/core/kernel"
 	"basilspan/internal/core/metric"
+	"basilspan/internal/core/trace"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/core/view"
+	traceport "basilspan/internal/serve/trace"
 )
 
 type (
@@ -48,6 +50,7 @@
 	server   *server.Hertz
 	views    *view.Store
 	metrics  *metric.Set
+	traces   *traceport.Port
 	done     chan struct{}
 }
 
@@ -72,6 +75,11 @@
 			if s.metrics, err = kernel.Find[*metric.Set](k, kernel.ServiceMetrics); err != nil {
 				return err
 			}
+			recorder, err := kernel.Find[*trace.Recorder](k, kernel.ServiceTrace)
+			if err != nil {
+				return err
+			}
+			s.traces = traceport.New(recorder)
 			return s.start()
 		},
 		Close: s.close,
@@ -94,6 +102,7 @@
 	s.server.GET("/status", s.status)
 	s.server.GET("/debug/vars", s.vars)
 	s.server.POST("/drain", s.drain)
+	s.server.GET(traceport.Path, s.traces.Handle)
 	go func() {
 		defer close(s.done)
 		_ = s.server.Run()
@@ -102,6 +111,7 @@
 }
 
 func (s *Server) close() error {
+	s.traces.Close()
 	err := s.server.Shutdown(context.Background())
 	<-s.done
 	return errors.Wrap(err, "close the port for operators")
--- /dev/null
+++ b/internal/standin/record/record_test.go
@@ -0,0 +1,297 @@
+package record
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"flag"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilspan/internal/config/folder"
+	"basilspan/internal/core/trace"
+	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/fanout"
+	"basilspan/internal/policy/replay"
+	"basilspan/internal/standin/endpoint"
+	"basilspan/internal/standin/load"
+	"basilspan/internal/standin/proc"
+)
+
+var recordDir = flag.String("record", "", "folder that the cut traces are written to")
+
+const (
+	// median is the endpoints' service time.
+	median = 3 * time.Millisecond
+	// slow and frozen multiply it.
+	slow   = 50
+	frozen = 400
+	// shards is how many shards the recorded search has.
+	shards = 4
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	code := m.Run()
+	proc.Cleanup()
+	os.Exit(code)
+}
+
+// small gives a folder with one search of a few shards, two replicas each, and two snapshots.
+func small() []folder.File {
+	var endpoints, names []string
+	for i := range shards {
+		shard := "s" + strconv.Itoa(i)
+		names = append(names, `"`+shard+`"`)
+		for _, replica := range []string{"a", "b"} {
+			endpoints = append(endpoints, `"`+shard+replica+`": {"shard": "`+shard+
+				`", "address": "10.0.0.1:80", "centre": "loopback", "slots": 2, "connections": 25}`)
+		}
+	}
+	list := strings.Join(names, ", ")
+	text := `{
+  "ranks": {"desk": {"urgency": 1, "floor": 0.2}, "upkeep": {"urgency": 2, "floor": 0.1}},
+  "searches": {"desk": {
+    "tenant": "recorded", "aim": "coverage", "hedge": true, "minimum": 0,
+    "snapshots": {"1": {"shards": [` + list + `]}, "2": {"shards": [` + list + `]}},
+    "endpoints": {` + strings.Join(endpoints, ",\n") + `}
+  }}
+}`
+	return []folder.File{{Name: "10-small.json", Content: []byte(text)}}
+}
+
+// capture reads a trace of the entry VM's operator port while during runs.
+func capture(t *testing.T, n *proc.Node, seconds int, during func()) []replay.Record {
+	t.Helper()
+	resp, err := http.Get("http://" + string(n.Operator) + "/trace?seconds=" + strconv.Itoa(seconds))
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	r := bufio.NewReader(resp.Body)
+	head, err := r.ReadBytes('\n')
+	assert.NilError(t, err)
+	during()
+	rest, err := io.ReadAll(r)
+	assert.NilError(t, err)
+	records, err := trace.Decode(bytes.NewReader(append(head, rest...)))
+	assert.NilError(t, err)
+	return records
+}
+
+// send sends some queries and waits for the answers.
+func send(d *proc.Deployment, name string, rate float64, length, timeout time.Duration, once bool) {
+	load.Run(context.Background(), load.Settings{
+		Entries:  d.Callers(),
+		Flows:    []load.Flow{{Search: "desk", Rank: "desk", Rate: rate, Timeout: timeout, Once: once}},
+		Duration: length,
+		Run:      name,
+	})
+}
+
+// keep writes a cut trace if that was asked for.
+func keep(t *testing.T, name string, records []replay.Record) {
+	t.Helper()
+	if *recordDir == "" {
+		return
+	}
+	var b bytes.Buffer
+	assert.NilError(t, Write(&b, records))
+	assert.NilError(t, os.WriteFile(filepath.Join(*recordDir, name+".jsonl"), b.Bytes(), 0o600))
+}
+
+// check replays a whole recording.
+func check(t *testing.T, records []replay.Record) {
+	t.Helper()
+	result := replay.Run(records)
+	assert.Assert(t, result.Outcomes > 0)
+	assert.Assert(t, result.Ended)
+	assert.Equal(t, result.Dropped, int64(0))
+	assert.Equal(t, len(result.Differences), 0, "%+v", result.Differences)
+}
+
+type scenario struct {
+	name string
+	// faults are laid on the endpoints before the queries.
+	faults  map[unit.EndpointID]endpoint.Faults
+	timeout time.Duration
+	once    bool
+	// during runs beside the queries.
+	during func(d *proc.Deployment)
+	// seconds is the length of the capture; 0 means 1.
+	seconds int
+	// matters says which query is kept.
+	matters func(answer fanout.Answer) bool
+}
+
+func both(shard string, faults endpoint.Faults) map[unit.EndpointID]endpoint.Faults {
+	return map[unit.EndpointID]endpoint.Faults{
+		unit.EndpointID(shard + "a"): faults,
+		unit.EndpointID(shard + "b"): faults,
+	}
+}
+
+func all(faults endpoint.Faults) map[unit.EndpointID]endpoint.Faults {
+	m := make(map[unit.EndpointID]endpoint.Faults)
+	for i := range shards {
+		for id, f := range both("s"+strconv.Itoa(i), faults) {
+			m[id] = f
+		}
+	}
+	return m
+}
+
+func extraAttempt(answer fanout.Answer) bool { return answer.Extra.Attempts > shards }
+
+func coded(code unit.Code) func(answer fanout.Answer) bool {
+	return func(answer fanout.Answer) bool { return answer.Code == code }
+}
+
+func scenarios() []scenario {
+	one := func(id unit.EndpointID, faults endpoint.Faults) map[unit.EndpointID]endpoint.Faults {
+		return map[unit.EndpointID]endpoint.Faults{id: faults}
+	}
+	return []scenario{
+		{
+			name:    "whole",
+			timeout: 10 * time.Second,
+			matters: func(answer fanout.Answer) bool { return answer.Extra.Attempts == shards },
+		},
+		{
+			name:    "straggler",
+			faults:  one("s0a", endpoint.Faults{Slow: slow}),
+			timeout: 10 * time.Second,
+			matters: coded(unit.CodeWhole),
+		},
+		{
+			name:    "all-slow",
+			faults:  all(endpoint.Faults{Slow: slow}),
+			timeout: 10 * time.Second,
+			matters: coded(unit.CodeWhole),
+		},
+		{
+			name:    "cut-after-run",
+			faults:  one("s0a", endpoint.Faults{CutAfterRun: true}),
+			timeout: 10 * time.Second,
+			matters: extraAttempt,
+		},
+		{
+			name:    "cut-after-run-once",
+			faults:  one("s0a", endpoint.Faults{CutAfterRun: true}),
+			timeout: 10 * time.Second,
+			once:    true,
+			matters: coded(unit.CodePartial),
+		},
+		{
+			name:    "truncated-body",
+			faults:  one("s0a", endpoint.Faults{Truncate: true}),
+			timeout: 10 * time.Second,
+			matters: extraAttempt,
+		},
+		{
+			name:    "snapshot-absent-at-one",
+			faults:  one("s0a", endpoint.Faults{Held: []unit.SnapshotID{1}}),
+			timeout: 10 * time.Second,
+			matters: extraAttempt,
+		},
+		{
+			name:    "snapshot-absent-at-both",
+			faults:  both("s0", endpoint.Faults{Held: []unit.SnapshotID{1}}),
+			timeout: 10 * time.Second,
+			matters: extraAttempt,
+		},
+		{
+			name:    "draining",
+			faults:  one("s0a", endpoint.Faults{Draining: true}),
+			timeout: 10 * time.Second,
+			matters: extraAttempt,
+		},
+		{
+			name:    "draining-both",
+			faults:  both("s0", endpoint.Faults{Draining: true}),
+			timeout: 10 * time.Second,
+			matters: coded(unit.CodePartial),
+		},
+		{
+			name:    "deadline",
+			faults:  both("s0", endpoint.Faults{Slow: frozen}),
+			timeout: 300 * time.Millisecond,
+			seconds: 2,
+			matters: coded(unit.CodePartial),
+		},
+		{
+			name:    "frozen-entry",
+			faults:  all(endpoint.Faults{Slow: frozen}),
+			timeout: 500 * time.Millisecond,
+			seconds: 3,
+			during: func(d *proc.Deployment) {
+				time.Sleep(100 * time.Millisecond)
+				d.Nodes[0].Freeze()
+				time.Sleep(time.Second)
+				d.Nodes[0].Thaw()
+			},
+			matters: coded(unit.CodeDeadline),
+		},
+		{
+			name:    "endpoints-killed",
+			faults:  all(endpoint.Faults{Slow: frozen}),
+			timeout: 2 * time.Second,
+			seconds: 3,
+			during: func(d *proc.Deployment) {
+				time.Sleep(100 * time.Millisecond)
+				d.Endpoints.Kill()
+			},
+			matters: coded(unit.CodeConnection),
+		},
+	}
+}
+
+// TestRecordedRunsReplay records real runs under faults and replays each whole recording.
+func TestRecordedRunsReplay(t *testing.T) {
+	d := proc.Start(t, proc.Settings{Files: small(), Entries: 1, Median: median})
+	send(d, "warm", 50, time.Second, time.Second, false)
+	for _, tt := range scenarios() {
+		t.Run(tt.name, func(t *testing.T) {
+			for id := range all(endpoint.Faults{}) {
+				d.SetFaults(id, tt.faults[id])
+			}
+			records := capture(t, d.Nodes[0], max(1, tt.seconds), func() {
+				if tt.during != nil {
+					go tt.during(d)
+				}
+				send(d, tt.name, 20, 500*time.Millisecond, tt.timeout, tt.once)
+			})
+			check(t, records)
+			kept, ok := Cut(records, tt.matters)
+			assert.Assert(t, ok, "no query showed what the scenario is for: %+v", Answers(records))
+			check(t, append(kept, replay.Record{Kind: replay.KindEnd}))
+			keep(t, tt.name, kept)
+		})
+	}
+}
+
+// TestRecordedConfigurationReplays records how changes of configuration, a bad one among them, were decided.
+func TestRecordedConfigurationReplays(t *testing.T) {
+	d := proc.Start(t, proc.Settings{Files: small(), Entries: 1, Median: median})
+	records := capture(t, d.Nodes[0], 2, func() {
+		for _, text := range []string{
+			`{"ranks": {"upkeep": {"floor": 0.15}}}`,
+			`{"ranks": {"upkeep": {"floor": 7}}}`,
+			`{"ranks": {"upkeep": {"floor": 0.05}}}`,
+		} {
+			d.Publish("50-change.json", text)
+			time.Sleep(500 * time.Millisecond)
+		}
+	})
+	kept := Offers(records)
+	assert.Equal(t, len(kept), 3)
+	check(t, append(kept, replay.Record{Kind: replay.KindEnd}))
+	keep(t, "configuration", kept)
+}
