--- /dev/null
+++ b/internal/cmd/root/walk_test.go
@@ -0,0 +1,231 @@
+package root
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilspan/internal/cmd/standin"
+	"basilspan/internal/cmd/stream"
+)
+
+// walkTime bounds the wait for a command's expected output.
+const walkTime = 20 * time.Second
+
+// walker runs the commands of a page in a folder of its own, in this process.
+type walker struct {
+	t      *testing.T
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	// replace puts free addresses in the place of the page's.
+	replace *strings.Replacer
+}
+
+// output collects what commands print.
+type output struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write adds to the output.
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.Write(p)
+}
+
+// String gives the output so far.
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.String()
+}
+
+// TestWalk runs every command of the README's first configuration, in order, and checks what each prints.
+func TestWalk(t *testing.T) {
+	expected := []struct {
+		command string
+		want    []string
+	}{
+		{"./basilspan config check conf", []string{"conf is valid: 2 ranks, 1 searches"}},
+		{"./standin endpoint", []string{"endpoints 4"}},
+		{"./standin platform", []string{"platform 127.0.0.1:"}},
+		{"./basilspan serve", []string{"serving"}},
+		{"./basilspan query", []string{"code 100", "2 of 2 shards", "p0 from", "p1 from"}},
+		{"./basilspan status", []string{"e1, ready", "revision  1", "e1  here", "endpoints 4, 0 listed here"}},
+		{"./basilspan config show", []string{`p0-a.slots = 2  (20-parts.json:`, `p0-a.address = "127.0.0.1:`, "90-loopback.json:", "(default)"}},
+		{"./basilspan config check conf", []string{"conf is valid"}},
+		{"./basilspan config diff conf", []string{"settings differ"}},
+		{"./basilspan status", []string{"p0-a", "leaving: set in the configuration"}},
+		{"./basilspan drain", []string{"the planned stop of 127.0.0.1:"}},
+	}
+	page, err := os.ReadFile("../../../README.md")
+	assert.NilError(t, err)
+	w := newWalker(t)
+	commands := w.commands(string(page))
+	assert.Equal(t, len(commands), len(expected), "%q", commands)
+	for i, command := range commands {
+		assert.Assert(t, strings.HasPrefix(command, expected[i].command), "%s\nwant %s", command, expected[i].command)
+		w.run(command, expected[i].want)
+	}
+	w.close()
+}
+
+func newWalker(t *testing.T) *walker {
+	w := &walker{t: t}
+	w.ctx, w.cancel = context.WithCancel(context.Background())
+	var pairs []string
+	for _, port := range []string{"127.0.0.1:8080", "127.0.0.1:8081", "127.0.0.1:8082", "127.0.0.1:8090"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		pairs = append(pairs, port, l.Addr().String())
+		assert.NilError(t, l.Close())
+	}
+	w.replace = strings.NewReplacer(pairs...)
+	t.Setenv("BASILSPAN_CALLER", pairs[1])
+	t.Setenv("BASILSPAN_OPERATOR", pairs[3])
+	t.Setenv("BASILSPAN_PEER", pairs[5])
+	t.Setenv("BASILSPAN_LAG", "0s")
+	return w
+}
+
+// commands writes the files that the page's blocks make and gives the commands that are left.
+func (w *walker) commands(page string) []string {
+	page, _, _ = strings.Cut(page, "## What is proved")
+	w.t.Chdir(w.t.TempDir())
+	var all []string
+	for i, block := range strings.Split(page, "```") {
+		if i%2 == 0 {
+			continue
+		}
+		lines := strings.Split(strings.TrimPrefix(block, "sh\n"), "\n")
+		for n := 0; n < len(lines); n++ {
+			line := lines[n]
+			switch {
+			case line == "" || strings.HasPrefix(line, "go build "):
+			case strings.HasPrefix(line, "mkdir "):
+				assert.NilError(w.t, os.Mkdir(strings.Fields(line)[1], 0o700))
+			case strings.HasPrefix(line, "cat > "):
+				end := n + 1
+				for lines[end] != "EOT" {
+					end++
+				}
+				all = append(all, line+"\n"+strings.Join(lines[n+1:end], "\n"))
+				n = end
+			default:
+				all = append(all, line)
+			}
+		}
+	}
+	return w.writeFirst(all)
+}
+
+// writeFirst makes the files that come before the first command; later ones are kept with the command that follows.
+func (w *walker) writeFirst(all []string) []string {
+	var commands []string
+	pending := ""
+	for _, c := range all {
+		if strings.HasPrefix(c, "cat > ") {
+			pending += c + "\x00"
+			continue
+		}
+		commands = append(commands, c+"\x00"+pending)
+		pending = ""
+	}
+	return commands
+}
+
+// run writes the files of a command, runs it, in the background if it ends with "&", and waits for what it prints.
+func (w *walker) run(command string, want []string) {
+	w.t.Helper()
+	parts := strings.Split(command, "\x00")
+	for _, file := range parts[1:] {
+		if file != "" {
+			w.write(file)
+		}
+	}
+	line := w.replace.Replace(parts[0])
+	background := strings.HasSuffix(line, " &")
+	words := split(strings.TrimSuffix(line, " &"))
+	end := time.Now().Add(walkTime)
+	for {
+		out := &output{}
+		code := make(chan stream.ExitCode, 1)
+		w.wg.Add(1)
+		go func() {
+			defer w.wg.Done()
+			code <- w.program(words, out)
+		}()
+		if background {
+			w.await(out, want, end)
+			return
+		}
+		got := <-code
+		if got == stream.ExitOK && contains(out.String(), want) {
+			return
+		}
+		// A change of the folder takes a moment to come into force.
+		assert.Assert(w.t, time.Now().Before(end), "%s ended with %d and printed:\n%s\nwant %q", line, got, out, want)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (w *walker) program(words []string, out *output) stream.ExitCode {
+	streams := stream.Streams{Out: out, Err: out}
+	if words[0] == "./standin" {
+		return standin.Main(w.ctx, streams, words)
+	}
+	return Main(w.ctx, streams, words)
+}
+
+func (w *walker) await(out *output, want []string, end time.Time) {
+	w.t.Helper()
+	for !contains(out.String(), want) {
+		assert.Assert(w.t, time.Now().Before(end), "printed:\n%s\nwant %q", out, want)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// write makes the file of a "cat > FILE <<'EOT'".
+func (w *walker) write(text string) {
+	head, content, _ := strings.Cut(text, "\n")
+	name := filepath.FromSlash(strings.Fields(head)[2])
+	assert.NilError(w.t, os.WriteFile(name+".new", []byte(content), 0o600))
+	assert.NilError(w.t, os.Rename(name+".new", name))
+}
+
+func (w *walker) close() {
+	w.cancel()
+	w.wg.Wait()
+}
+
+func contains(text string, want []string) bool {
+	for _, part := range want {
+		if !strings.Contains(text, part) {
+			return false
+		}
+	}
+	return true
+}
+
+// split cuts a command line into words; quotes keep spaces.
+func split(line string) []string {
+	var words []string
+	for i, part := range strings.Split(line, "'") {
+		if i%2 == 1 {
+			words = append(words, part)
+			continue
+		}
+		words = append(words, strings.Fields(part)...)
+	}
+	return words
+}
