--- a/internal/cmd/root/walk_test.go
+++ b/internal/cmd/root/walk_test.go
@@ -62,6 +62,7 @@
 		{"./basilspan serve", []string{"serving"}},
 		{"./basilspan query", []string{"code 100", "2 of 2 shards", "p0 from", "p1 from"}},
 		{"./basilspan status", []string{"e1, ready", "revision  1", "e1  here", "endpoints 4, 0 listed here"}},
+		{"./basilspan top", []string{"search.rank", "parts.counter  0.0"}},
 		{"./basilspan config show", []string{`p0-a.slots = 2  (20-parts.json:`, `p0-a.address = "127.0.0.1:`, "90-loopback.json:", "(default)"}},
 		{"./basilspan config check conf", []string{"conf is valid"}},
 		{"./basilspan config diff conf", []string{"settings differ"}},
--- a/internal/serve/operator/operator.go
+++ b/internal/serve/operator/operator.go
@@ -15,6 +15,7 @@
 	"basilspan/internal/config/process"
 	"basilspan/internal/core/kernel"
 	"basilspan/internal/core/metric"
+	"basilspan/internal/core/query"
 	"basilspan/internal/core/trace"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/core/view"
@@ -29,7 +30,8 @@
 	// State gives the entry VM's lifecycle state, and Drain begins a planned stop.
 	State func() string
 	Drain func()
-	// Ejected says whether this entry VM asks an endpoint last after failures; nil says that of none.
+	// Ejected says whether this entry VM asks an endpoint last after failures; Install
+	// takes the query service's when it is nil.
 	Ejected func(now time.Time, search unit.SearchName, id unit.EndpointID) bool
 
 	pprof    bool
@@ -73,6 +75,13 @@
 				return err
 			}
 			s.pprof = settings.Pprof
+			runner, err := kernel.Find[*query.Runner](k, kernel.ServiceQuery)
+			if err != nil {
+				return err
+			}
+			if s.Ejected == nil {
+				s.Ejected = runner.Ejected
+			}
 			recorder, err := kernel.Find[*trace.Recorder](k, kernel.ServiceTrace)
 			if err != nil {
 				return err
--- a/internal/serve/operator/status.go
+++ b/internal/serve/operator/status.go
@@ -129,7 +129,7 @@
 		return idleSigned
 	case !listed:
 		return idleUnlisted
-	case s.Ejected != nil && s.Ejected(now, search, e.ID):
+	case s.Ejected(now, search, e.ID):
 		return idleEjected
 	}
 	return ""
