--- a/internal/cmd/demo/demo.go
+++ b/internal/cmd/demo/demo.go
@@ -45,7 +45,7 @@
 	return &cli.Command{
 		Name:        "demo",
 		Usage:       "run both example deployments on loopback and check every answer",
-		Description: "Examples:\n   basilspan demo\n   basilspan demo --duration 10s",
+		Description: "The exit code is 3 when an answer broke a promise.\n\nExamples:\n   basilspan demo\n   basilspan demo --duration 10s",
 		Flags: []cli.Flag{
 			&cli.DurationFlag{
 				Name: "duration", Usage: "time to send queries", Value: 3 * time.Second, Destination: &opts.Duration,
--- a/internal/core/query/query_test.go
+++ b/internal/core/query/query_test.go
@@ -66,7 +66,7 @@
 		code    unit.Code
 		missing int
 	}{
-		{"whole", 30*time.Second, func(_ context.Context, call endpoint.Call) fanout.Reply { return whole(call) }, unit.CodeWhole, 0},
+		{"whole", 30 * time.Second, func(_ context.Context, call endpoint.Call) fanout.Reply { return whole(call) }, unit.CodeWhole, 0},
 		{
 			"a shard is silent", 50 * time.Millisecond,
 			func(ctx context.Context, call endpoint.Call) fanout.Reply {
@@ -82,7 +82,7 @@
 			unit.CodeTooLate, 2,
 		},
 		{
-			"every attempt is lost", 30*time.Second,
+			"every attempt is lost", 30 * time.Second,
 			func(_ context.Context, call endpoint.Call) fanout.Reply {
 				return fanout.Reply{Attempt: call.Attempt.ID, Code: unit.CodeConnection}
 			}, unit.CodeConnection, 2,
