--- a/internal/standin/proc/proc.go
+++ b/internal/standin/proc/proc.go
@@ -58,25 +58,25 @@
 type Process struct {
 	t      testing.TB
 	cmd    *exec.Cmd
-	output *output
+	output *Output
 	done   chan struct{}
 }
 
-// output collects what a process prints.
-type output struct {
+// Output collects what a process or command prints; several goroutines may use it.
+type Output struct {
 	mu sync.Mutex
 	b  bytes.Buffer
 }
 
 // Write adds to the output.
-func (o *output) Write(p []byte) (int, error) {
+func (o *Output) Write(p []byte) (int, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.b.Write(p)
 }
 
 // String gives the output so far.
-func (o *output) String() string {
+func (o *Output) String() string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.b.String()
@@ -85,7 +85,7 @@
 // start starts a program; it is killed at the end of the test.
 func start(t testing.TB, name string, args ...string) *Process {
 	t.Helper()
-	p := &Process{t: t, cmd: exec.Command(binary(t, name), args...), output: &output{}, done: make(chan struct{})}
+	p := &Process{t: t, cmd: exec.Command(binary(t, name), args...), output: &Output{}, done: make(chan struct{})}
 	p.cmd.Stdout = p.output
 	p.cmd.Stderr = p.output
 	assert.NilError(t, p.cmd.Start())
