--- a/internal/core/dispatch/learn.go
+++ b/internal/core/dispatch/learn.go
@@ -53,7 +53,6 @@
 	}
 }
 
-
 // learn takes what the end of a call says of its endpoint.
 func (d *Dispatcher) learn(route *routing.Route, id unit.EndpointID, sent time.Time, e leaf.End) {
 	now := d.Now()
