Count the entry VMs, have calls wait for a connection, and log each request's end

Change: the seeds count the VMs; a VM that cannot read the registry asks them for what is published; calls wait in a short queue for a connection. Endpoint changes are read in batches. Lines are bounded by message and queue.

--- a/internal/cmd/gateway/gateway.go
+++ b/internal/cmd/gateway/gateway.go
@@ -19,6 +19,7 @@
 
 	"basilspan/internal/cmd/stream"
 	config "basilspan/internal/config/gateway"
+	"basilspan/internal/core/logline"
 	gateway "basilspan/internal/serve/gateway"
 )
 
@@ -86,7 +87,9 @@
 	if err != nil {
 		return stream.WithExit(err, stream.ExitUsage)
 	}
-	log := logger(opts.Streams.Out, settings)
+	lines := logline.NewWriter(opts.Streams.Out)
+	defer func() { _ = lines.Close() }()
+	log := logger(lines, settings)
 	if len(unknown) > 0 {
 		log.Warn("unknown settings ignored", "keys", unknown)
 	}
@@ -122,9 +125,9 @@
 	return config.Parse(opts.File, content)
 }
 
-func logger(w io.Writer, settings config.Settings) *slog.Logger {
+func logger(w *logline.Writer, settings config.Settings) *slog.Logger {
 	var level slog.Level
 	// The settings' check has let only known levels pass.
 	_ = level.UnmarshalText([]byte(settings.Level))
-	return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level})).With("node", settings.Node)
+	return slog.New(logline.NewHandler(w, level)).With("node", settings.Node)
 }
--- a/internal/core/dispatch/answer.go
+++ b/internal/core/dispatch/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"basilspan/internal/core/unit"
 	"basilspan/internal/link/leaf"
@@ -10,14 +9,6 @@
 	"basilspan/internal/policy/merge"
 )
 
-// Record is what is known of a request that has ended, for logs and metrics.
-type Record struct {
-	ID    unit.RequestID
-	Route unit.RouteName
-	Code  unit.Code
-	Took  time.Duration
-}
-
 // answer puts the answer together once the machine has its verdict.
 func (f *fanout) answer() Answer {
 	switch {
@@ -98,7 +89,3 @@
 	}
 	return Answer{Code: code}
 }
-
-func (f *fanout) record(a Answer) Record {
-	return Record{ID: f.request.ID, Route: f.route.Name, Code: a.Code, Took: f.dispatcher.Now().Sub(f.request.Arrived)}
-}
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -58,15 +58,15 @@
 func (d *Dispatcher) Serve(ctx context.Context, q *Request) Answer {
 	v := d.Views.Load()
 	if !v.Complete() {
-		return d.refuse(q, nil, unit.CodeNoConfig)
+		return d.refuse(q, v, nil, unit.CodeNoConfig)
 	}
 	route := v.Table.Match(q.Host, q.Path)
 	if route == nil {
-		return d.refuse(q, nil, unit.CodeNoRoute)
+		return d.refuse(q, v, nil, unit.CodeNoRoute)
 	}
 	f, code := d.newFanout(v, route, q)
 	if code != 0 {
-		return d.refuse(q, route, code)
+		return d.refuse(q, v, route, code)
 	}
 	f.run(ctx)
 	answer := f.answer()
@@ -75,12 +75,12 @@
 }
 
 // refuse answers a request of which nothing was sent.
-func (d *Dispatcher) refuse(q *Request, route *routing.Route, code unit.Code) Answer {
-	record := Record{ID: q.ID, Code: code, Took: d.Now().Sub(q.Arrived)}
+func (d *Dispatcher) refuse(q *Request, v *outlook.View, route *routing.Route, code unit.Code) Answer {
+	var name unit.RouteName
 	if route != nil {
-		record.Route = route.Name
+		name = route.Name
 	}
-	d.Ended(record)
+	d.Ended(refused(q, v, name, code, d.Now()))
 	return Answer{Code: code, ComeBack: d.comeBack(code, route)}
 }
 
--- a/internal/core/dispatch/fanout.go
+++ b/internal/core/dispatch/fanout.go
@@ -29,6 +29,8 @@
 	// flights and replies are by attempt.
 	flights []*leaf.Flight
 	replies []leaf.End
+	// denied counts the extra attempts that the allowance did not permit.
+	denied int
 }
 
 // end is the end of an attempt.
@@ -37,13 +39,9 @@
 	leaf    leaf.End
 }
 
-// triesPerShard bounds the attempts of a shard: those that its route allows, which are few, and those that could not
-// be sent. Ends beyond the channel's room are waited for by their connection, not lost.
-const triesPerShard = 4
-
 // run leads the request to its verdict.
 func (f *fanout) run(ctx context.Context) {
-	f.ends = make(chan end, triesPerShard*len(f.services))
+	f.ends = make(chan end, f.machine.Terms.MaxAttempts())
 	f.do(f.step(func(now time.Time) []gather.Action { return f.machine.Start(now) }))
 	if f.machine.Verdict() != gather.VerdictNone {
 		return
@@ -167,7 +165,8 @@
 func (f *fanout) spend(now time.Time, shard int) bool {
 	ok := f.dispatcher.allowance.Take(now, f.services[shard], f.view.VMs)
 	if !ok {
-		f.dispatcher.Metrics.Add("allowance.spent", 1)
+		f.denied++
+		f.dispatcher.Metrics.Add("allowance.denied", 1)
 	}
 	return ok
 }
--- a/internal/core/kernel/loop.go
+++ b/internal/core/kernel/loop.go
@@ -90,6 +90,11 @@
 	}
 }
 
+// Raise hands an event to its handlers at once; only handlers call it, on the control goroutine.
+func (l *Loop) Raise(now time.Time, event any) {
+	l.handle(now, event)
+}
+
 func (l *Loop) run() {
 	defer close(l.done)
 	ticker := time.NewTicker(tickPeriod)
--- /dev/null
+++ b/internal/core/logline/logline.go
@@ -0,0 +1,195 @@
+// Package logline writes structured log lines without ever making their author wait: lines go through a bounded queue
+// to one goroutine, and lines of one message beyond a rate are left out and counted.
+package logline
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"time"
+
+	"basilspan/internal/core/kernel"
+)
+
+const (
+	// perSecond is how many lines with the same message are written in a second; on-call engineers need examples of a
+	// decision and the count of the rest.
+	perSecond = 40
+	// queueSize is how many lines may wait for the output; more are left out.
+	queueSize = 1024
+)
+
+// Writer is the queue in front of an output.
+type Writer struct {
+	out   io.Writer
+	lines chan []byte
+	quit  chan struct{}
+	done  chan struct{}
+	once  sync.Once
+
+	mu      sync.Mutex
+	dropped int64
+}
+
+// NewWriter makes a queue in front of out and starts its goroutine.
+func NewWriter(out io.Writer) *Writer {
+	w := &Writer{
+		out:   out,
+		lines: make(chan []byte, queueSize),
+		quit:  make(chan struct{}),
+		done:  make(chan struct{}),
+	}
+	go w.run()
+	return w
+}
+
+// Write queues one line; it never waits.
+func (w *Writer) Write(line []byte) (int, error) {
+	select {
+	case w.lines <- bytes.Clone(line):
+	default:
+		w.mu.Lock()
+		w.dropped++
+		w.mu.Unlock()
+	}
+	return len(line), nil
+}
+
+// Dropped gives how many lines found the queue full since the last call.
+func (w *Writer) Dropped() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := w.dropped
+	w.dropped = 0
+	return n
+}
+
+// Service gives the queue as a service with that name.
+func (w *Writer) Service(name kernel.Name) kernel.Service {
+	return kernel.Service{Name: name, Value: w}
+}
+
+// Close writes the queued lines and waits.
+func (w *Writer) Close() error {
+	w.once.Do(func() { close(w.quit) })
+	<-w.done
+	return nil
+}
+
+func (w *Writer) run() {
+	defer close(w.done)
+	for {
+		select {
+		case line := <-w.lines:
+			w.flush(line)
+		case <-w.quit:
+			w.flush(nil)
+			return
+		}
+	}
+}
+
+// flush writes line and all that are queued behind it at once.
+func (w *Writer) flush(line []byte) {
+	for {
+		select {
+		case next := <-w.lines:
+			line = append(line, next...)
+		default:
+			// A failed write to the standard output can be reported nowhere else.
+			_, _ = w.out.Write(line)
+			return
+		}
+	}
+}
+
+// Handler passes on at most perSecond lines with the same message in a second and says how many it has left out.
+type Handler struct {
+	inner slog.Handler
+	state *state
+}
+
+// state is shared by the handlers that are made from one another.
+type state struct {
+	writer *Writer
+	mu     sync.Mutex
+	second time.Time
+	counts map[string]int
+}
+
+// NewHandler makes a handler of JSON lines of that level and above.
+func NewHandler(w *Writer, level slog.Level) *Handler {
+	return &Handler{
+		inner: slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}),
+		state: &state{writer: w, counts: make(map[string]int)},
+	}
+}
+
+// Enabled says whether lines of that level are written.
+func (h *Handler) Enabled(ctx context.Context, level slog.Level) bool {
+	return h.inner.Enabled(ctx, level)
+}
+
+// Handle writes a line, unless too many with its message were written in this second.
+func (h *Handler) Handle(ctx context.Context, r slog.Record) error {
+	pass, left := h.state.take(r.Time, r.Message)
+	for message, n := range left {
+		h.report(ctx, r.Time, message, n)
+	}
+	if !pass {
+		return nil
+	}
+	return h.inner.Handle(ctx, r)
+}
+
+// report writes how many lines of a message were left out.
+func (h *Handler) report(ctx context.Context, now time.Time, message string, n int) {
+	r := slog.NewRecord(now, slog.LevelWarn, "lines left out", 0)
+	r.AddAttrs(slog.String("of", message), slog.Int("count", n))
+	_ = h.inner.Handle(ctx, r)
+}
+
+// take counts a line. left are the messages that had lines left out in the last second.
+func (s *state) take(now time.Time, message string) (pass bool, left map[string]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.second) >= time.Second || now.Before(s.second) {
+		left = s.excess()
+		s.second = now
+		clear(s.counts)
+	}
+	s.counts[message]++
+	return s.counts[message] <= perSecond, left
+}
+
+// excess gives the lines left out since the last call, by message.
+func (s *state) excess() map[string]int {
+	var left map[string]int
+	add := func(message string, n int) {
+		if left == nil {
+			left = make(map[string]int)
+		}
+		left[message] = n
+	}
+	for message, n := range s.counts {
+		if n > perSecond {
+			add(message, n-perSecond)
+		}
+	}
+	if n := s.writer.Dropped(); n > 0 {
+		add("any, as the queue was full", int(n))
+	}
+	return left
+}
+
+// WithAttrs gives a handler that adds attributes.
+func (h *Handler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return &Handler{inner: h.inner.WithAttrs(attrs), state: h.state}
+}
+
+// WithGroup gives a handler that puts attributes into a group.
+func (h *Handler) WithGroup(name string) slog.Handler {
+	return &Handler{inner: h.inner.WithGroup(name), state: h.state}
+}
--- a/internal/core/outlook/outlook.go
+++ b/internal/core/outlook/outlook.go
@@ -4,17 +4,16 @@
 	"log/slog"
 	"time"
 
+	"basilspan/internal/core/fleet"
 	"basilspan/internal/core/kernel"
 	"basilspan/internal/core/metric"
 	"basilspan/internal/core/registry"
 	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/census"
 	"basilspan/internal/policy/directory"
 	"basilspan/internal/policy/routing"
 )
 
-// unknownVMs stands for the number of entry VMs while it is not known; a high number keeps shared bounds safe.
-const unknownVMs = 16
-
 // Options are what the belief works with. The function fields are its seams.
 type Options struct {
 	Views   *Views
@@ -38,13 +37,15 @@
 	directory *directory.Directory
 	listed    bool
 	lost      map[registry.Prefix]time.Time
+	held      *held
 }
 
 // Install makes the belief and has loop hand it the events that it decides on.
 func Install(loop *kernel.Loop, options Options) *Outlook {
 	o := &Outlook{
 		Options:   options,
-		view:      View{VMs: unknownVMs},
+		view:      View{VMs: census.Unknown},
+		held:      newHeld(),
 		directory: directory.New(),
 		lost:      make(map[registry.Prefix]time.Time),
 	}
@@ -52,11 +53,25 @@
 	kernel.On(loop, o.onChanged)
 	kernel.On(loop, o.onLost)
 	kernel.On(loop, o.onTick)
+	kernel.On(loop, o.onCounted)
 	return o
 }
 
+// Held gives what is published under a prefix, as far as it is known here; any goroutine may call it.
+func (o *Outlook) Held(prefix registry.Prefix) registry.Listing {
+	return o.held.listing(prefix)
+}
+
+func (o *Outlook) onCounted(now time.Time, e fleet.Counted) {
+	o.view.VMs = e.VMs
+	o.publish(now)
+}
+
 func (o *Outlook) onListed(now time.Time, e registry.Listed) {
-	o.regained(now, e.Prefix)
+	if !e.FromPeer {
+		o.regained(now, e.Prefix)
+	}
+	o.held.replace(e)
 	if e.Prefix == o.Tables {
 		o.takeTables(now, e.Items)
 		return
@@ -75,6 +90,7 @@
 
 func (o *Outlook) onChanged(now time.Time, e registry.Changed) {
 	o.regained(now, e.Prefix)
+	o.held.change(e)
 	if e.Prefix == o.Tables {
 		o.takeTables(now, e.Items)
 		return
--- a/internal/core/outlook/view.go
+++ b/internal/core/outlook/view.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/census"
 	"basilspan/internal/policy/directory"
 	"basilspan/internal/policy/routing"
 )
@@ -40,7 +41,7 @@
 // NewViews makes a store with an empty view.
 func NewViews() *Views {
 	v := &Views{}
-	v.latest.Store(&View{VMs: unknownVMs})
+	v.latest.Store(&View{VMs: census.Unknown})
 	return v
 }
 
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -57,6 +57,8 @@
 	Prefix Prefix
 	Items  []Item
 	At     unit.Revision
+	// FromPeer says that a peer has told them, while the registry cannot be read.
+	FromPeer bool
 }
 
 // Changed is the event that values with the prefix have changed; Items may be empty.
@@ -77,13 +79,20 @@
 	Prefix Prefix
 	List   func(ctx context.Context, prefix Prefix) (Listing, error)
 	Watch  func(ctx context.Context, prefix Prefix, after unit.Revision, wait time.Duration) (Listing, error)
+	// Peers gives what a peer knows under the prefix if that is newer than a revision; it is asked while the registry
+	// cannot be read.
+	Peers func(ctx context.Context, prefix Prefix, after unit.Revision) (Listing, error)
 	// Rand gives a number from 0 to 1, by which the retries of several VMs are spread.
 	Rand func() float64
 	Log  *slog.Logger
+	// Batch is the pause between the answer to a watch and the next one, in which changes gather; each read counts.
+	Batch time.Duration
 
 	loop   *kernel.Loop
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
+	// at is the revision that this VM has caught up with.
+	at unit.Revision
 }
 
 // Service gives the follower as a service with that name; its events go to loop.
@@ -123,11 +132,23 @@
 			return
 		}
 		f.post(ctx, Lost{Prefix: f.Prefix, Err: err})
+		f.askPeers(ctx)
 		f.pause(ctx, failures)
 		failures++
 	}
 }
 
+// askPeers takes what a peer knows, which may be less than what the registry holds.
+func (f *Follower) askPeers(ctx context.Context) {
+	listing, err := f.Peers(ctx, f.Prefix, f.at)
+	if err != nil {
+		f.Log.Debug("no news from peers", "prefix", f.Prefix, "error", err)
+		return
+	}
+	f.at = listing.At
+	f.post(ctx, Listed{Prefix: f.Prefix, Items: listing.Items, At: listing.At, FromPeer: true})
+}
+
 // follow lists the prefix once and watches it until a read fails. answered says whether any read succeeded.
 func (f *Follower) follow(ctx context.Context) (answered bool, err error) {
 	listing, err := f.list(ctx)
@@ -135,14 +156,17 @@
 		return false, err
 	}
 	f.post(ctx, Listed{Prefix: f.Prefix, Items: listing.Items, At: listing.At})
-	at := listing.At
+	f.at = listing.At
 	for {
-		changes, err := f.watch(ctx, at)
+		changes, err := f.watch(ctx, f.at)
 		if err != nil {
 			return true, err
 		}
 		f.post(ctx, Changed{Prefix: f.Prefix, Items: changes.Items, At: changes.At})
-		at = max(at, changes.At)
+		f.at = max(f.at, changes.At)
+		if len(changes.Items) > 0 {
+			wait(ctx, f.Batch)
+		}
 	}
 }
 
@@ -160,12 +184,16 @@
 
 // pause waits before the next try.
 func (f *Follower) pause(ctx context.Context, failures int) {
-	wait := retryFirst
+	pause := retryFirst
 	for range failures {
-		wait = min(2*wait, retryMost)
+		pause = min(2*pause, retryMost)
 	}
-	wait = time.Duration(float64(wait) * (0.75 + 0.5*f.Rand()))
-	timer := time.NewTimer(wait)
+	wait(ctx, time.Duration(float64(pause)*(0.75+0.5*f.Rand())))
+}
+
+// wait waits for d or for the end of ctx.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/link/leaf/call.go
+++ b/internal/link/leaf/call.go
@@ -122,3 +122,18 @@
 		f.done(e)
 	}
 }
+
+func (f *Flight) isAbandoned() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.abandoned
+}
+
+// endAbandoned ends a call that was abandoned before it left, and says whether it was.
+func (f *Flight) endAbandoned() bool {
+	if !f.isAbandoned() {
+		return false
+	}
+	f.end(End{Kind: KindNotSent, Err: errAbandoned})
+	return true
+}
--- a/internal/link/leaf/conn.go
+++ b/internal/link/leaf/conn.go
@@ -134,6 +134,7 @@
 	if reusable {
 		c.pool.release(c)
 	} else {
+		c.pool.count("leaf.closed.last")
 		c.shut()
 	}
 	f.end(End{Kind: KindReply, Reply: reply})
@@ -145,12 +146,28 @@
 	f := c.flight
 	c.flight = nil
 	c.mu.Unlock()
+	c.pool.count("leaf.closed." + cause(err, f != nil))
 	c.shut()
 	if f != nil {
 		f.end(End{Kind: KindLost, Err: err})
 	}
 }
 
+// cause names the end of a connection for the counters.
+func cause(err error, busy bool) string {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, errSurplus):
+		return "surplus"
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return "abandoned"
+	case busy:
+		return "broken"
+	default:
+		return "idle"
+	}
+}
+
 // shut closes the connection and has the pool forget it; further calls do nothing.
 func (c *conn) shut() {
 	c.mu.Lock()
--- a/internal/link/leaf/pool.go
+++ b/internal/link/leaf/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -28,6 +29,9 @@
 	userTimeout = 2 * time.Second
 	// readBuffer is the size of a connection's read buffer in bytes; it holds a usual reply.
 	readBuffer = 4096
+	// maxWaiting is how many calls may wait for a connection to one endpoint; with more of them the endpoint is slow,
+	// and the call had better go to another one.
+	maxWaiting = 4
 	// smallWrite is the size in bytes up to which a call fits into the socket's buffer, so that its write cannot block.
 	smallWrite = 8192
 )
@@ -67,6 +71,8 @@
 	all  map[*conn]bool
 	// dialling counts the connections that are being made.
 	dialling int
+	// waiting are the calls that wait for a connection to become free, the first at the front.
+	waiting []*Flight
 }
 
 // New makes a pool that dials over TCP.
@@ -99,20 +105,29 @@
 // Send starts a call and does not wait for its end; done is called with that once, possibly before Send returns.
 func (p *Pool) Send(now time.Time, call Call, done func(End)) *Flight {
 	f := &Flight{call: call, done: done}
-	for {
-		c, dial := p.take(now, call)
-		if c == nil && !dial {
-			f.end(End{Kind: KindNotSent, Err: ErrFull})
-			return f
-		}
-		if dial {
+	p.start(now, f)
+	return f
+}
+
+// start has a call begin on a free connection, or has it wait for one.
+func (p *Pool) start(now time.Time, f *Flight) {
+	for !f.isAbandoned() {
+		c, next := p.take(now, f)
+		switch next {
+		case nextDial:
 			go p.dialFor(f)
-			return f
+			return
+		case nextWait:
+			return
+		case nextRefuse:
+			f.end(End{Kind: KindNotSent, Err: ErrFull})
+			return
 		}
 		if c.begin(now, f) {
-			return f
+			return
 		}
 	}
+	f.end(End{Kind: KindNotSent, Err: errAbandoned})
 }
 
 // Warm makes a connection to the endpoint when there is none.
@@ -154,13 +169,17 @@
 	p.mu.Lock()
 	p.closed = true
 	var all []*conn
+	var waiting []*Flight
 	for _, h := range p.hosts {
 		for c := range h.all {
 			all = append(all, c)
 		}
+		waiting = append(waiting, h.waiting...)
+		h.waiting = nil
 	}
 	p.mu.Unlock()
 	p.cancel()
+	endAll(waiting, errClosed)
 	for _, c := range all {
 		c.fail(errClosed)
 	}
@@ -168,25 +187,44 @@
 	return nil
 }
 
-// take gives a free connection, or says that one is to be dialled, for which it has counted a place.
-func (p *Pool) take(now time.Time, call Call) (c *conn, dial bool) {
+// next says what becomes of a call that asks for a connection.
+type next int
+
+const (
+	nextBegin next = iota
+	nextDial
+	nextWait
+	nextRefuse
+)
+
+// take gives a free connection, or says what the call has to do instead; a connection that is to be made has its place
+// counted already.
+func (p *Pool) take(now time.Time, f *Flight) (*conn, next) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.host(call.Address)
+	h := p.host(f.call.Address)
 	for len(h.free) > 0 {
-		c = h.free[len(h.free)-1]
+		c := h.free[len(h.free)-1]
 		h.free = h.free[:len(h.free)-1]
 		if !c.stale(now) {
-			return c, false
+			return c, nextBegin
 		}
 		go c.shut()
 	}
-	if p.closed || len(h.all)+h.dialling >= call.Connections {
-		return nil, false
+	h.waiting = slices.DeleteFunc(h.waiting, (*Flight).endAbandoned)
+	switch {
+	case p.closed:
+		return nil, nextRefuse
+	case len(h.all)+h.dialling < f.call.Connections:
+		h.dialling++
+		p.wg.Add(1)
+		return nil, nextDial
+	case len(h.waiting) < maxWaiting:
+		h.waiting = append(h.waiting, f)
+		return nil, nextWait
+	default:
+		return nil, nextRefuse
 	}
-	h.dialling++
-	p.wg.Add(1)
-	return nil, true
 }
 
 // dialFor makes a connection for a flight and begins it there.
@@ -214,10 +252,12 @@
 		err = errClosed
 	}
 	if err != nil {
+		waiting := h.strand()
 		p.prune(h)
 		p.mu.Unlock()
 		p.wg.Done()
 		p.count("leaf.connect.failed")
+		endAll(waiting, err)
 		return nil, err
 	}
 	c := &conn{Conn: raw, pool: p, host: h, r: bufio.NewReaderSize(raw, readBuffer), idleSince: p.Now()}
@@ -227,17 +267,54 @@
 	return c, nil
 }
 
-// release makes a connection free for the next call.
+// strand takes the waiting calls of a host that has no connection left and none in the making.
+func (h *host) strand() []*Flight {
+	if len(h.all)+h.dialling > 0 {
+		return nil
+	}
+	waiting := h.waiting
+	h.waiting = nil
+	return waiting
+}
+
+// endAll ends calls that could not be sent.
+func endAll(flights []*Flight, err error) {
+	for _, f := range flights {
+		f.end(End{Kind: KindNotSent, Err: err})
+	}
+}
+
+// release hands a connection to the next call that waits for one, or makes it free.
 func (p *Pool) release(c *conn) {
+	for {
+		f, keep := p.nextFor(c)
+		if !keep {
+			c.shut()
+			return
+		}
+		if f == nil || c.begin(p.Now(), f) {
+			return
+		}
+		// The call was abandoned while it waited, or the connection has been closed meanwhile.
+		p.start(p.Now(), f)
+	}
+}
+
+// nextFor gives the next call for a connection, or nil once the connection is free. keep is false when the connection
+// is to be closed.
+func (p *Pool) nextFor(c *conn) (f *Flight, keep bool) {
 	p.mu.Lock()
-	keep := !p.closed && c.host.all[c]
-	if keep {
-		c.host.free = append(c.host.free, c)
+	defer p.mu.Unlock()
+	if p.closed || !c.host.all[c] {
+		return nil, false
 	}
-	p.mu.Unlock()
-	if !keep {
-		c.shut()
+	if h := c.host; len(h.waiting) > 0 {
+		f = h.waiting[0]
+		h.waiting = h.waiting[1:]
+		return f, true
 	}
+	c.host.free = append(c.host.free, c)
+	return nil, true
 }
 
 // forget drops a closed connection.
@@ -252,6 +329,13 @@
 			break
 		}
 	}
+	if len(h.waiting) > 0 && !p.closed {
+		f := h.waiting[0]
+		h.waiting = h.waiting[1:]
+		h.dialling++
+		p.wg.Add(1)
+		go p.dialFor(f)
+	}
 	p.prune(h)
 }
 
@@ -266,7 +350,7 @@
 
 // prune drops a host without connections.
 func (p *Pool) prune(h *host) {
-	if len(h.all)+h.dialling == 0 && p.hosts[h.address] == h {
+	if len(h.all)+h.dialling+len(h.waiting) == 0 && p.hosts[h.address] == h {
 		delete(p.hosts, h.address)
 	}
 }
--- a/internal/platform/ingress/ingress.go
+++ b/internal/platform/ingress/ingress.go
@@ -120,5 +120,9 @@
 		return
 	}
 	q := decode(rc, s.Now())
+	if !s.tracker.Answerable(rc) {
+		write(rc, dispatch.Answer{Code: unit.CodeStopping})
+		return
+	}
 	write(rc, s.Answer(ctx, q))
 }
--- a/internal/policy/gather/terms.go
+++ b/internal/policy/gather/terms.go
@@ -26,6 +26,11 @@
 	End time.Time
 }
 
+// MaxAttempts is the largest number of attempts that a request can make.
+func (t Terms) MaxAttempts() int {
+	return t.Shards * (t.Attempts + unsentTries)
+}
+
 // AttemptID numbers the attempts of one request from 0.
 type AttemptID int
 
@@ -48,6 +53,11 @@
 	OutcomeLost
 )
 
+// String gives the outcome as it stands in logs.
+func (o Outcome) String() string {
+	return [...]string{"open", "whole", "rejected", "misdirected", "unsent", "failed", "lost"}[o]
+}
+
 // MayHaveRun says whether an attempt with that outcome may have run.
 func (o Outcome) MayHaveRun() bool {
 	return o == OutcomeWhole || o == OutcomeFailed || o == OutcomeLost
--- a/internal/serve/gateway/services.go
+++ b/internal/serve/gateway/services.go
@@ -4,32 +4,50 @@
 	"time"
 
 	"basilspan/internal/core/dispatch"
+	"basilspan/internal/core/fleet"
 	"basilspan/internal/core/kernel"
 	"basilspan/internal/core/metric"
 	"basilspan/internal/core/outlook"
 	"basilspan/internal/core/registry"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/link/leaf"
+	"basilspan/internal/link/peer"
 	"basilspan/internal/platform/ingress"
 	platformleaf "basilspan/internal/platform/leaf"
 	"basilspan/internal/platform/store"
 )
 
+// endpointBatch is how long changes of endpoints gather before they are read. Endpoints change one by one when many
+// start or leave, and one that leaves serves on for seconds.
+const endpointBatch = 400 * time.Millisecond
+
 // install registers the services in the order in which they start; they close in reverse.
 func (g *Gateway) install() error {
 	metrics := metric.NewSet()
 	loop := kernel.NewLoop(g.options.Now)
 	pool := g.pool(metrics)
 	client := store.New(g.settings.Registry)
-	g.outlook(loop, metrics, pool)
+	believed := g.outlook(loop, metrics, pool)
+	link := peer.New(g.settings.Peers)
+	exchange := &fleet.Fleet{
+		Node:  g.settings.Node,
+		Seeds: g.settings.Seeds,
+		Now:   g.options.Now,
+		Rand:  g.options.Rand,
+		Log:   g.options.Log,
+		Held:  believed.Held,
+	}
+	exchange.Install(loop, link)
 	services := []kernel.Service{
 		{Name: kernel.ServiceMetrics, Value: metrics},
 		{Name: kernel.ServiceViews, Value: g.views},
 		loop.Service(kernel.ServiceControl),
 		pool.Service(kernel.ServiceEndpoint),
 		{Name: kernel.ServiceRegistry, Value: client, Close: client.Close},
-		g.follow(store.KeyTable, client).Service(kernel.ServiceTables, loop),
-		g.follow(store.PrefixEndpoints, client).Service(kernel.ServiceEndpoints, loop),
+		link.Service(kernel.ServicePeer),
+		exchange.Service(kernel.ServiceExchange),
+		g.follow(store.KeyTable, 0, client, exchange).Service(kernel.ServiceTables, loop),
+		g.follow(store.PrefixEndpoints, endpointBatch, client, exchange).Service(kernel.ServiceEndpoints, loop),
 		{Name: kernel.ServiceDispatch, Value: g.dispatcher(metrics, pool)},
 	}
 	for _, s := range services {
@@ -64,18 +82,22 @@
 	return pool
 }
 
-func (g *Gateway) follow(prefix registry.Prefix, client *store.Client) *registry.Follower {
+func (g *Gateway) follow(
+	prefix registry.Prefix, batch time.Duration, client *store.Client, exchange *fleet.Fleet,
+) *registry.Follower {
 	return &registry.Follower{
 		Prefix: prefix,
 		List:   client.List,
 		Watch:  client.Watch,
+		Peers:  exchange.Listing,
 		Rand:   g.options.Rand,
 		Log:    g.options.Log,
+		Batch:  batch,
 	}
 }
 
-func (g *Gateway) outlook(loop *kernel.Loop, metrics *metric.Set, pool *leaf.Pool) {
-	outlook.Install(loop, outlook.Options{
+func (g *Gateway) outlook(loop *kernel.Loop, metrics *metric.Set, pool *leaf.Pool) *outlook.Outlook {
+	return outlook.Install(loop, outlook.Options{
 		Views:          g.views,
 		Metrics:        metrics,
 		Log:            g.options.Log,
@@ -113,8 +135,6 @@
 	d.Metrics = metrics
 	d.Send = pool.Send
 	d.Prepare = platformleaf.Prepare
-	d.Ended = func(r dispatch.Record) {
-		metrics.Ended(unit.SearchName(r.Route), "", r.Code, r.Took)
-	}
+	d.Ended = dispatch.Report(g.options.Log, metrics, g.options.Rand)
 	return d
 }
--- a/internal/serve/keepalive/keepalive.go
+++ b/internal/serve/keepalive/keepalive.go
@@ -22,13 +22,14 @@
 	mu       sync.Mutex
 	busy     map[network.Conn]bool
 	draining bool
-	// closing says that CloseIdle has been called.
+	// closing says that CloseIdle has been called, and closed are the idle connections that it has closed.
 	closing bool
+	closed  map[network.Conn]bool
 }
 
 // New makes a tracker without connections.
 func New() *Tracker {
-	return &Tracker{busy: make(map[network.Conn]bool)}
+	return &Tracker{busy: make(map[network.Conn]bool), closed: make(map[network.Conn]bool)}
 }
 
 // Options give the server options that the tracker needs.
@@ -83,6 +84,14 @@
 	}
 }
 
+// Answerable says whether the caller can still get an answer. A request may be read from a connection just as
+// CloseIdle closes it as idle; it must not be passed on, since its caller sees it as not read.
+func (t *Tracker) Answerable(rc *app.RequestContext) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.closed[rc.GetConn()]
+}
+
 // CloseIdle closes the connections that have no request in flight, and has the others closed after their answer.
 func (t *Tracker) CloseIdle() {
 	t.mu.Lock()
@@ -91,6 +100,7 @@
 	for conn, busy := range t.busy {
 		if !busy {
 			idle = append(idle, conn)
+			t.closed[conn] = true
 		}
 	}
 	t.mu.Unlock()
@@ -103,4 +113,5 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.busy, conn)
+	delete(t.closed, conn)
 }
--- a/internal/serve/keepalive/keepalive_test.go
+++ b/internal/serve/keepalive/keepalive_test.go
@@ -12,6 +12,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/common/test/mock"
 	"gotest.tools/v3/assert"
 
 	"basilspan/internal/serve/port"
@@ -66,6 +67,41 @@
 	}
 }
 
+// TestAnswerable checks that a request that is read from a connection just as that is closed as idle is told apart.
+func TestAnswerable(t *testing.T) {
+	tests := []struct {
+		name string
+		// steps happen in order between the end of the connection's first request and the reading of its second.
+		steps []func(tr *Tracker, rc *app.RequestContext)
+		want  bool
+	}{
+		{"no stop", nil, true},
+		{"read before the idle are closed", []func(*Tracker, *app.RequestContext){begin, closeIdle}, true},
+		{"read after the idle are closed", []func(*Tracker, *app.RequestContext){closeIdle, begin}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tr := New()
+			rc := app.NewContext(0)
+			rc.SetConn(mock.NewConn(""))
+			begin(tr, rc)
+			tr.Finish(context.Background(), rc)
+			for _, step := range tt.steps {
+				step(tr, rc)
+			}
+			assert.Equal(t, tr.Answerable(rc), tt.want)
+		})
+	}
+}
+
+func begin(tr *Tracker, rc *app.RequestContext) {
+	tr.Start(context.Background(), rc)
+}
+
+func closeIdle(tr *Tracker, _ *app.RequestContext) {
+	tr.CloseIdle()
+}
+
 func serve(t *testing.T, tr *Tracker, handle app.HandlerFunc) (address string, stop func()) {
 	t.Helper()
 	hlog.SetOutput(io.Discard)
