--- a/internal/platform/ingress/ingress.go
+++ b/internal/platform/ingress/ingress.go
@@ -120,6 +120,10 @@
 		return
 	}
 	q := decode(rc, s.Now())
+	if q.ID == "" {
+		write(rc, dispatch.Answer{Code: unit.CodeBadRequest})
+		return
+	}
 	if !s.tracker.Answerable(rc) {
 		write(rc, dispatch.Answer{Code: unit.CodeStopping})
 		return
