--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -31,11 +31,11 @@
 // ErrCompacted means that the registry no longer holds the changes since the revision that was asked for.
 var ErrCompacted = errors.New("the registry no longer has the history")
 
-// Key names one published value, and Prefix begins the keys of several.
-type (
-	Key    string
-	Prefix string
-)
+// Key names one published value.
+type Key string
+
+// Prefix begins the keys of several values.
+type Prefix string
 
 // Item is a published value at a revision, or its end.
 type Item struct {
--- a/internal/link/leaf/leaf_test.go
+++ b/internal/link/leaf/leaf_test.go
@@ -167,14 +167,18 @@
 		{"bytes that are no reply", []string{"\x00\x01\x02 garbage\r\n\r\n|"}, []string{"lost"}, 1},
 		{"a reset", []string{"!"}, []string{"lost"}, 1},
 		{
-			"a reset of a kept connection is not sent again", []string{whole("ID", "a"), "!"},
-			[]string{"a", "lost", "a"}, 2,
+			"a reset of a kept connection is not sent again",
+			[]string{whole("ID", "a"), "!"},
+			[]string{"a", "lost", "a"},
+			2,
 		},
 		{"the end of the connection is announced", []string{head + "Connection: close\r\nContent-Length: 1\r\n\r\na"}, []string{"a", "a"}, 2},
 		{"a second reply behind the first", []string{whole("ID", "a") + whole("ID", "x")}, []string{"a", "a"}, 2},
 		{
-			"a reply to another request before the right one", []string{whole("other", "x") + whole("ID", "a")},
-			[]string{"a"}, 1,
+			"a reply to another request before the right one",
+			[]string{whole("other", "x") + whole("ID", "a")},
+			[]string{"a"},
+			1,
 		},
 		{"a reply to another request alone", []string{whole("other", "x") + "|"}, []string{"lost"}, 1},
 	}
--- a/internal/platform/leaf/leaf_test.go
+++ b/internal/platform/leaf/leaf_test.go
@@ -25,12 +25,16 @@
 		want   string
 	}{
 		{
-			"a request without a body", "GET", "/a/b%2Fc?q=1&r", []leaf.Field{{Name: "X-One", Value: "1"}}, "", 250 * time.Millisecond,
+			"a request without a body", "GET", "/a/b%2Fc?q=1&r",
+			[]leaf.Field{{Name: "X-One", Value: "1"}},
+			"", 250 * time.Millisecond,
 			"GET /a/b%2Fc?q=1&r HTTP/1.1\r\nHost: h\r\nBasilspan-Request-Id: id\r\nX-One: 1\r\n" +
 				"Basilspan-Deadline-Ms: 250\r\nBasilspan-Expected-Instance: i-1\r\n\r\n",
 		},
 		{
-			"a request with a body", "POST", "/a", []leaf.Field{{Name: "User-Agent", Value: "u"}}, "text", time.Second,
+			"a request with a body", "POST", "/a",
+			[]leaf.Field{{Name: "User-Agent", Value: "u"}},
+			"text", time.Second,
 			"POST /a HTTP/1.1\r\nHost: h\r\nUser-Agent: u\r\nContent-Length: 4\r\nBasilspan-Request-Id: id\r\n" +
 				"Basilspan-Deadline-Ms: 1000\r\nBasilspan-Expected-Instance: i-1\r\n\r\ntext",
 		},
@@ -87,31 +91,38 @@
 		},
 		{
 			"not run", "GET", "HTTP/1.1 503 Full\r\nBasilspan-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-			leaf.Reply{Status: 503, Body: []byte{}, Unrun: true}, false,
+			leaf.Reply{Status: 503, Body: []byte{}, Unrun: true},
+			false,
 		},
 		{
 			"a failure that may have run", "GET", "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n",
-			leaf.Reply{Status: 503, Body: []byte{}}, false,
+			leaf.Reply{Status: 503, Body: []byte{}},
+			false,
 		},
 		{
 			"another endpoint", "GET", "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n",
-			leaf.Reply{Status: 421, Body: []byte{}, Unrun: true, Misdirected: true}, false,
+			leaf.Reply{Status: 421, Body: []byte{}, Unrun: true, Misdirected: true},
+			false,
 		},
 		{
 			"an encoded body", "GET", "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx",
-			leaf.Reply{Status: 200, Body: []byte("x"), Encoded: true}, false,
+			leaf.Reply{Status: 200, Body: []byte("x"), Encoded: true},
+			false,
 		},
 		{
 			"no body to HEAD", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n",
-			leaf.Reply{Status: 200}, false,
+			leaf.Reply{Status: 200},
+			false,
 		},
 		{
 			"the last on its connection", "GET", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx",
-			leaf.Reply{Status: 200, Body: []byte("x"), Last: true}, false,
+			leaf.Reply{Status: 200, Body: []byte("x"), Last: true},
+			false,
 		},
 		{
 			"a load that cannot be read", "GET", "HTTP/1.1 200 OK\r\nBasilspan-Server-Load: 1,x,3\r\nContent-Length: 0\r\n\r\n",
-			leaf.Reply{Status: 200, Body: []byte{}}, false,
+			leaf.Reply{Status: 200, Body: []byte{}},
+			false,
 		},
 		{"a body that ends early", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", leaf.Reply{}, true},
 		{"two lengths", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", leaf.Reply{}, true},
@@ -140,4 +151,3 @@
 	}
 	assert.DeepEqual(t, kept, map[string]int{"X-One": 2, "Basilspan-Response-Seal": 1})
 }
-
--- a/internal/policy/allowance/allowance_test.go
+++ b/internal/policy/allowance/allowance_test.go
@@ -6,7 +6,6 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
-
 )
 
 var (
@@ -99,4 +98,3 @@
 	}
 	return n
 }
-
