--- a/internal/config/gateway/gateway.go
+++ b/internal/config/gateway/gateway.go
@@ -27,6 +27,8 @@
 	Seeds []unit.Address
 	// Registry is the address of the store in which routes and endpoints are published.
 	Registry unit.Address
+	// Power is the share of a processor core that the VM has.
+	Power unit.Cores
 	// Grace is how long a stop may take before the process is killed.
 	Grace time.Duration
 	// Extra bounds the hedges and retries of all entry VMs together.
@@ -42,6 +44,7 @@
 	Listen   wireListen `json:"listen"`
 	Seeds    string     `json:"seeds"`
 	Registry string     `json:"registry"`
+	Power    float64    `json:"power"`
 	Grace    float64    `json:"grace"`
 	Extra    wireExtra  `json:"extra"`
 	Level    string     `json:"level"`
@@ -84,6 +87,7 @@
 		Peers:    unit.Address(w.Listen.Peers),
 		Metrics:  unit.Address(w.Listen.Metrics),
 		Registry: unit.Address(w.Registry),
+		Power:    unit.Cores(w.Power),
 		Grace:    seconds(w.Grace),
 		Extra:    allowance.Terms{Ratio: w.Extra.Ratio, Slack: w.Extra.Slack, Window: seconds(w.Extra.Window)},
 		Level:    w.Level,
@@ -118,6 +122,7 @@
 	for _, seed := range s.Seeds {
 		fault(!isAddress(seed), "seeds", addressRule)
 	}
+	fault(s.Power <= 0, "power", "must be a share of a processor core above 0")
 	fault(s.Grace <= 0, "grace", "must be a number of seconds above 0")
 	fault(s.Extra.Ratio < 0, "extra.ratio", "must not be below 0")
 	fault(s.Extra.Slack < 0, "extra.slack", "must not be below 0")
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -9,8 +9,10 @@
 	"basilspan/internal/core/outlook"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/link/leaf"
+	"basilspan/internal/link/peer"
 	"basilspan/internal/policy/allowance"
 	"basilspan/internal/policy/directory"
+	"basilspan/internal/policy/divide"
 	"basilspan/internal/policy/gather"
 	"basilspan/internal/policy/refusal"
 	"basilspan/internal/policy/replica"
@@ -29,6 +31,8 @@
 	Prepare func(
 		id unit.RequestID, method, uri, host string, fields []leaf.Field, body []byte,
 	) (*leaf.Message, error)
+	// Call calls a method of another entry VM.
+	Call func(ctx context.Context, to unit.Address, method peer.Method, params, result any) error
 	// Ended is told of each request's end.
 	Ended func(Record)
 
@@ -37,13 +41,15 @@
 	tracker   *replica.Tracker
 	allowance *allowance.Allowance
 	splitter  routing.Splitter
+	mates     *divide.Tracker
 	waits     map[unit.RouteName]time.Duration
 	swept     time.Time
 }
 
-// New makes a dispatcher of an entry VM in that data centre.
-func New(centre unit.CentreName, terms allowance.Terms, rand func() float64) *Dispatcher {
+// New makes the dispatcher of an entry VM in that data centre.
+func New(node unit.NodeID, centre unit.CentreName, terms allowance.Terms, rand func() float64) *Dispatcher {
 	return &Dispatcher{
+		mates:     divide.New(node, rand),
 		Rand:      rand,
 		tracker:   replica.New(centre, rand),
 		allowance: allowance.New(terms),
@@ -64,10 +70,15 @@
 	if route == nil {
 		return d.refuse(q, v, nil, unit.CodeNoRoute)
 	}
-	f, code := d.newFanout(v, route, q)
-	if code != 0 {
-		return d.refuse(q, v, route, code)
+	message, err := d.Prepare(q.ID, q.Method, q.URI, string(q.Host), q.Fields, q.Body)
+	if err != nil {
+		return d.refuse(q, v, route, unit.CodeBadRequest)
+	}
+	j := d.newJob(v, route, q, message)
+	if plan := d.plan(j); len(plan) > 1 {
+		return d.serveDivided(ctx, j, plan)
 	}
+	f := d.newFanout(j, j.services, j.terms, nil)
 	f.run(ctx)
 	answer := f.answer()
 	d.Ended(f.record(answer))
@@ -97,27 +108,45 @@
 	return refusal.ComeBack(code, usual, d.Rand())
 }
 
-// newFanout makes the run of a request; a code other than 0 says why there is none.
-func (d *Dispatcher) newFanout(v *outlook.View, route *routing.Route, q *Request) (*fanout, unit.Code) {
-	message, err := d.Prepare(q.ID, q.Method, q.URI, string(q.Host), q.Fields, q.Body)
-	if err != nil {
-		return nil, unit.CodeBadRequest
-	}
+// job is a request with all that decides about it.
+type job struct {
+	view     *outlook.View
+	route    *routing.Route
+	request  *Request
+	message  *leaf.Message
+	services []unit.ServiceName
+	terms    gather.Terms
+}
+
+// newJob picks the services of a request and gives it its bounds.
+func (d *Dispatcher) newJob(v *outlook.View, route *routing.Route, q *Request, m *leaf.Message) *job {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.sweep(q.Arrived)
-	services := route.Shards
+	j := &job{view: v, route: route, request: q, message: m, services: route.Shards}
 	if !route.Gathers() {
-		services = []unit.ServiceName{d.splitter.Pick(v.Table.Version, route)}
+		j.services = []unit.ServiceName{d.splitter.Pick(v.Table.Version, route)}
 	}
-	f := &fanout{dispatcher: d, view: v, route: route, request: q, message: message, services: services}
+	j.terms = d.terms(route, q, len(j.services))
+	return j
+}
+
+// newFanout makes the run of a job over some of its services. again says for each of them whether it has been sent to
+// before, so that its first attempt is an extra one; nil says that none has.
+func (d *Dispatcher) newFanout(j *job, services []unit.ServiceName, terms gather.Terms, again []bool) *fanout {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := &fanout{job: j, dispatcher: d, services: services, again: again}
 	f.endpoints = make([][]directory.Endpoint, len(services))
 	for i, s := range services {
-		f.endpoints[i] = v.Endpoints[s]
-		d.allowance.Asked(q.Arrived, s)
+		f.endpoints[i] = j.view.Endpoints[s]
+		if !f.isAgain(i) {
+			d.allowance.Asked(j.request.Arrived, s)
+		}
 	}
-	f.machine = &gather.Machine{Terms: d.terms(route, q, len(services)), Choose: f.choose, Spend: f.spend}
-	return f, 0
+	terms.Shards = len(services)
+	f.machine = &gather.Machine{Terms: terms, Choose: f.choose, Spend: f.spend}
+	return f
 }
 
 // terms gives the bounds of a request.
@@ -128,6 +157,7 @@
 	pace := gather.Pace{Usual: d.tracker.Usual(route.Name), Target: route.Target, Timeout: route.Timeout, Left: q.Left}
 	t := gather.Terms{
 		Shards:     shards,
+		Least:      1,
 		Attempts:   route.Attempts,
 		Repeatable: route.Repeatable,
 		HedgeAfter: pace.HedgeAfter(),
--- /dev/null
+++ b/internal/core/dispatch/divided.go
@@ -0,0 +1,279 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"basilspan/internal/core/unit"
+	"basilspan/internal/link/peer"
+	"basilspan/internal/policy/divide"
+	"basilspan/internal/policy/gather"
+	"basilspan/internal/policy/merge"
+)
+
+// plan divides the shards of a job among the VMs that share requests; one portion means that it is not divided.
+func (d *Dispatcher) plan(j *job) []divide.Portion {
+	if !j.route.Gathers() || j.terms.Cut.IsZero() {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.mates.Plan(j.request.Arrived, len(j.services), j.view.Mates)
+}
+
+// divided is a request whose shards are served by several VMs. Its goroutine decides; each portion has one of its own.
+type divided struct {
+	*job
+	dispatcher *Dispatcher
+	union      *divide.Union
+	ends       chan portionEnd
+	// seals are by shard; empty ones are missing. sent counts the endpoints that each shard was sent to.
+	seals   []string
+	sent    []int
+	records [][]byte
+	record  Record
+	ran     bool
+}
+
+// portionEnd is the end of a portion.
+type portionEnd struct {
+	shards []int
+	// remote says that another VM served it.
+	remote bool
+	part   part
+	err    error
+}
+
+// serveDivided answers a request by portions.
+func (d *Dispatcher) serveDivided(ctx context.Context, j *job, plan []divide.Portion) Answer {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	v := &divided{
+		job:        j,
+		dispatcher: d,
+		union: &divide.Union{
+			Shards: len(j.services), Least: j.terms.Least, Began: j.request.Arrived, Cut: j.terms.Cut, End: j.terms.End,
+		},
+		seals: make([]string, len(j.services)),
+		sent:  make([]int, len(j.services)),
+		// Each portion ends once, may be asked for anew once, and so may all that is missing.
+		ends: make(chan portionEnd, 2*len(plan)+1),
+	}
+	d.Metrics.Add("request.divided", 1)
+	for _, p := range plan {
+		v.begin(ctx, p)
+	}
+	v.wait(ctx)
+	a := v.answer()
+	d.Ended(v.report(a))
+	return a
+}
+
+// begin starts a portion.
+func (v *divided) begin(ctx context.Context, p divide.Portion) {
+	shards := make([]int, 0, p.End-p.First)
+	for i := p.First; i < p.End; i++ {
+		shards = append(shards, i)
+	}
+	if p.Self {
+		v.beginHere(ctx, shards)
+		return
+	}
+	for _, s := range shards {
+		// Until the other VM has answered, it may have sent them to as many endpoints as the route allows.
+		v.sent[s] = v.route.Attempts
+	}
+	v.union.Begin()
+	v.dispatcher.mateSent(p.Mate.Node)
+	go func() {
+		result, err := v.dispatcher.ask(ctx, v.job, v.pick(shards), p.Mate.Address)
+		v.dispatcher.mateEnded(p.Mate.Node, err != nil && ctx.Err() == nil)
+		v.ends <- portionEnd{shards: shards, remote: true, part: part{wirePart: result, ran: true}, err: err}
+	}()
+}
+
+// beginHere starts a portion at this VM. Its shards may have been sent to before; one that was sent to as many
+// endpoints as the route allows is left out.
+func (v *divided) beginHere(ctx context.Context, shards []int) {
+	terms := v.terms
+	terms.Least = 0
+	var open []int
+	var again []bool
+	for _, s := range shards {
+		if v.sent[s] < v.route.Attempts {
+			open = append(open, s)
+			again = append(again, v.sent[s] > 0)
+			terms.Attempts = min(terms.Attempts, v.route.Attempts-v.sent[s])
+		}
+	}
+	if len(open) == 0 {
+		return
+	}
+	if !v.dispatcher.Now().Before(terms.Cut) {
+		// After the cut the answer waits for what is missing.
+		terms.Cut = terms.End
+	}
+	v.union.Begin()
+	go func() {
+		p := v.dispatcher.serveServices(ctx, v.job, v.pick(open), terms, again)
+		v.ends <- portionEnd{shards: open, part: p}
+	}()
+}
+
+// pick gives the services of shards.
+func (v *divided) pick(shards []int) []unit.ServiceName {
+	all := make([]unit.ServiceName, 0, len(shards))
+	for _, s := range shards {
+		all = append(all, v.services[s])
+	}
+	return all
+}
+
+// wait leads the request to its verdict.
+func (v *divided) wait(ctx context.Context) {
+	timer := time.NewTimer(v.untilWake())
+	defer timer.Stop()
+	for v.union.Verdict(v.dispatcher.Now()) == gather.VerdictNone {
+		select {
+		case e := <-v.ends:
+			v.take(ctx, e)
+		case <-timer.C:
+			timer.Reset(v.untilWake())
+		case <-ctx.Done():
+			v.union.Leave()
+		}
+		if v.union.RedoMissing(v.dispatcher.Now()) {
+			v.dispatcher.Metrics.Add("portion.missing", 1)
+			v.beginHere(ctx, v.missing())
+		}
+	}
+}
+
+func (v *divided) untilWake() time.Duration {
+	now := v.dispatcher.Now()
+	return max(0, v.union.Wake(now).Sub(now))
+}
+
+// take takes the end of a portion. One that was lost is asked for anew here while that can still help.
+func (v *divided) take(ctx context.Context, e portionEnd) {
+	if e.err != nil {
+		v.lost(ctx, e)
+		return
+	}
+	n := 0
+	for i, shard := range e.shards {
+		if e.remote {
+			v.sent[shard] = 0
+		}
+		v.sent[shard] += e.part.Sent[i]
+		if seal := e.part.Seals[i]; seal != "" && v.seals[shard] == "" {
+			v.seals[shard] = seal
+			n++
+		}
+	}
+	v.union.Took(n)
+	if n > 0 {
+		v.records = append(v.records, e.part.Records)
+	}
+	v.ran = v.ran || e.part.ran
+	v.record.Hedges += e.part.Hedges
+	v.record.Retries += e.part.Retries
+	v.record.Denied += e.part.Denied
+	v.record.Details = append(v.record.Details, e.part.details...)
+}
+
+// lost takes a portion whose VM has not answered.
+func (v *divided) lost(ctx context.Context, e portionEnd) {
+	now := v.dispatcher.Now()
+	v.dispatcher.Metrics.Add("portion.lost", 1)
+	v.union.Took(0)
+	sent := v.sentLost(now, e.err)
+	v.ran = v.ran || sent > 0
+	for _, s := range e.shards {
+		v.sent[s] = sent
+	}
+	if v.union.Redo(now) {
+		v.beginHere(ctx, e.shards)
+	}
+}
+
+// sentLost gives how many endpoints a VM that has not answered may have sent each shard to.
+func (v *divided) sentLost(now time.Time, err error) int {
+	switch {
+	case errors.Is(err, peer.ErrNotSent):
+		return 0
+	case now.Sub(v.request.Arrived) < v.terms.HedgeAfter/2:
+		// The other VM's hedges may be due earlier than this one's, but not by that much.
+		return 1
+	default:
+		return v.route.Attempts
+	}
+}
+
+// missing gives the shards without a reply.
+func (v *divided) missing() []int {
+	var all []int
+	for shard, seal := range v.seals {
+		if seal == "" {
+			all = append(all, shard)
+		}
+	}
+	return all
+}
+
+// answer puts the answer together.
+func (v *divided) answer() Answer {
+	switch v.union.Verdict(v.dispatcher.Now()) {
+	case gather.VerdictAnswered:
+		return v.merged()
+	case gather.VerdictGone:
+		return Answer{Code: unit.CodeCallerGone}
+	case gather.VerdictTimedOut:
+		return Answer{Code: unit.CodeDeadline}
+	}
+	if !v.ran {
+		return Answer{Code: unit.CodeNoEndpoint, ComeBack: v.dispatcher.comeBack(unit.CodeNoEndpoint, v.route)}
+	}
+	return Answer{Code: unit.CodeBelowMinimum}
+}
+
+func (v *divided) merged() Answer {
+	a := Answer{Code: unit.CodeWhole, Gathered: true, Missing: v.union.Missing()}
+	for _, seal := range v.seals {
+		if seal != "" {
+			a.Seals = append(a.Seals, seal)
+		}
+	}
+	if a.Missing > 0 {
+		a.Code = unit.CodePartial
+	}
+	a.Body = merge.Top(v.route.Top, v.records)
+	return a
+}
+
+// report tells the end of the request.
+func (v *divided) report(a Answer) Record {
+	r := v.job.record(a, v.dispatcher.Now())
+	r.Verdict = v.union.Verdict(v.dispatcher.Now())
+	r.Shards, r.Answered = len(v.services), len(v.services)-v.union.Missing()
+	r.Hedges, r.Retries, r.Denied = v.record.Hedges, v.record.Retries, v.record.Denied
+	r.Details = v.record.Details
+	if len(r.Details) > maxDetails {
+		r.Details = r.Details[:maxDetails]
+	}
+	return r
+}
+
+func (d *Dispatcher) mateSent(node unit.NodeID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.mates.Sent(node)
+}
+
+func (d *Dispatcher) mateEnded(node unit.NodeID, failed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.mates.Ended(d.Now(), node, failed)
+}
--- a/internal/core/dispatch/fanout.go
+++ b/internal/core/dispatch/fanout.go
@@ -5,27 +5,24 @@
 	"slices"
 	"time"
 
-	"basilspan/internal/core/outlook"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/link/leaf"
 	"basilspan/internal/policy/directory"
 	"basilspan/internal/policy/gather"
-	"basilspan/internal/policy/routing"
 )
 
 // fanout is one request under way. Its goroutine runs the machine; the connections' goroutines hand it the ends of its
 // attempts.
 type fanout struct {
+	*job
 	dispatcher *Dispatcher
-	view       *outlook.View
-	route      *routing.Route
-	request    *Request
-	message    *leaf.Message
-	// services are the shards, and endpoints those of each.
+	// services are the shards, a part of the job's, and endpoints those of each.
 	services  []unit.ServiceName
 	endpoints [][]directory.Endpoint
-	machine   *gather.Machine
-	ends      chan end
+	// again marks the shards that have been sent to before.
+	again   []bool
+	machine *gather.Machine
+	ends    chan end
 	// flights and replies are by attempt.
 	flights []*leaf.Flight
 	replies []leaf.End
@@ -118,6 +115,7 @@
 func (f *fanout) send(id gather.AttemptID) {
 	attempt := f.machine.Attempt(id)
 	endpoint := f.endpoint(attempt)
+	service := f.services[attempt.Shard]
 	for len(f.flights) <= int(id) {
 		f.flights = append(f.flights, nil)
 		f.replies = append(f.replies, leaf.End{})
@@ -127,7 +125,7 @@
 		Message:     f.message,
 		Endpoint:    endpoint.ID,
 		Address:     endpoint.Address,
-		Connections: f.connections(attempt.Shard),
+		Connections: f.view.Share(service).Each(endpoint.Slots),
 		Until:       f.machine.Terms.End,
 	}
 	f.flights[id] = f.dispatcher.Send(f.dispatcher.Now(), call, func(e leaf.End) {
@@ -136,13 +134,6 @@
 	})
 }
 
-// connections gives how many connections this VM may hold to an endpoint of the shard: its part of those that the
-// endpoint accepts, and always one.
-func (f *fanout) connections(shard int) int {
-	all := int(f.view.Table.Services[f.services[shard]].Connections)
-	return max(1, all/max(1, f.view.VMs))
-}
-
 func (f *fanout) endpoint(a gather.Attempt) directory.Endpoint {
 	return f.endpoints[a.Shard][a.Endpoint]
 }
@@ -150,6 +141,9 @@
 // choose picks the endpoint of an attempt. A hedge goes to another sound endpoint only; a retry may go to the same
 // endpoint again where there is no other.
 func (f *fanout) choose(now time.Time, shard int, tried []int, reason gather.Reason) (int, bool) {
+	if reason == gather.ReasonFirst && f.isAgain(shard) && !f.spend(now, shard) {
+		return 0, false
+	}
 	all := f.endpoints[shard]
 	ids := make([]unit.EndpointID, 0, len(tried))
 	for _, i := range tried {
@@ -162,6 +156,11 @@
 	return at, at >= 0
 }
 
+// isAgain says whether the shard has been sent to before.
+func (f *fanout) isAgain(shard int) bool {
+	return f.again != nil && f.again[shard]
+}
+
 func (f *fanout) spend(now time.Time, shard int) bool {
 	ok := f.dispatcher.allowance.Take(now, f.services[shard], f.view.VMs)
 	if !ok {
--- a/internal/core/dispatch/record.go
+++ b/internal/core/dispatch/record.go
@@ -59,24 +59,30 @@
 	Err   error
 }
 
-// record tells the end of the request.
-func (f *fanout) record(a Answer) Record {
-	now := f.dispatcher.Now()
+// record tells what is known of a request apart from its attempts.
+func (j *job) record(a Answer, now time.Time) Record {
 	r := Record{
-		ID:        f.request.ID,
-		Route:     f.route.Name,
+		ID:        j.request.ID,
+		Route:     j.route.Name,
 		Code:      a.Code,
-		Took:      now.Sub(f.request.Arrived),
-		Left:      f.request.Left,
-		Target:    f.route.Target,
-		Table:     f.view.Table.Version,
-		TableAge:  now.Sub(f.view.TableAt),
-		Endpoints: f.view.EndpointsAt,
-		Verdict:   f.machine.Verdict(),
-		Shards:    len(f.services),
-		Answered:  f.machine.Answered(),
-		Denied:    f.denied,
+		Took:      now.Sub(j.request.Arrived),
+		Left:      j.request.Left,
+		Target:    j.route.Target,
+		Endpoints: j.view.EndpointsAt,
 	}
+	if j.view.Table != nil {
+		r.Table = j.view.Table.Version
+		r.TableAge = now.Sub(j.view.TableAt)
+	}
+	return r
+}
+
+// record tells the end of the request.
+func (f *fanout) record(a Answer) Record {
+	r := f.job.record(a, f.dispatcher.Now())
+	r.Verdict = f.machine.Verdict()
+	r.Shards, r.Answered = len(f.services), f.machine.Answered()
+	r.Denied = f.denied
 	for _, attempt := range f.machine.Attempts() {
 		switch attempt.Reason {
 		case gather.ReasonHedge:
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,8 +17,12 @@
 	"basilspan/internal/core/unit"
 	"basilspan/internal/link/peer"
 	"basilspan/internal/policy/census"
+	"basilspan/internal/policy/divide"
 )
 
+// maxTurn bounds the draw of the first seed that a VM follows.
+const maxTurn = 1 << 16
+
 // callTime bounds one call of a peer, which answers in milliseconds.
 const callTime = 400 * time.Millisecond
 
@@ -27,16 +33,22 @@
 const (
 	methodCensus  peer.Method = "census"
 	methodListing peer.Method = "listing"
+	methodChanges peer.Method = "changes"
 )
 
-// Counted is the event that the estimate of the number of entry VMs has changed.
+// relayFrom is the number of entry VMs from which on only the seeds read the registry.
+const relayFrom = 12
+
+// Counted is the event that the estimate of the number of entry VMs, or the VMs that share requests, have changed.
 type Counted struct {
-	VMs int
+	VMs   int
+	Mates []divide.Mate
 }
 
 // Fleet is this VM's part of the exchange. The function fields are its seams.
 type Fleet struct {
-	Node  unit.NodeID
+	// Self is this VM as the seeds are told of it.
+	Self  census.Caller
 	Seeds []unit.Address
 	Now   func() time.Time
 	Rand  func() float64
@@ -45,22 +57,34 @@
 	Call func(ctx context.Context, to unit.Address, method peer.Method, params, result any) error
 	// Held gives what this VM knows under a prefix.
 	Held func(prefix registry.Prefix) registry.Listing
+	// Changes gives what this VM learns under a prefix that is newer than a revision, until ctx ends.
+	Changes func(ctx context.Context, prefix registry.Prefix, after unit.Revision) registry.News
 
 	loop   *kernel.Loop
 	census *census.Census
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	mates  []divide.Mate
+	// seed says that this VM is a seed itself, large that there are many VMs, and turn chooses the seed to follow.
+	seed  bool
+	large atomic.Bool
+	turn  atomic.Uint64
+	// leaving is set once this VM is stopping.
+	leaving atomic.Bool
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
 }
 
 // Install has link answer peers, and loop own the census.
 func (f *Fleet) Install(loop *kernel.Loop, link *peer.Link) {
 	f.loop = loop
-	f.census = census.New(f.Now(), f.Node)
+	f.census = census.New(f.Now(), f.Self.Node)
 	f.Call = link.Call
+	f.seed = slices.Contains(f.Seeds, f.Self.Address)
+	f.turn.Store(uint64(f.Rand() * maxTurn))
 	kernel.On(loop, f.onCall)
 	kernel.On(loop, f.onTold)
 	peer.Handle(link, methodCensus, f.answerCensus)
 	peer.Handle(link, methodListing, f.answerListing)
+	peer.Handle(link, methodChanges, f.answerChanges)
 }
 
 // Service gives the exchange as a service with that name.
@@ -82,52 +106,101 @@
 	}
 }
 
-// called is the event that a VM has called this one; the count goes to reply, which has room for it.
+// called is the event that a VM has called this one; the result goes to reply, which has room for it.
 type called struct {
-	node  unit.NodeID
-	reply chan<- wireCount
+	caller  census.Caller
+	leaving bool
+	reply   chan<- wireCount
 }
 
-// told is the event that a seed has told its count; the time to the next call goes to reply, which has room for it.
+// told is the event that seeds have answered; the time to the next call goes to reply, which has room for it.
 type told struct {
 	counts []wireCount
 	reply  chan<- time.Duration
 }
 
-// wireCall is a call of the census, and wireCount its result.
+// wireCall is a call of the census.
 type wireCall struct {
-	Node string `json:"node"`
+	wireMate
+	Centre string `json:"centre"`
+	// Leaving says that the VM is stopping.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
+// wireMate is an entry VM with the address that peers reach it at and its share of a processor core.
+type wireMate struct {
+	Node    string  `json:"node"`
+	Address string  `json:"address"`
+	Power   float64 `json:"power"`
+}
+
+// wireCount is the result.
 type wireCount struct {
 	Count int `json:"count"`
 	// Settled says whether all VMs have had the time to call.
 	Settled bool `json:"settled"`
+	// Mates are the VMs that the caller shares requests with.
+	Mates []wireMate `json:"mates,omitempty"`
 }
 
 func (f *Fleet) onCall(now time.Time, e called) {
-	f.census.Heard(now, e.node)
+	if e.leaving {
+		f.census.Left(e.caller.Node)
+	} else {
+		f.census.Heard(now, e.caller)
+	}
 	n, settled := f.census.Count(now)
-	e.reply <- wireCount{Count: n, Settled: settled}
+	result := wireCount{Count: n, Settled: settled}
+	for _, m := range f.census.Mates(e.caller) {
+		result.Mates = append(result.Mates, encodeMate(m))
+	}
+	e.reply <- result
 }
 
 func (f *Fleet) onTold(now time.Time, e told) {
 	before := f.census.Estimate()
+	var mates []divide.Mate
 	for _, c := range e.counts {
-		if c.Settled {
-			f.census.Told(now, c.Count)
+		f.census.Told(now, c.Count, c.Settled)
+		if len(c.Mates) > len(mates) {
+			mates = decodeMates(c.Mates)
 		}
 	}
-	if after := f.census.Estimate(); after != before {
+	after := f.census.Estimate()
+	f.large.Store(f.census.Settled() && after >= relayFrom)
+	if after != before {
 		f.Log.Info("number of entry VMs changed", "from", before, "to", after)
-		f.loop.Raise(now, Counted{VMs: after})
 	}
-	e.reply <- f.census.Period()
+	if mates == nil {
+		mates = f.mates
+	}
+	if after != before || !slices.Equal(mates, f.mates) {
+		f.mates = mates
+		f.loop.Raise(now, Counted{VMs: after, Mates: mates})
+	}
+	e.reply <- f.census.Pause()
+}
+
+func encodeMate(m divide.Mate) wireMate {
+	return wireMate{Node: string(m.Node), Address: string(m.Address), Power: float64(m.Power)}
+}
+
+func decodeMates(all []wireMate) []divide.Mate {
+	mates := make([]divide.Mate, 0, len(all))
+	for _, w := range all {
+		mates = append(mates, w.decode())
+	}
+	return mates
+}
+
+func (w wireMate) decode() divide.Mate {
+	return divide.Mate{Node: unit.NodeID(w.Node), Address: unit.Address(w.Address), Power: unit.Cores(w.Power)}
 }
 
 func (f *Fleet) answerCensus(ctx context.Context, w wireCall) (wireCount, error) {
+	caller := census.Caller{Mate: w.decode(), Centre: unit.CentreName(w.Centre)}
 	reply := make(chan wireCount, 1)
-	if err := kernel.Post(ctx, f.loop, called{node: unit.NodeID(w.Node), reply: reply}); err != nil {
+	if err := kernel.Post(ctx, f.loop, called{caller: caller, leaving: w.Leaving, reply: reply}); err != nil {
 		return wireCount{}, err
 	}
 	select {
@@ -138,6 +211,12 @@
 	}
 }
 
+// Leave tells the seeds that this VM is stopping, so that it gets no more portions of requests.
+func (f *Fleet) Leave(ctx context.Context) {
+	f.leaving.Store(true)
+	f.ask(ctx)
+}
+
 // run calls the seeds until ctx ends.
 func (f *Fleet) run(ctx context.Context) {
 	defer f.wg.Done()
@@ -172,7 +251,8 @@
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	var c wireCount
-	err := f.Call(ctx, seed, methodCensus, wireCall{Node: string(f.Node)}, &c)
+	call := wireCall{wireMate: encodeMate(f.Self.Mate), Centre: string(f.Self.Centre), Leaving: f.leaving.Load()}
+	err := f.Call(ctx, seed, methodCensus, call, &c)
 	return c, err
 }
 
--- a/internal/core/fleet/listing.go
+++ b/internal/core/fleet/listing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"basilspan/internal/core/registry"
 	"basilspan/internal/core/unit"
@@ -21,8 +22,66 @@
 
 type wireItem struct {
 	Key      string        `json:"key"`
-	Value    []byte        `json:"value"`
+	Value    []byte        `json:"value,omitempty"`
 	Revision unit.Revision `json:"revision"`
+	Deleted  bool          `json:"deleted,omitempty"`
+}
+
+// wireFollow asks for what is newer than a revision, as soon as there is something and after a time at the latest.
+type wireFollow struct {
+	wireAsk
+	// Wait is in milliseconds.
+	Wait int64 `json:"wait"`
+}
+
+// wireNews is the result.
+type wireNews struct {
+	wireListing
+	Whole bool `json:"whole,omitempty"`
+	// Age is for how many milliseconds the answering VM has not heard from the registry, -1 if it never has.
+	Age int64 `json:"age"`
+}
+
+// answerChanges tells a peer what this VM learns next of the registry.
+func (f *Fleet) answerChanges(ctx context.Context, w wireFollow) (wireNews, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(w.Wait)*time.Millisecond)
+	defer cancel()
+	news := f.Changes(ctx, registry.Prefix(w.Prefix), w.After)
+	result := wireNews{wireListing: encodeListing(news.Listing), Whole: news.Whole, Age: -1}
+	if !news.Heard.IsZero() {
+		result.Age = f.Now().Sub(news.Heard).Milliseconds()
+	}
+	return result, nil
+}
+
+// Relay waits for what a seed learns of the registry. Each VM follows a seed of its own choice and goes on to the next
+// one when that does not answer.
+func (f *Fleet) Relay(
+	ctx context.Context, prefix registry.Prefix, after unit.Revision, wait time.Duration,
+) (registry.News, error) {
+	if len(f.Seeds) == 0 {
+		return registry.News{}, errNoNews
+	}
+	turn := f.turn.Load()
+	seed := f.Seeds[int(turn)%len(f.Seeds)]
+	var w wireNews
+	ask := wireFollow{wireAsk: wireAsk{Prefix: string(prefix), After: after}, Wait: wait.Milliseconds()}
+	if err := f.Call(ctx, seed, methodChanges, ask, &w); err != nil {
+		f.turn.CompareAndSwap(turn, turn+1)
+		return registry.News{}, err
+	}
+	if w.Age < 0 {
+		f.turn.CompareAndSwap(turn, turn+1)
+		return registry.News{}, errNoNews
+	}
+	heard := f.Now().Add(-time.Duration(w.Age) * time.Millisecond)
+	return registry.News{Listing: w.decode(), Whole: w.Whole, Heard: heard}, nil
+}
+
+// Relays says whether this VM relies on the seeds for what is published. The seeds themselves read the registry, and so
+// do all VMs of a small deployment, where few reads are saved and a lost seed would cost time.
+func (f *Fleet) Relays() bool {
+	return !f.seed && f.large.Load()
 }
 
 // answerListing tells a peer what this VM knows of the registry.
@@ -31,11 +90,15 @@
 	if held.At <= w.After {
 		return wireListing{}, nil
 	}
-	all := wireListing{At: held.At}
-	for _, i := range held.Items {
-		all.Items = append(all.Items, wireItem{Key: string(i.Key), Value: i.Value, Revision: i.Revision})
+	return encodeListing(held), nil
+}
+
+func encodeListing(l registry.Listing) wireListing {
+	w := wireListing{At: l.At}
+	for _, i := range l.Items {
+		w.Items = append(w.Items, wireItem{Key: string(i.Key), Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
 	}
-	return all, nil
+	return w
 }
 
 // Listing gives what a peer knows under the prefix, if it is newer than after. The seeds are asked in turn, from one
@@ -70,7 +133,8 @@
 func (w wireListing) decode() registry.Listing {
 	all := registry.Listing{At: w.At}
 	for _, i := range w.Items {
-		all.Items = append(all.Items, registry.Item{Key: registry.Key(i.Key), Value: i.Value, Revision: i.Revision})
+		item := registry.Item{Key: registry.Key(i.Key), Value: i.Value, Revision: i.Revision, Deleted: i.Deleted}
+		all.Items = append(all.Items, item)
 	}
 	return all
 }
--- a/internal/core/outlook/outlook.go
+++ b/internal/core/outlook/outlook.go
@@ -1,6 +1,7 @@
 package outlook
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
@@ -11,11 +12,14 @@
 	"basilspan/internal/core/unit"
 	"basilspan/internal/policy/census"
 	"basilspan/internal/policy/directory"
+	"basilspan/internal/policy/divide"
+	"basilspan/internal/policy/reach"
 	"basilspan/internal/policy/routing"
 )
 
 // Options are what the belief works with. The function fields are its seams.
 type Options struct {
+	Node    unit.NodeID
 	Views   *Views
 	Metrics *metric.Set
 	Log     *slog.Logger
@@ -62,8 +66,15 @@
 	return o.held.listing(prefix)
 }
 
+// Changes gives what is published under a prefix and newer than a revision, as soon as something is known here or ctx
+// ends; any goroutine may call it.
+func (o *Outlook) Changes(ctx context.Context, prefix registry.Prefix, after unit.Revision) registry.News {
+	return o.held.changes(ctx, prefix, after)
+}
+
 func (o *Outlook) onCounted(now time.Time, e fleet.Counted) {
 	o.view.VMs = e.VMs
+	o.view.Mates = e.Mates
 	o.publish(now)
 }
 
@@ -71,7 +82,7 @@
 	if !e.FromPeer {
 		o.regained(now, e.Prefix)
 	}
-	o.held.replace(e)
+	o.held.replace(now, e)
 	if e.Prefix == o.Tables {
 		o.takeTables(now, e.Items)
 		return
@@ -90,7 +101,7 @@
 
 func (o *Outlook) onChanged(now time.Time, e registry.Changed) {
 	o.regained(now, e.Prefix)
-	o.held.change(e)
+	o.held.change(now, e)
 	if e.Prefix == o.Tables {
 		o.takeTables(now, e.Items)
 		return
@@ -199,8 +210,25 @@
 	o.publish(now)
 }
 
+// users gives how many VMs send requests to the endpoints of each service that is a shard of a divided search.
+func users(v *View) map[unit.ServiceName]int {
+	all := make(map[unit.ServiceName]int)
+	for _, r := range v.Table.Routes() {
+		groups := divide.Groups(len(r.Shards), len(v.Mates))
+		for _, s := range r.Shards {
+			all[s] = max(all[s], (v.VMs+groups-1)/groups)
+		}
+	}
+	return all
+}
+
+// publish gives traffic a new view, with the endpoints that this VM may keep connections to.
 func (o *Outlook) publish(now time.Time) {
 	next := o.view
+	if next.Complete() {
+		next.users = users(&next)
+		next.Endpoints = reach.Limit(o.Node, next.Share, next.Endpoints)
+	}
 	o.Views.publish(&next)
 	if o.Published != nil {
 		o.Published(now, &next)
--- a/internal/core/outlook/view.go
+++ b/internal/core/outlook/view.go
@@ -9,6 +9,8 @@
 	"basilspan/internal/core/unit"
 	"basilspan/internal/policy/census"
 	"basilspan/internal/policy/directory"
+	"basilspan/internal/policy/divide"
+	"basilspan/internal/policy/reach"
 	"basilspan/internal/policy/routing"
 )
 
@@ -26,6 +28,25 @@
 	Heard time.Time
 	// VMs is how many entry VMs there are, this one included.
 	VMs int
+	// Mates are the VMs that share requests with this one, this one included, in the order that all of them have.
+	Mates []divide.Mate
+
+	// users is how many VMs use the endpoints of a service where that is fewer than all.
+	users map[unit.ServiceName]int
+}
+
+// Share gives what the VMs that use the endpoints of a service have in common.
+func (v *View) Share(service unit.ServiceName) reach.Share {
+	s := reach.Share{Connections: v.Table.Connections(service), VMs: v.VMs}
+	if n, ok := v.users[service]; ok {
+		s.VMs = n
+	}
+	return s
+}
+
+// Mine says whether this VM serves the shard of a route for requests that are divided.
+func (v *View) Mine(self unit.NodeID, r *routing.Route, shard int) bool {
+	return divide.Serves(self, v.Mates, len(r.Shards), shard)
 }
 
 // Complete says whether requests can be served.
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -26,6 +26,14 @@
 	// the registry's return is noticed.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
+	// relayTime is how long a peer waits for a change before it answers that there is none, and relaySlack how much
+	// longer its answer may take; both are short, since a peer that is gone is noticed by the lack of an answer.
+	relayTime  = time.Second
+	relaySlack = 300 * time.Millisecond
+	// relayAge is how old a peer's knowledge may be; with an older one this VM reads the registry itself.
+	relayAge = watchTime + watchSlack
+	// directTime is how long this VM reads the registry itself before it relies on peers again.
+	directTime = 10 * time.Second
 )
 
 // ErrCompacted means that the registry no longer holds the changes since the revision that was asked for.
@@ -66,6 +74,17 @@
 	Prefix Prefix
 	Items  []Item
 	At     unit.Revision
+	// Age is how long ago the registry held nothing newer, 0 when it has just said so itself.
+	Age time.Duration
+}
+
+// News is what a peer knows that is newer than a revision.
+type News struct {
+	Listing
+	// Whole says that Items are all values, and not changes.
+	Whole bool
+	// Heard is when the registry last answered the peer, on the clock of whoever holds the News.
+	Heard time.Time
 }
 
 // Lost is the event that the registry could not be read.
@@ -77,11 +96,16 @@
 // Follower follows one prefix. The function fields are its seams.
 type Follower struct {
 	Prefix Prefix
+	Now    func() time.Time
 	List   func(ctx context.Context, prefix Prefix) (Listing, error)
 	Watch  func(ctx context.Context, prefix Prefix, after unit.Revision, wait time.Duration) (Listing, error)
 	// Peers gives what a peer knows under the prefix if that is newer than a revision; it is asked while the registry
 	// cannot be read.
 	Peers func(ctx context.Context, prefix Prefix, after unit.Revision) (Listing, error)
+	// Relay waits for what a peer that reads the registry learns, and Relayed says whether to rely on that. In a large
+	// deployment a few VMs read the registry, and the others follow them.
+	Relay   func(ctx context.Context, prefix Prefix, after unit.Revision, wait time.Duration) (News, error)
+	Relayed func() bool
 	// Rand gives a number from 0 to 1, by which the retries of several VMs are spread.
 	Rand func() float64
 	Log  *slog.Logger
@@ -91,8 +115,9 @@
 	loop   *kernel.Loop
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
-	// at is the revision that this VM has caught up with.
-	at unit.Revision
+	// at is the revision that this VM has caught up with, and direct until when it reads the registry itself.
+	at     unit.Revision
+	direct time.Time
 }
 
 // Service gives the follower as a service with that name; its events go to loop.
@@ -149,7 +174,8 @@
 	f.post(ctx, Listed{Prefix: f.Prefix, Items: listing.Items, At: listing.At, FromPeer: true})
 }
 
-// follow lists the prefix once and watches it until a read fails. answered says whether any read succeeded.
+// follow lists the prefix once and then follows it, at a peer or at the registry, until a read of the registry fails.
+// answered says whether any read succeeded.
 func (f *Follower) follow(ctx context.Context) (answered bool, err error) {
 	listing, err := f.list(ctx)
 	if err != nil {
@@ -158,18 +184,66 @@
 	f.post(ctx, Listed{Prefix: f.Prefix, Items: listing.Items, At: listing.At})
 	f.at = listing.At
 	for {
-		changes, err := f.watch(ctx, f.at)
-		if err != nil {
+		if f.relayed() {
+			f.followPeer(ctx)
+		}
+		if err := f.followRegistry(ctx); err != nil {
 			return true, err
 		}
-		f.post(ctx, Changed{Prefix: f.Prefix, Items: changes.Items, At: changes.At})
-		f.at = max(f.at, changes.At)
-		if len(changes.Items) > 0 {
-			wait(ctx, f.Batch)
+	}
+}
+
+// relayed says whether a peer is to be relied on now.
+func (f *Follower) relayed() bool {
+	return f.Relayed() && f.Now().After(f.direct)
+}
+
+// followRegistry watches the registry once.
+func (f *Follower) followRegistry(ctx context.Context) error {
+	changes, err := f.watch(ctx, f.at)
+	if err != nil {
+		return err
+	}
+	f.post(ctx, Changed{Prefix: f.Prefix, Items: changes.Items, At: changes.At})
+	f.at = max(f.at, changes.At)
+	if len(changes.Items) > 0 {
+		wait(ctx, f.Batch)
+	}
+	return nil
+}
+
+// followPeer follows a peer until that fails or knows too little, after which this VM reads the registry itself.
+func (f *Follower) followPeer(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := f.relay(ctx); err != nil {
+			f.direct = f.Now().Add(directTime)
+			f.Log.Info("reading the registry instead of a peer", "prefix", f.Prefix, "at", f.at, "error", err)
+			return
 		}
 	}
 }
 
+// relay takes what a peer learns next.
+func (f *Follower) relay(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, relayTime+relaySlack)
+	defer cancel()
+	news, err := f.Relay(ctx, f.Prefix, f.at, relayTime)
+	if err != nil {
+		return err
+	}
+	age := f.Now().Sub(news.Heard)
+	if age > relayAge || news.At < f.at {
+		return errors.Newf("the peer knows revision %d as of %v ago", news.At, age)
+	}
+	if news.Whole {
+		f.post(ctx, Listed{Prefix: f.Prefix, Items: news.Items, At: news.At})
+	} else {
+		f.post(ctx, Changed{Prefix: f.Prefix, Items: news.Items, At: news.At, Age: age})
+	}
+	f.at = max(f.at, news.At)
+	return nil
+}
+
 func (f *Follower) list(ctx context.Context) (Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTime)
 	defer cancel()
--- a/internal/core/unit/unit.go
+++ b/internal/core/unit/unit.go
@@ -79,3 +79,6 @@
 
 // Weight is a service's portion of a split, relative to the other weights of the split.
 type Weight float64
+
+// Cores is a share of processor cores.
+type Cores float64
--- a/internal/link/peer/peer.go
+++ b/internal/link/peer/peer.go
@@ -149,6 +149,11 @@
 	return e.Code == codeClosing || e.Code == jsonrpc2.CodeMethodNotFound || e.Code == jsonrpc2.CodeInvalidParams
 }
 
+// Refuse marks err as the answer of a VM that has not run the call, which ErrNotSent is then at the caller.
+func Refuse(err error) error {
+	return &jsonrpc2.Error{Code: codeClosing, Message: err.Error()}
+}
+
 // stamp gives the time of sending, on this VM's clock alone.
 func (l *Link) stamp() wireStamp {
 	return wireStamp{Sent: time.Since(l.began).Microseconds()}
--- a/internal/policy/census/census.go
+++ b/internal/policy/census/census.go
@@ -3,9 +3,14 @@
 package census
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/divide"
 )
 
 const (
@@ -15,6 +20,8 @@
 	// each VM, so that a seed takes at most 1/callTime calls a second however many VMs there are.
 	periodLeast = 2 * time.Second
 	callTime    = 20 * time.Millisecond
+	// unsettledPause is the time between two calls of a VM that does not know the count yet.
+	unsettledPause = 500 * time.Millisecond
 	// missed is how many periods a VM may be silent before it is no longer counted.
 	missed = 3
 	// shrinkAfter is how long lower counts alone must have been told before the estimate falls.
@@ -25,28 +32,47 @@
 type Census struct {
 	began time.Time
 	self  unit.NodeID
-	heard map[unit.NodeID]time.Time
-	// estimate is the count in use, 0 while there is none, and upheld when it was last told as high as that.
+	heard map[unit.NodeID]sighting
+	// estimate is the count in use, and upheld when it was last told as high as that.
 	estimate int
 	upheld   time.Time
+	// settled is set once a seed has told a count that all VMs have had the time to enter.
+	settled bool
+}
+
+// Caller is a VM that calls a seed.
+type Caller struct {
+	divide.Mate
+	Centre unit.CentreName
+}
+
+// sighting is a caller and when it has called last.
+type sighting struct {
+	Caller
+	at time.Time
 }
 
 // New makes the census of a VM that starts now.
 func New(now time.Time, self unit.NodeID) *Census {
-	return &Census{began: now, self: self, heard: make(map[unit.NodeID]time.Time)}
+	return &Census{began: now, self: self, heard: make(map[unit.NodeID]sighting), estimate: Unknown}
 }
 
 // Heard takes a call of a VM.
-func (c *Census) Heard(now time.Time, node unit.NodeID) {
-	c.heard[node] = now
+func (c *Census) Heard(now time.Time, caller Caller) {
+	c.heard[caller.Node] = sighting{Caller: caller, at: now}
+}
+
+// Left takes that a VM is stopping.
+func (c *Census) Left(node unit.NodeID) {
+	delete(c.heard, node)
 }
 
 // Count gives the number of VMs that have called lately, this one included. settled says whether all have had the time
 // to call since this VM started.
 func (c *Census) Count(now time.Time) (n int, settled bool) {
 	window := missed * c.Period()
-	for node, at := range c.heard {
-		if now.Sub(at) > window {
+	for node, s := range c.heard {
+		if now.Sub(s.at) > window {
 			delete(c.heard, node)
 		}
 	}
@@ -57,27 +83,65 @@
 	return n, now.Sub(c.began) > 2*c.Period()
 }
 
-// Told takes a seed's settled count.
-func (c *Census) Told(now time.Time, n int) {
+// cellSize is about how many VMs share requests. A cell has to be large enough to divide the largest requests, and small
+// enough that a seed can tell each caller its cell.
+const cellSize = 14
+
+// Mates gives the VMs of a caller's data centre that it shares requests with, itself included, in an order that is the
+// same for all of them.
+func (c *Census) Mates(caller Caller) []divide.Mate {
+	var all []divide.Mate
+	for _, s := range c.heard {
+		if s.Centre == caller.Centre {
+			all = append(all, s.Mate)
+		}
+	}
+	cells := max(1, uint64(len(all)+cellSize/2)/cellSize)
+	own := draw(caller.Node) % cells
+	all = slices.DeleteFunc(all, func(m divide.Mate) bool { return draw(m.Node)%cells != own })
+	slices.SortFunc(all, func(a, b divide.Mate) int { return cmp.Compare(draw(a.Node), draw(b.Node)) })
+	return all
+}
+
+// draw gives a number that is fixed for a VM.
+func draw(node unit.NodeID) uint64 {
+	return xxhash.Sum64String(string(node))
+}
+
+// Told takes a seed's count. One that has not settled can only be too low, so it only raises the estimate.
+func (c *Census) Told(now time.Time, n int, settled bool) {
+	first := settled && !c.settled
+	c.settled = c.settled || settled
 	switch {
 	case n >= c.estimate:
-		c.estimate = n
-		c.upheld = now
-	case now.Sub(c.upheld) > shrinkAfter:
-		c.estimate = n
-		c.upheld = now
+	case !settled:
+		return
+	case !first && now.Sub(c.upheld) <= shrinkAfter:
+		return
 	}
+	c.estimate = n
+	c.upheld = now
 }
 
 // Estimate gives the number of VMs.
 func (c *Census) Estimate() int {
-	if c.estimate == 0 {
-		return Unknown
-	}
 	return c.estimate
 }
 
-// Period gives the time between two calls of a VM.
+// Settled says whether a seed has told a count that all VMs have had the time to enter.
+func (c *Census) Settled() bool {
+	return c.settled
+}
+
+// Pause gives the time to this VM's next call.
+func (c *Census) Pause() time.Duration {
+	if !c.settled {
+		return unsettledPause
+	}
+	return c.Period()
+}
+
+// Period gives the time between two calls of a VM that knows the count.
 func (c *Census) Period() time.Duration {
 	return max(periodLeast, time.Duration(c.Estimate())*callTime)
 }
--- a/internal/policy/gather/machine.go
+++ b/internal/policy/gather/machine.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"basilspan/internal/core/unit"
 )
 
 const (
@@ -162,6 +164,11 @@
 	return m.shards[shard].last
 }
 
+// Arrived gives how many endpoints the shard may have arrived at.
+func (m *Machine) Arrived(shard int) int {
+	return m.shards[shard].arrived
+}
+
 // Answered gives how many shards have a reply.
 func (m *Machine) Answered() int {
 	return m.answered
@@ -284,9 +291,14 @@
 
 // least gives how many shards an answer needs.
 func (m *Machine) least() int {
+	return LeastShards(m.Terms.Least, len(m.shards))
+}
+
+// LeastShards gives how many of the shards a share of them is, rounded up.
+func LeastShards(share unit.Share, shards int) int {
 	// The share is a decimal fraction; without the tolerance 0.89 of 100 could come out as 90.
 	const tolerance = 1e-9
-	return max(1, int(math.Ceil(float64(m.Terms.Least)*float64(len(m.shards))-tolerance)))
+	return int(math.Ceil(float64(share)*float64(shards) - tolerance))
 }
 
 // finish ends the request and abandons what is open.
--- a/internal/policy/gather/terms.go
+++ b/internal/policy/gather/terms.go
@@ -12,7 +12,7 @@
 // Terms bound one request.
 type Terms struct {
 	Shards int
-	// Least is the share of the shards below which there is no answer.
+	// Least is the share of the shards below which there is no answer; with 0, an answer may hold nothing.
 	Least unit.Share
 	// Attempts is how many endpoints each shard may be sent to.
 	Attempts int
--- /dev/null
+++ b/internal/policy/reach/reach.go
@@ -0,0 +1,78 @@
+// Package reach limits which endpoints an entry VM keeps connections to, so that all VMs together stay below what an
+// endpoint accepts.
+package reach
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/directory"
+)
+
+// use is the share of an endpoint's connections that the VMs plan for; the rest is for the chance by which more VMs than
+// the mean choose an endpoint, for VMs that start and for connections that are still closing.
+const use = 0.75
+
+// perCall is how many connections to one endpoint a VM holds at the most beyond the endpoint's slots: more calls than
+// that only wait at the endpoint instead of here.
+const perCall = 1
+
+// Share is what the VMs that use an endpoint have in common.
+type Share struct {
+	// Connections is how many connections the endpoint accepts; 0 is not published.
+	Connections unit.Connections
+	// VMs is how many entry VMs use the endpoint.
+	VMs int
+}
+
+// Each gives how many connections a VM may hold to an endpoint that runs that many requests at a time. It is 1 at least.
+func (s Share) Each(slots unit.Slots) int {
+	return max(1, min(int(s.portion()), int(slots)+perCall))
+}
+
+// portion gives how many connections there are for each VM, which may be less than one.
+func (s Share) portion() float64 {
+	if s.Connections <= 0 {
+		return 1
+	}
+	return use * float64(s.Connections) / float64(max(s.VMs, 1))
+}
+
+// Limit gives the endpoints of each service that a VM may keep connections to. Where more VMs use an endpoint than it
+// accepts connections, each VM leaves out another part of the endpoints, but never all of a service.
+func Limit(
+	self unit.NodeID, share func(unit.ServiceName) Share, all map[unit.ServiceName][]directory.Endpoint,
+) map[unit.ServiceName][]directory.Endpoint {
+	limited := make(map[unit.ServiceName][]directory.Endpoint, len(all))
+	for service, endpoints := range all {
+		limited[service] = limit(self, share(service).portion(), endpoints)
+	}
+	return limited
+}
+
+func limit(self unit.NodeID, portion float64, endpoints []directory.Endpoint) []directory.Endpoint {
+	if portion >= 1 || len(endpoints) < 2 {
+		return endpoints
+	}
+	kept := make([]directory.Endpoint, 0, len(endpoints))
+	first, least := 0, 1.0
+	for i, e := range endpoints {
+		draw := draw(self, e.ID)
+		if draw < portion {
+			kept = append(kept, e)
+		}
+		if draw < least {
+			first, least = i, draw
+		}
+	}
+	if len(kept) == 0 {
+		return endpoints[first : first+1]
+	}
+	return kept
+}
+
+// draw gives a number from 0 to 1 that is fixed for a VM and an endpoint.
+func draw(self unit.NodeID, id unit.EndpointID) float64 {
+	const bits = 53
+	return float64(xxhash.Sum64String(string(self)+"/"+string(id))>>(64-bits)) / (1 << bits)
+}
--- /dev/null
+++ b/internal/policy/reach/reach_test.go
@@ -0,0 +1,75 @@
+package reach
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/directory"
+)
+
+func TestEach(t *testing.T) {
+	tests := []struct {
+		name  string
+		all   unit.Connections
+		vms   int
+		slots unit.Slots
+		want  int
+	}{
+		{"as many as the endpoint can use", 25, 6, 2, 3},
+		{"a part of what it accepts", 28, 10, 4, 2},
+		{"one at least", 25, 58, 2, 1},
+		{"no limit published", 0, 6, 2, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			assert.Equal(t, Share{Connections: tt.all, VMs: tt.vms}.Each(tt.slots), tt.want)
+		})
+	}
+}
+
+// TestLimit checks that the VMs together stay below what an endpoint accepts, and that each reaches every service.
+func TestLimit(t *testing.T) {
+	tests := []struct {
+		name        string
+		vms         int
+		connections unit.Connections
+		replicas    int
+		// most is how many VMs may reach one endpoint.
+		most int
+	}{
+		{"few VMs reach all", 6, 25, 2, 6},
+		{"many VMs", 58, 51, 3, 51},
+		{"very many VMs and replicas", 300, 51, 12, 60},
+		{"one replica is reached by all", 300, 51, 1, 300},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			all := make(map[unit.ServiceName][]directory.Endpoint)
+			for s := range 20 {
+				name := unit.ServiceName(fmt.Sprint("s", s))
+				for r := range tt.replicas {
+					id := unit.EndpointID(fmt.Sprint(name, "-", r))
+					all[name] = append(all[name], directory.Endpoint{Registration: directory.Registration{ID: id}})
+				}
+			}
+			reached := make(map[unit.EndpointID]int)
+			for vm := range tt.vms {
+				got := Limit(unit.NodeID(fmt.Sprint("n", vm)), func(unit.ServiceName) Share {
+					return Share{Connections: tt.connections, VMs: tt.vms}
+				}, all)
+				for name, endpoints := range got {
+					assert.Assert(t, len(endpoints) > 0, name)
+					for _, e := range endpoints {
+						reached[e.ID]++
+					}
+				}
+			}
+			for id, n := range reached {
+				assert.Assert(t, n <= tt.most, "%s is reached by %d VMs", id, n)
+			}
+		})
+	}
+}
--- a/internal/policy/routing/routing.go
+++ b/internal/policy/routing/routing.go
@@ -108,16 +108,8 @@
 	return nil
 }
 
-// Used gives the names of the services that some route sends requests to.
-func (t *Table) Used() map[unit.ServiceName]bool {
-	used := make(map[unit.ServiceName]bool)
-	for _, r := range t.routes {
-		for _, s := range r.Shards {
-			used[s] = true
-		}
-		for _, p := range r.Split {
-			used[p.Service] = true
-		}
-	}
-	return used
+// Connections gives how many connections an endpoint of the service accepts from all entry VMs together; 0 is not
+// published.
+func (t *Table) Connections(service unit.ServiceName) unit.Connections {
+	return t.Services[service].Connections
 }
--- a/internal/serve/gateway/gateway.go
+++ b/internal/serve/gateway/gateway.go
@@ -40,8 +40,10 @@
 	life     *life.Life
 	views    *outlook.Views
 	callers  *ingress.Server
-	drain    sync.Once
-	drained  chan struct{}
+	// leave tells the other entry VMs that this one is stopping.
+	leave   func(ctx context.Context)
+	leaving sync.WaitGroup
+	drain   sync.Once
 }
 
 // New registers the services of an entry VM; nothing runs before Start.
@@ -55,7 +57,6 @@
 		options:  options,
 		life:     life.New(options.Log),
 		views:    outlook.NewViews(),
-		drained:  make(chan struct{}),
 	}
 	return g, g.install()
 }
@@ -76,7 +77,11 @@
 	g.drain.Do(func() {
 		g.life.Fire(life.TriggerDrain)
 		g.callers.BeginDrain()
-		close(g.drained)
+		g.leaving.Add(1)
+		go func() {
+			defer g.leaving.Done()
+			g.leave(context.Background())
+		}()
 	})
 }
 
@@ -88,6 +93,7 @@
 	timer := time.NewTimer(max(0, serve))
 	defer timer.Stop()
 	<-timer.C
+	g.leaving.Wait()
 	err := g.kernel.Close()
 	g.life.Fire(life.TriggerStopped)
 	return err
--- a/internal/serve/gateway/services.go
+++ b/internal/serve/gateway/services.go
@@ -15,6 +15,8 @@
 	"basilspan/internal/platform/ingress"
 	platformleaf "basilspan/internal/platform/leaf"
 	"basilspan/internal/platform/store"
+	"basilspan/internal/policy/census"
+	"basilspan/internal/policy/divide"
 )
 
 // endpointBatch is how long changes of endpoints gather before they are read. Endpoints change one by one when many
@@ -30,14 +32,17 @@
 	believed := g.outlook(loop, metrics, pool)
 	link := peer.New(g.settings.Peers)
 	exchange := &fleet.Fleet{
-		Node:  g.settings.Node,
-		Seeds: g.settings.Seeds,
-		Now:   g.options.Now,
-		Rand:  g.options.Rand,
-		Log:   g.options.Log,
-		Held:  believed.Held,
+		Self:    g.self(),
+		Seeds:   g.settings.Seeds,
+		Now:     g.options.Now,
+		Rand:    g.options.Rand,
+		Log:     g.options.Log,
+		Held:    believed.Held,
+		Changes: believed.Changes,
 	}
 	exchange.Install(loop, link)
+	dispatcher := g.dispatcher(metrics, pool, link)
+	g.leave = exchange.Leave
 	services := []kernel.Service{
 		{Name: kernel.ServiceMetrics, Value: metrics},
 		{Name: kernel.ServiceViews, Value: g.views},
@@ -48,7 +53,7 @@
 		exchange.Service(kernel.ServiceExchange),
 		g.follow(store.KeyTable, 0, client, exchange).Service(kernel.ServiceTables, loop),
 		g.follow(store.PrefixEndpoints, endpointBatch, client, exchange).Service(kernel.ServiceEndpoints, loop),
-		{Name: kernel.ServiceDispatch, Value: g.dispatcher(metrics, pool)},
+		{Name: kernel.ServiceDispatch, Value: dispatcher},
 	}
 	for _, s := range services {
 		if err := g.kernel.Register(s); err != nil {
@@ -86,18 +91,22 @@
 	prefix registry.Prefix, batch time.Duration, client *store.Client, exchange *fleet.Fleet,
 ) *registry.Follower {
 	return &registry.Follower{
-		Prefix: prefix,
-		List:   client.List,
-		Watch:  client.Watch,
-		Peers:  exchange.Listing,
-		Rand:   g.options.Rand,
-		Log:    g.options.Log,
-		Batch:  batch,
+		Prefix:  prefix,
+		List:    client.List,
+		Watch:   client.Watch,
+		Now:     g.options.Now,
+		Peers:   exchange.Listing,
+		Relay:   exchange.Relay,
+		Relayed: exchange.Relays,
+		Rand:    g.options.Rand,
+		Log:     g.options.Log,
+		Batch:   batch,
 	}
 }
 
 func (g *Gateway) outlook(loop *kernel.Loop, metrics *metric.Set, pool *leaf.Pool) *outlook.Outlook {
 	return outlook.Install(loop, outlook.Options{
+		Node:           g.settings.Node,
 		Views:          g.views,
 		Metrics:        metrics,
 		Log:            g.options.Log,
@@ -106,17 +115,17 @@
 		DecodeTable:    store.Table,
 		DecodeEndpoint: store.Endpoint,
 		EndpointID:     store.EndpointID,
-		Published:      func(_ time.Time, v *outlook.View) { prepare(pool, v) },
+		Published:      func(_ time.Time, v *outlook.View) { g.prepare(pool, v) },
 	})
 }
 
-// prepare opens connections to the endpoints that requests may go to and closes those to others.
-func prepare(pool *leaf.Pool, v *outlook.View) {
+// prepare opens connections to the endpoints that this VM sends requests to and closes those to endpoints that are gone.
+func (g *Gateway) prepare(pool *leaf.Pool, v *outlook.View) {
 	if !v.Complete() {
 		return
 	}
 	known := make(map[unit.Address]bool)
-	used := v.Table.Used()
+	used := g.used(v)
 	for service, endpoints := range v.Endpoints {
 		for _, e := range endpoints {
 			known[e.Address] = true
@@ -128,13 +137,35 @@
 	pool.Retain(known)
 }
 
-func (g *Gateway) dispatcher(metrics *metric.Set, pool *leaf.Pool) *dispatch.Dispatcher {
-	d := dispatch.New(g.settings.Centre, g.settings.Extra, g.options.Rand)
+// used gives the services that this VM sends requests to as a rule.
+func (g *Gateway) used(v *outlook.View) map[unit.ServiceName]bool {
+	used := make(map[unit.ServiceName]bool)
+	for _, r := range v.Table.Routes() {
+		for _, p := range r.Split {
+			used[p.Service] = true
+		}
+		for i, s := range r.Shards {
+			used[s] = used[s] || v.Mine(g.settings.Node, r, i)
+		}
+	}
+	return used
+}
+
+// self is this VM as other VMs are told of it.
+func (g *Gateway) self() census.Caller {
+	mate := divide.Mate{Node: g.settings.Node, Address: g.settings.Peers, Power: g.settings.Power}
+	return census.Caller{Mate: mate, Centre: g.settings.Centre}
+}
+
+func (g *Gateway) dispatcher(metrics *metric.Set, pool *leaf.Pool, link *peer.Link) *dispatch.Dispatcher {
+	d := dispatch.New(g.settings.Node, g.settings.Centre, g.settings.Extra, g.options.Rand)
 	d.Now = g.options.Now
 	d.Views = g.views
 	d.Metrics = metrics
 	d.Send = pool.Send
 	d.Prepare = platformleaf.Prepare
+	d.Call = link.Call
+	d.AnswerPortions(link, g.Ready)
 	d.Ended = dispatch.Report(g.options.Log, metrics, g.options.Rand)
 	return d
 }
