--- a/internal/cmd/gateway/gateway.go
+++ b/internal/cmd/gateway/gateway.go
@@ -26,7 +26,7 @@
 const (
 	// collectAt is the growth of the heap, in percent, at which garbage is collected; memory is dearer than the
 	// processor time that a small heap's collection takes.
-	collectAt = 50
+	collectAt = 25
 	// threads is how many threads run Go code; an entry VM has one core or less.
 	threads = 1
 	// envSettings is the environment variable that names the settings file.
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -43,7 +43,9 @@
 	splitter  routing.Splitter
 	mates     *divide.Tracker
 	waits     map[unit.RouteName]time.Duration
-	swept     time.Time
+	// lag is how long answers in part have taken from their cut to their end.
+	lag   gather.Lag
+	swept time.Time
 }
 
 // New makes the dispatcher of an entry VM in that data centre.
@@ -81,6 +83,7 @@
 	f := d.newFanout(j, j.services, j.terms, nil)
 	f.run(ctx)
 	answer := f.answer()
+	d.lagged(j, answer)
 	d.Ended(f.record(answer))
 	return answer
 }
@@ -153,7 +156,9 @@
 func (d *Dispatcher) terms(route *routing.Route, q *Request, shards int) gather.Terms {
 	// The longest wait that the route's callers have stated tells how long ago a caller that states less began.
 	d.waits[route.Name] = max(d.waits[route.Name], q.Left)
-	began := gather.Began(q.Arrived, q.Left, d.waits[route.Name])
+	caller := gather.Caller{
+		Arrived: q.Arrived, Left: q.Left, Longest: d.waits[route.Name], Trip: q.Trip, First: q.First,
+	}
 	pace := gather.Pace{Usual: d.tracker.Usual(route.Name), Target: route.Target, Timeout: route.Timeout, Left: q.Left}
 	t := gather.Terms{
 		Shards:     shards,
@@ -165,11 +170,22 @@
 	}
 	if route.Gathers() {
 		t.Least = route.Least
-		t.Cut = pace.Cut(q.Arrived, began)
+		t.Cut = pace.Cut(caller, d.lag.Expected())
 	}
 	return t
 }
 
+// lagged takes the end of an answer that was cut.
+func (d *Dispatcher) lagged(j *job, a Answer) {
+	now := d.Now()
+	if a.Code != unit.CodePartial || now.Before(j.terms.Cut) {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lag.Took(now.Sub(j.terms.Cut))
+}
+
 func (d *Dispatcher) sweep(now time.Time) {
 	if now.Sub(d.swept) < sweepPeriod {
 		return
--- a/internal/core/dispatch/divided.go
+++ b/internal/core/dispatch/divided.go
@@ -67,6 +67,7 @@
 	}
 	v.wait(ctx)
 	a := v.answer()
+	d.lagged(j, a)
 	d.Ended(v.report(a))
 	return a
 }
--- /dev/null
+++ b/internal/core/dispatch/divided_test.go
@@ -0,0 +1,190 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"basilspan/internal/core/metric"
+	"basilspan/internal/core/outlook"
+	"basilspan/internal/core/unit"
+	"basilspan/internal/link/leaf"
+	"basilspan/internal/link/peer"
+	"basilspan/internal/policy/allowance"
+	"basilspan/internal/policy/directory"
+	"basilspan/internal/policy/divide"
+	"basilspan/internal/policy/routing"
+)
+
+// cluster is four VMs, n0 to n3, in front of 24 shards of two endpoints each. The endpoints answer at once.
+type cluster struct {
+	vms   []*Dispatcher
+	route *routing.Route
+	view  *outlook.View
+
+	mu sync.Mutex
+	// arrivals counts the calls of each shard.
+	arrivals map[unit.ServiceName]int
+	// silent endpoints never answer.
+	silent map[unit.EndpointID]bool
+	// refuse, lose and mute say what becomes of portions at a VM.
+	refuse, lose, mute map[unit.Address]bool
+	records            []Record
+}
+
+const shards = 24
+
+func newCluster() *cluster {
+	c := &cluster{
+		route: &routing.Route{
+			Name: "all", Host: "h", Prefix: "/", Repeatable: true, Timeout: 3 * time.Second, Target: 400 * time.Millisecond,
+			Attempts: 2, Top: 5, Least: 0.9,
+		},
+		arrivals: make(map[unit.ServiceName]int),
+		silent:   make(map[unit.EndpointID]bool),
+		refuse:   make(map[unit.Address]bool),
+		lose:     make(map[unit.Address]bool),
+		mute:     make(map[unit.Address]bool),
+	}
+	endpoints := make(map[unit.ServiceName][]directory.Endpoint)
+	for i := range shards {
+		s := unit.ServiceName(fmt.Sprintf("s%02d", i))
+		c.route.Shards = append(c.route.Shards, s)
+		for r := range 2 {
+			id := unit.EndpointID(fmt.Sprintf("%s-%d", s, r))
+			e := directory.Registration{ID: id, Service: s, Address: unit.Address(id), Centre: "z", Slots: 2}
+			endpoints[s] = append(endpoints[s], directory.Endpoint{Registration: e})
+		}
+	}
+	c.view = &outlook.View{
+		Table: routing.NewTable(1, []*routing.Route{c.route}, nil, routing.Limits{}), Endpoints: endpoints, VMs: 4,
+	}
+	for i := range 4 {
+		node := unit.NodeID(fmt.Sprint("n", i))
+		c.view.Mates = append(c.view.Mates, divide.Mate{Node: node, Address: unit.Address(node), Power: 1})
+		c.vms = append(c.vms, c.newVM(node))
+	}
+	return c
+}
+
+func (c *cluster) newVM(node unit.NodeID) *Dispatcher {
+	terms := allowance.Terms{Ratio: 0.2, Slack: 1000, Window: 10 * time.Second}
+	d := New(node, "z", terms, func() float64 { return 0 })
+	d.Now = time.Now
+	d.Metrics = metric.NewSet()
+	d.Views = outlook.NewViews()
+	d.Send = c.send
+	d.Call = c.call
+	d.Ended = func(r Record) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.records = append(c.records, r)
+	}
+	d.Prepare = func(id unit.RequestID, method, _, _ string, _ []leaf.Field, _ []byte) (*leaf.Message, error) {
+		return &leaf.Message{ID: id, Method: method}, nil
+	}
+	return d
+}
+
+// send answers a call at once, unless its endpoint is silent.
+func (c *cluster) send(_ time.Time, call leaf.Call, done func(leaf.End)) *leaf.Flight {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	service := unit.ServiceName(call.Endpoint[:3])
+	c.arrivals[service]++
+	if !c.silent[call.Endpoint] {
+		body := []byte(string(service) + ".............")
+		reply := leaf.Reply{ID: call.Message.ID, Status: 200, Seal: string(call.Endpoint), Body: body}
+		go done(leaf.End{Kind: leaf.KindReply, Reply: reply})
+	}
+	return &leaf.Flight{}
+}
+
+var errLost = errors.New("the connection to the peer was lost")
+
+// call has the VM at that address serve a portion.
+func (c *cluster) call(ctx context.Context, to unit.Address, _ peer.Method, params, result any) error {
+	c.mu.Lock()
+	refuse, lose, mute := c.refuse[to], c.lose[to], c.mute[to]
+	c.mu.Unlock()
+	if refuse {
+		return errors.Mark(errLost, peer.ErrNotSent)
+	}
+	served := c.vms[int(to[1]-'0')].servePortion(ctx, params.(wirePortion)).wirePart
+	if mute {
+		<-ctx.Done()
+	}
+	if lose || mute {
+		return errLost
+	}
+	*result.(*wirePart) = served
+	return nil
+}
+
+func TestDivided(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(c *cluster)
+		code unit.Code
+		// missing is how many shards the answer leaves out.
+		missing int
+		// most is how many endpoints any shard arrived at, and lost how many portions were lost.
+		most int
+		lost int64
+	}{
+		{"all answer", func(*cluster) {}, unit.CodeWhole, 0, 1, 0},
+		{"a VM that is stopping", func(c *cluster) { c.refuse["n1"], c.refuse["n3"] = true, true }, unit.CodeWhole, 0, 1, 1},
+		{"a VM whose answer is lost", func(c *cluster) { c.lose["n1"], c.lose["n3"] = true, true }, unit.CodeWhole, 0, 2, 1},
+		{"a silent endpoint is hedged where it is called", func(c *cluster) {
+			c.silent["s23-0"] = true
+		}, unit.CodeWhole, 0, 2, 0},
+		{"a silent shard is left out", func(c *cluster) {
+			c.silent["s23-0"], c.silent["s23-1"] = true, true
+		}, unit.CodePartial, 1, 2, 0},
+		{"a VM that does not answer", func(c *cluster) { c.mute["n1"], c.mute["n3"] = true, true }, unit.CodeDeadline, 0, 2, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCluster()
+			tt.do(c)
+			for _, d := range c.vms {
+				d.Views.Publish(c.view)
+			}
+			q := &Request{ID: "r", Host: "h", Method: "GET", URI: "/x", Path: "/x", Arrived: time.Now(), Left: 2 * time.Second}
+			got := c.vms[0].Serve(context.Background(), q)
+			assert.Equal(t, got.Code, tt.code)
+			if got.Gathered {
+				assert.Equal(t, got.Missing, tt.missing)
+				assert.Equal(t, len(got.Seals), shards-tt.missing)
+				assert.Equal(t, len(got.Body), 5*16)
+			}
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			for service, n := range c.arrivals {
+				assert.Assert(t, n <= tt.most, "%s arrived %d times", service, n)
+			}
+			assert.Equal(t, len(c.arrivals), shards)
+			assert.Equal(t, c.vms[0].Metrics.Get("portion.lost"), tt.lost)
+			assert.Equal(t, len(c.records), 1)
+			assert.Equal(t, c.records[0].Code, tt.code)
+		})
+	}
+}
+
+// TestDividedCallerLeaves checks that a caller that leaves ends the portions at other VMs.
+func TestDividedCallerLeaves(t *testing.T) {
+	c := newCluster()
+	c.mute["n1"], c.mute["n3"] = true, true
+	for _, d := range c.vms {
+		d.Views.Publish(c.view)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	q := &Request{ID: "r", Host: "h", Method: "GET", URI: "/x", Path: "/x", Arrived: time.Now()}
+	assert.Equal(t, c.vms[0].Serve(ctx, q).Code, unit.CodeCallerGone)
+}
--- a/internal/core/dispatch/request.go
+++ b/internal/core/dispatch/request.go
@@ -23,6 +23,10 @@
 	Left time.Duration
 	// Arrived is when the request was read.
 	Arrived time.Time
+	// Trip is the time to the caller and back, 0 when it is not known, and First says that the caller has opened its
+	// connection for this request.
+	Trip  time.Duration
+	First bool
 }
 
 // Answer is the end of a request.
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -167,7 +167,7 @@
 		}
 	}
 	after := f.census.Estimate()
-	f.large.Store(f.census.Settled() && after >= relayFrom)
+	f.large.Store(f.census.Highest() >= relayFrom)
 	if after != before {
 		f.Log.Info("number of entry VMs changed", "from", before, "to", after)
 	}
--- a/internal/core/fleet/listing.go
+++ b/internal/core/fleet/listing.go
@@ -78,10 +78,17 @@
 	return registry.News{Listing: w.decode(), Whole: w.Whole, Heard: heard}, nil
 }
 
-// Relays says whether this VM relies on the seeds for what is published. The seeds themselves read the registry, and so
-// do all VMs of a small deployment, where few reads are saved and a lost seed would cost time.
-func (f *Fleet) Relays() bool {
-	return !f.seed && f.large.Load()
+// Role says who reads the registry. In a large deployment the seeds do for all; in a small one few reads would be saved,
+// and a lost seed would cost time.
+func (f *Fleet) Role() registry.Role {
+	switch {
+	case !f.large.Load():
+		return registry.RoleAlone
+	case f.seed:
+		return registry.RoleLeading
+	default:
+		return registry.RoleFollowing
+	}
 }
 
 // answerListing tells a peer what this VM knows of the registry.
--- a/internal/core/outlook/outlook.go
+++ b/internal/core/outlook/outlook.go
@@ -229,7 +229,7 @@
 		next.users = users(&next)
 		next.Endpoints = reach.Limit(o.Node, next.Share, next.Endpoints)
 	}
-	o.Views.publish(&next)
+	o.Views.Publish(&next)
 	if o.Published != nil {
 		o.Published(now, &next)
 	}
--- a/internal/core/outlook/view.go
+++ b/internal/core/outlook/view.go
@@ -71,6 +71,7 @@
 	return v.latest.Load()
 }
 
-func (v *Views) publish(next *View) {
+// Publish replaces the view; the control goroutine alone calls it in an entry VM.
+func (v *Views) Publish(next *View) {
 	v.latest.Store(next)
 }
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -15,9 +15,11 @@
 )
 
 const (
-	// watchTime is how long one watch waits for a change. A connection that has gone silent is noticed when it is over,
-	// which has to be sooner than an endpoint that leaves may be sent requests.
-	watchTime = 2500 * time.Millisecond
+	// watchTime is how long one watch waits for a change. A connection that has gone silent is noticed when it is over;
+	// until then this VM counts as cut off from the registry for longer than that.
+	watchTime = 4 * time.Second
+	// leadTime replaces watchTime at a VM that others follow, since they have to notice in time that it is cut off.
+	leadTime = time.Second
 	// watchSlack is how much longer the answer to a watch may take.
 	watchSlack = 500 * time.Millisecond
 	// listTime bounds a read; a slow registry answers within it.
@@ -26,12 +28,14 @@
 	// the registry's return is noticed.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
+	// retryFollowing replaces retryMost at a VM that follows others: they notice the registry's return for it.
+	retryFollowing = 3 * time.Second
 	// relayTime is how long a peer waits for a change before it answers that there is none, and relaySlack how much
 	// longer its answer may take; both are short, since a peer that is gone is noticed by the lack of an answer.
 	relayTime  = time.Second
 	relaySlack = 300 * time.Millisecond
 	// relayAge is how old a peer's knowledge may be; with an older one this VM reads the registry itself.
-	relayAge = watchTime + watchSlack
+	relayAge = leadTime + watchSlack
 	// directTime is how long this VM reads the registry itself before it relies on peers again.
 	directTime = 10 * time.Second
 )
@@ -93,6 +97,19 @@
 	Err    error
 }
 
+// Role says who reads the registry for whom. In a large deployment a few VMs read it, and the others follow them.
+type Role int
+
+// The roles.
+const (
+	// RoleAlone reads for itself.
+	RoleAlone Role = iota
+	// RoleLeading reads for others as well.
+	RoleLeading
+	// RoleFollowing relies on a VM that leads.
+	RoleFollowing
+)
+
 // Follower follows one prefix. The function fields are its seams.
 type Follower struct {
 	Prefix Prefix
@@ -102,17 +119,17 @@
 	// Peers gives what a peer knows under the prefix if that is newer than a revision; it is asked while the registry
 	// cannot be read.
 	Peers func(ctx context.Context, prefix Prefix, after unit.Revision) (Listing, error)
-	// Relay waits for what a peer that reads the registry learns, and Relayed says whether to rely on that. In a large
-	// deployment a few VMs read the registry, and the others follow them.
-	Relay   func(ctx context.Context, prefix Prefix, after unit.Revision, wait time.Duration) (News, error)
-	Relayed func() bool
+	// Relay waits for what a peer that reads the registry learns, and Role says whether to rely on that.
+	Relay func(ctx context.Context, prefix Prefix, after unit.Revision, wait time.Duration) (News, error)
+	Role  func() Role
 	// Rand gives a number from 0 to 1, by which the retries of several VMs are spread.
 	Rand func() float64
 	Log  *slog.Logger
+	// Post hands an event to the control goroutine.
+	Post func(ctx context.Context, event any) error
 	// Batch is the pause between the answer to a watch and the next one, in which changes gather; each read counts.
 	Batch time.Duration
 
-	loop   *kernel.Loop
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 	// at is the revision that this VM has caught up with, and direct until when it reads the registry itself.
@@ -120,9 +137,8 @@
 	direct time.Time
 }
 
-// Service gives the follower as a service with that name; its events go to loop.
-func (f *Follower) Service(name kernel.Name, loop *kernel.Loop) kernel.Service {
-	f.loop = loop
+// Service gives the follower as a service with that name.
+func (f *Follower) Service(name kernel.Name) kernel.Service {
 	return kernel.Service{
 		Name:  name,
 		Value: f,
@@ -140,29 +156,41 @@
 	}
 }
 
-// run lists and watches until ctx ends.
+// run follows the prefix until ctx ends.
 func (f *Follower) run(ctx context.Context) {
 	defer f.wg.Done()
 	failures := 0
 	for ctx.Err() == nil {
-		answered, err := f.follow(ctx)
-		if answered {
+		if f.Role() == RoleFollowing && f.Now().After(f.direct) && f.followPeer(ctx) {
 			failures = 0
 		}
-		if errors.Is(err, ErrCompacted) {
-			f.Log.Info("history compacted; listing anew", "prefix", f.Prefix)
-			continue
-		}
 		if ctx.Err() != nil {
 			return
 		}
-		f.post(ctx, Lost{Prefix: f.Prefix, Err: err})
-		f.askPeers(ctx)
-		f.pause(ctx, failures)
-		failures++
+		err := f.read(ctx)
+		switch {
+		case err == nil:
+			failures = 0
+		case errors.Is(err, ErrCompacted):
+			f.Log.Info("history compacted; listing anew", "prefix", f.Prefix)
+			f.at = 0
+		case ctx.Err() == nil:
+			f.post(ctx, Lost{Prefix: f.Prefix, Err: err})
+			f.askPeers(ctx)
+			f.pause(ctx, failures)
+			failures++
+		}
 	}
 }
 
+// read reads the registry once: all values at first, and then what has changed.
+func (f *Follower) read(ctx context.Context) error {
+	if f.at == 0 {
+		return f.readAll(ctx)
+	}
+	return f.readChanges(ctx)
+}
+
 // askPeers takes what a peer knows, which may be less than what the registry holds.
 func (f *Follower) askPeers(ctx context.Context) {
 	listing, err := f.Peers(ctx, f.Prefix, f.at)
@@ -174,33 +202,20 @@
 	f.post(ctx, Listed{Prefix: f.Prefix, Items: listing.Items, At: listing.At, FromPeer: true})
 }
 
-// follow lists the prefix once and then follows it, at a peer or at the registry, until a read of the registry fails.
-// answered says whether any read succeeded.
-func (f *Follower) follow(ctx context.Context) (answered bool, err error) {
-	listing, err := f.list(ctx)
+func (f *Follower) readAll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTime)
+	defer cancel()
+	listing, err := f.List(ctx, f.Prefix)
 	if err != nil {
-		return false, err
+		return err
 	}
 	f.post(ctx, Listed{Prefix: f.Prefix, Items: listing.Items, At: listing.At})
 	f.at = listing.At
-	for {
-		if f.relayed() {
-			f.followPeer(ctx)
-		}
-		if err := f.followRegistry(ctx); err != nil {
-			return true, err
-		}
-	}
-}
-
-// relayed says whether a peer is to be relied on now.
-func (f *Follower) relayed() bool {
-	return f.Relayed() && f.Now().After(f.direct)
+	return nil
 }
 
-// followRegistry watches the registry once.
-func (f *Follower) followRegistry(ctx context.Context) error {
-	changes, err := f.watch(ctx, f.at)
+func (f *Follower) readChanges(ctx context.Context) error {
+	changes, err := f.watch(ctx)
 	if err != nil {
 		return err
 	}
@@ -212,15 +227,28 @@
 	return nil
 }
 
-// followPeer follows a peer until that fails or knows too little, after which this VM reads the registry itself.
-func (f *Follower) followPeer(ctx context.Context) {
+func (f *Follower) watch(ctx context.Context) (Listing, error) {
+	wait := watchTime
+	if f.Role() == RoleLeading {
+		wait = leadTime
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	defer cancel()
+	return f.Watch(ctx, f.Prefix, f.at, wait)
+}
+
+// followPeer follows a peer until that fails or knows too little, after which this VM reads the registry itself. It says
+// whether the peer has told anything.
+func (f *Follower) followPeer(ctx context.Context) (told bool) {
 	for ctx.Err() == nil {
 		if err := f.relay(ctx); err != nil {
 			f.direct = f.Now().Add(directTime)
 			f.Log.Info("reading the registry instead of a peer", "prefix", f.Prefix, "at", f.at, "error", err)
-			return
+			return told
 		}
+		told = true
 	}
+	return told
 }
 
 // relay takes what a peer learns next.
@@ -244,23 +272,17 @@
 	return nil
 }
 
-func (f *Follower) list(ctx context.Context) (Listing, error) {
-	ctx, cancel := context.WithTimeout(ctx, listTime)
-	defer cancel()
-	return f.List(ctx, f.Prefix)
-}
-
-func (f *Follower) watch(ctx context.Context, after unit.Revision) (Listing, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchTime+watchSlack)
-	defer cancel()
-	return f.Watch(ctx, f.Prefix, after, watchTime)
-}
-
 // pause waits before the next try.
 func (f *Follower) pause(ctx context.Context, failures int) {
+	most := retryMost
+	if f.Role() == RoleFollowing {
+		most = retryFollowing
+		// A peer may learn of the registry's return first.
+		f.direct = time.Time{}
+	}
 	pause := retryFirst
 	for range failures {
-		pause = min(2*pause, retryMost)
+		pause = min(2*pause, most)
 	}
 	wait(ctx, time.Duration(float64(pause)*(0.75+0.5*f.Rand())))
 }
@@ -277,7 +299,7 @@
 
 // post hands an event to the control goroutine; after the loop's end nobody needs it.
 func (f *Follower) post(ctx context.Context, event any) {
-	if err := kernel.PostAny(ctx, f.loop, event); err != nil && ctx.Err() == nil {
+	if err := f.Post(ctx, event); err != nil && ctx.Err() == nil {
 		f.Log.Warn("event not delivered", "prefix", f.Prefix, "error", err)
 	}
 }
--- a/internal/platform/ingress/ingress.go
+++ b/internal/platform/ingress/ingress.go
@@ -81,6 +81,7 @@
 	s.listener = listener
 	options := append(s.tracker.Options(),
 		server.WithListener(listener),
+		server.WithOnConnect(connect),
 		server.WithMaxRequestBodySize(maxBody),
 		server.WithMaxHeaderBytes(maxHeader),
 		server.WithDisablePreParseMultipartForm(true),
@@ -120,6 +121,7 @@
 		return
 	}
 	q := decode(rc, s.Now())
+	locate(ctx, q)
 	if q.ID == "" {
 		write(rc, dispatch.Answer{Code: unit.CodeBadRequest})
 		return
--- a/internal/policy/census/census.go
+++ b/internal/policy/census/census.go
@@ -36,6 +36,8 @@
 	// estimate is the count in use, and upheld when it was last told as high as that.
 	estimate int
 	upheld   time.Time
+	// highest is the highest count that was told since the estimate has fallen last.
+	highest int
 	// settled is set once a seed has told a count that all VMs have had the time to enter.
 	settled bool
 }
@@ -110,6 +112,7 @@
 
 // Told takes a seed's count. One that has not settled can only be too low, so it only raises the estimate.
 func (c *Census) Told(now time.Time, n int, settled bool) {
+	c.highest = max(c.highest, n)
 	first := settled && !c.settled
 	c.settled = c.settled || settled
 	switch {
@@ -119,6 +122,9 @@
 	case !first && now.Sub(c.upheld) <= shrinkAfter:
 		return
 	}
+	if n < c.estimate {
+		c.highest = n
+	}
 	c.estimate = n
 	c.upheld = now
 }
@@ -128,9 +134,10 @@
 	return c.estimate
 }
 
-// Settled says whether a seed has told a count that all VMs have had the time to enter.
-func (c *Census) Settled() bool {
-	return c.settled
+// Highest gives the highest count that a seed has told, 0 while none has: there are as many VMs at the least, also while
+// the estimate is a mere guess.
+func (c *Census) Highest() int {
+	return c.highest
 }
 
 // Pause gives the time to this VM's next call.
--- a/internal/policy/gather/machine.go
+++ b/internal/policy/gather/machine.go
@@ -52,14 +52,21 @@
 	last Outcome
 }
 
-// Start sends the first attempt of every shard.
+// Start sends the first attempt of every shard, unless so many shards have no endpoint that there can be no answer.
 func (m *Machine) Start(now time.Time) []Action {
 	m.actions = m.actions[:0]
 	m.shards = make([]shardState, m.Terms.Shards)
 	m.attempts = make([]Attempt, 0, m.Terms.Shards+m.Terms.Shards/4+1)
 	for i := range m.shards {
 		m.shards[i].reply = -1
-		if !m.send(now, i, ReasonFirst) {
+		m.send(now, i, ReasonFirst)
+	}
+	if len(m.attempts) < m.least() {
+		m.withdraw()
+		return nil
+	}
+	for i := range m.shards {
+		if m.shards[i].open == 0 {
 			m.kill(i)
 		}
 	}
@@ -67,6 +74,16 @@
 	return m.actions
 }
 
+// withdraw ends a request of which nothing has been sent yet.
+func (m *Machine) withdraw() {
+	m.attempts = nil
+	m.actions = m.actions[:0]
+	for i := range m.shards {
+		m.shards[i].open = 0
+	}
+	m.verdict = VerdictFailed
+}
+
 // Ended takes the end of an attempt. The end of one that was abandoned changes nothing.
 func (m *Machine) Ended(now time.Time, id AttemptID, outcome Outcome) []Action {
 	m.actions = m.actions[:0]
--- a/internal/policy/gather/machine_test.go
+++ b/internal/policy/gather/machine_test.go
@@ -221,6 +221,39 @@
 	}
 }
 
+// TestHopelessAtStart checks that nothing is sent when too few shards have an endpoint, so that the refusal is true.
+func TestHopelessAtStart(t *testing.T) {
+	tests := []struct {
+		name string
+		// absent is how many of 10 shards have no endpoint.
+		absent  int
+		verdict Verdict
+		sent    int
+	}{
+		{"enough", 2, VerdictNone, 8},
+		{"just too few", 3, VerdictFailed, 0},
+		{"none", 10, VerdictFailed, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tr := terms(10)
+			tr.Least = 0.8
+			m := newPlay(tr, 2, 9).m
+			choose := m.Choose
+			m.Choose = func(now time.Time, shard int, tried []int, reason Reason) (int, bool) {
+				if shard < tt.absent {
+					return 0, false
+				}
+				return choose(now, shard, tried, reason)
+			}
+			actions := m.Start(start)
+			assert.Equal(t, len(actions), tt.sent)
+			assert.Equal(t, m.Verdict(), tt.verdict)
+			assert.Equal(t, m.MayHaveRun(), tt.sent > 0)
+		})
+	}
+}
+
 // newPlay makes a machine whose shards have that many endpoints, asked in order, and that allowance.
 func newPlay(terms Terms, replicas, extra int) *play {
 	m := &Machine{Terms: terms}
--- a/internal/policy/gather/pace.go
+++ b/internal/policy/gather/pace.go
@@ -9,11 +9,12 @@
 	hedgeUsual = 2.0
 	// hedgeLatest is the share of the target after which a hedge comes too late to help.
 	hedgeLatest = 0.6
-	// answerTime is how long before the target an answer has to be final: it covers the way to the caller, the opening
-	// of the caller's connection and the merge.
-	answerTime = 8 * time.Millisecond
-	// answerShare bounds answerTime as a share of the target.
-	answerShare = 0.25
+	// usualTrip stands for the time to a caller and back that is not known.
+	usualTrip = 2 * time.Millisecond
+	// answerLeast is the least time that is kept for the merge and the writing of an answer.
+	answerLeast = 3 * time.Millisecond
+	// answerShare bounds the time that is kept before the target, as a share of the target.
+	answerShare = 0.3
 	// endTime is how long before the caller gives up it has its final answer.
 	endTime = 8 * time.Millisecond
 )
@@ -29,13 +30,38 @@
 	Left time.Duration
 }
 
-// Began gives when the caller made its first attempt: it states how long it still waits, and longest is the most that
-// any caller of the route has stated.
-func Began(arrived time.Time, left, longest time.Duration) time.Time {
-	if left <= 0 {
-		return arrived
+// Caller is how a request came.
+type Caller struct {
+	// Arrived is when it was read.
+	Arrived time.Time
+	// Left is how long the caller said that it waits, and Longest the longest wait that any caller of the route has
+	// stated.
+	Left    time.Duration
+	Longest time.Duration
+	// Trip is the time to the caller and back, 0 when it is not known.
+	Trip time.Duration
+	// First says that the caller has opened its connection for the request.
+	First bool
+}
+
+// Began gives when the caller made its first attempt. A caller that states a shorter wait than others has made one
+// before. The request was half a trip under way, and the opening of its connection took a whole one.
+func (c Caller) Began() time.Time {
+	began := c.Arrived.Add(-c.trip() / 2)
+	if c.First {
+		began = began.Add(-c.trip())
+	}
+	if c.Left > 0 && c.Left < c.Longest {
+		began = c.Arrived.Add(c.Left - c.Longest)
+	}
+	return began
+}
+
+func (c Caller) trip() time.Duration {
+	if c.Trip <= 0 {
+		return usualTrip
 	}
-	return arrived.Add(left - longest)
+	return c.Trip
 }
 
 // HedgeAfter gives the age at which an attempt is hedged.
@@ -44,13 +70,15 @@
 	return min(after, time.Duration(hedgeLatest*float64(p.Target)))
 }
 
-// Cut gives when a partial answer is final: just before the target, as the caller counts it from its first attempt. A
-// caller whose target has passed already waits as long as one that has just come.
-func (p Pace) Cut(arrived, began time.Time) time.Time {
-	margin := min(answerTime, time.Duration(answerShare*float64(p.Target)))
-	cut := began.Add(p.Target - margin)
-	if !cut.After(arrived) {
-		cut = arrived.Add(p.Target - margin)
+// Cut gives when a partial answer is final: so early that it reaches the caller just within the target, which the
+// caller counts from its first attempt. lag is how long this VM takes from there to the end of its answer. A caller
+// whose target has passed already waits as long as one that has just come.
+func (p Pace) Cut(c Caller, lag time.Duration) time.Time {
+	margin := c.trip()/2 + max(lag, answerLeast)
+	margin = min(margin, time.Duration(answerShare*float64(p.Target)))
+	cut := c.Began().Add(p.Target - margin)
+	if !cut.After(c.Arrived) {
+		cut = c.Arrived.Add(p.Target - margin)
 	}
 	return cut
 }
--- a/internal/serve/gateway/services.go
+++ b/internal/serve/gateway/services.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"basilspan/internal/core/dispatch"
@@ -51,8 +52,8 @@
 		{Name: kernel.ServiceRegistry, Value: client, Close: client.Close},
 		link.Service(kernel.ServicePeer),
 		exchange.Service(kernel.ServiceExchange),
-		g.follow(store.KeyTable, 0, client, exchange).Service(kernel.ServiceTables, loop),
-		g.follow(store.PrefixEndpoints, endpointBatch, client, exchange).Service(kernel.ServiceEndpoints, loop),
+		g.follow(store.KeyTable, 0, client, exchange, loop).Service(kernel.ServiceTables),
+		g.follow(store.PrefixEndpoints, endpointBatch, client, exchange, loop).Service(kernel.ServiceEndpoints),
 		{Name: kernel.ServiceDispatch, Value: dispatcher},
 	}
 	for _, s := range services {
@@ -89,18 +90,20 @@
 
 func (g *Gateway) follow(
 	prefix registry.Prefix, batch time.Duration, client *store.Client, exchange *fleet.Fleet,
+	loop *kernel.Loop,
 ) *registry.Follower {
 	return &registry.Follower{
-		Prefix:  prefix,
-		List:    client.List,
-		Watch:   client.Watch,
-		Now:     g.options.Now,
-		Peers:   exchange.Listing,
-		Relay:   exchange.Relay,
-		Relayed: exchange.Relays,
-		Rand:    g.options.Rand,
-		Log:     g.options.Log,
-		Batch:   batch,
+		Prefix: prefix,
+		List:   client.List,
+		Watch:  client.Watch,
+		Now:    g.options.Now,
+		Peers:  exchange.Listing,
+		Relay:  exchange.Relay,
+		Role:   exchange.Role,
+		Rand:   g.options.Rand,
+		Log:    g.options.Log,
+		Batch:  batch,
+		Post:   func(ctx context.Context, event any) error { return kernel.PostAny(ctx, loop, event) },
 	}
 }
 
--- /dev/null
+++ b/internal/serve/port/trip.go
@@ -0,0 +1,28 @@
+package port
+
+import (
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/network"
+	hertzpoll "github.com/cloudwego/hertz/pkg/network/netpoll"
+	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
+)
+
+// RoundTrip gives the time to the other side of a connection and back, as the kernel has measured it; ok is false when
+// that can't be told.
+func RoundTrip(conn network.Conn) (trip time.Duration, ok bool) {
+	wrapper, ok := conn.(*hertzpoll.Conn)
+	if !ok {
+		return 0, false
+	}
+	raw, ok := wrapper.Conn.(netpoll.Conn)
+	if !ok {
+		return 0, false
+	}
+	info, err := unix.GetsockoptTCPInfo(raw.Fd(), unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0, false
+	}
+	return time.Duration(info.Rtt) * time.Microsecond, true
+}
