Keep each shard within its route's endpoints when a search is divided; reload settings

Ruled out: late replies of other requests; the log lines show two portions here over the same shards. Change: shards of a portion under way are never asked for anew; what is missing is asked for once all portions have come. SIGHUP or a changed file has the settings read again; seeds, extra and grace change at once, the others are named.

--- a/internal/cmd/gateway/gateway.go
+++ b/internal/cmd/gateway/gateway.go
@@ -29,6 +29,8 @@
 	collectAt = 25
 	// threads is how many threads run Go code; an entry VM has one core or less.
 	threads = 1
+	// checkPeriod is the time between two looks at whether the settings file has changed.
+	checkPeriod = 2 * time.Second
 	// envSettings is the environment variable that names the settings file.
 	envSettings = "BASILSPAN_CONFIG"
 )
@@ -42,13 +44,19 @@
 	Now func() time.Time
 	// ReadFile reads the settings file.
 	ReadFile func(name string) ([]byte, error)
+	// Stat gives when the settings file was written.
+	Stat func(name string) (os.FileInfo, error)
 	// Signals gives a context that ends when the process is asked to stop.
 	Signals func(ctx context.Context) (context.Context, context.CancelFunc)
+	// Hangups gives the signals that the settings file has changed, until cancel is called.
+	Hangups func() (hangup <-chan os.Signal, cancel func())
 }
 
 // New makes the command; run replaces Run in tests and may be nil.
 func New(streams stream.Streams, run func(ctx context.Context, opts *Options) error) *cli.Command {
-	opts := &Options{Streams: streams, Now: time.Now, ReadFile: os.ReadFile, Signals: signals}
+	opts := &Options{
+		Streams: streams, Now: time.Now, ReadFile: os.ReadFile, Stat: os.Stat, Signals: signals, Hangups: hangups,
+	}
 	if run == nil {
 		run = Run
 	}
@@ -56,7 +64,7 @@
 		Name:  "gateway",
 		Usage: "run an entry VM on a platform that publishes routes and endpoints",
 		Description: "The settings come from one JSON file; deploy/gateway.json.tmpl shows its form. SIGTERM and SIGINT " +
-			"begin a planned stop.\n\n" +
+			"begin a planned stop, and SIGHUP or a changed file has the settings read again.\n\n" +
 			"Examples:\n" +
 			"   basilspan gateway --settings /etc/basilspan/local.conf\n" +
 			"   BASILSPAN_CONFIG=/etc/basilspan/local.conf basilspan gateway",
@@ -78,10 +86,19 @@
 	return signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 }
 
+// hangups gives each SIGHUP.
+func hangups() (<-chan os.Signal, func()) {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	return c, func() { signal.Stop(c) }
+}
+
 // Run runs the entry VM until it is asked to stop.
 func Run(ctx context.Context, opts *Options) error {
 	stop, cancel := opts.Signals(ctx)
 	defer cancel()
+	hangup, done := opts.Hangups()
+	defer done()
 	economize()
 	settings, unknown, err := load(opts)
 	if err != nil {
@@ -101,13 +118,54 @@
 		return err
 	}
 	log.Info("started", "callers", settings.Callers, "registry", settings.Registry)
-	<-stop.Done()
+	watch(stop, hangup, opts, g, log)
 	log.Info("stopping", "grace", settings.Grace)
 	err = g.Close()
 	log.Info("stopped")
 	return err
 }
 
+// watch takes changes of the settings file, which come with or without a signal, until ctx ends.
+func watch(ctx context.Context, hangup <-chan os.Signal, opts *Options, g *gateway.Gateway, log *slog.Logger) {
+	ticker := time.NewTicker(checkPeriod)
+	defer ticker.Stop()
+	last := modified(opts)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			last = modified(opts)
+			reload(opts, g, log)
+		case <-ticker.C:
+			if now := modified(opts); !now.Equal(last) {
+				last = now
+				reload(opts, g, log)
+			}
+		}
+	}
+}
+
+// modified gives when the settings file was written, zero when that can't be told.
+func modified(opts *Options) time.Time {
+	info, err := opts.Stat(opts.File)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// reload takes the settings file again; one that can't be read leaves the settings as they are.
+func reload(opts *Options, g *gateway.Gateway, log *slog.Logger) {
+	settings, unknown, err := load(opts)
+	if err != nil {
+		log.Error("settings not reloaded", "error", err)
+		return
+	}
+	kept := g.Reload(settings)
+	log.Info("settings reloaded", "unknown", unknown, "kept_until_restart", kept)
+}
+
 // economize fits the runtime to a small VM.
 func economize() {
 	debug.SetGCPercent(collectAt)
--- a/internal/config/gateway/gateway.go
+++ b/internal/config/gateway/gateway.go
@@ -100,6 +100,26 @@
 	return s
 }
 
+// Fixed gives the names of the settings that differ in other and that a running process cannot change.
+func (s Settings) Fixed(other Settings) []string {
+	var names []string
+	add := func(differs bool, name string) {
+		if differs {
+			names = append(names, name)
+		}
+	}
+	add(s.Node != other.Node, "node")
+	add(s.Centre != other.Centre, "centre")
+	add(s.Callers != other.Callers, "listen.callers")
+	add(s.Ready != other.Ready, "listen.ready")
+	add(s.Peers != other.Peers, "listen.peers")
+	add(s.Metrics != other.Metrics, "listen.metrics")
+	add(s.Registry != other.Registry, "registry")
+	add(s.Power != other.Power, "power")
+	add(s.Level != other.Level, "level")
+	return names
+}
+
 func seconds(n float64) time.Duration {
 	return time.Duration(n * float64(time.Second))
 }
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -59,6 +59,13 @@
 	}
 }
 
+// SetExtra changes the bounds of hedges and retries.
+func (d *Dispatcher) SetExtra(terms allowance.Terms) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.allowance.SetTerms(terms)
+}
+
 // sweepPeriod is the time between two sweeps of endpoints that are no longer used.
 const sweepPeriod = 10 * time.Second
 
--- a/internal/core/dispatch/divided.go
+++ b/internal/core/dispatch/divided.go
@@ -30,8 +30,10 @@
 	union      *divide.Union
 	ends       chan portionEnd
 	// seals are by shard; empty ones are missing. sent counts the endpoints that each shard was sent to.
-	seals   []string
-	sent    []int
+	seals []string
+	sent  []int
+	// pending marks the shards of the portions that are under way.
+	pending []bool
 	records [][]byte
 	record  Record
 	ran     bool
@@ -40,8 +42,6 @@
 // portionEnd is the end of a portion.
 type portionEnd struct {
 	shards []int
-	// remote says that another VM served it.
-	remote bool
 	part   part
 	err    error
 }
@@ -56,8 +56,9 @@
 		union: &divide.Union{
 			Shards: len(j.services), Least: j.terms.Least, Began: j.request.Arrived, Cut: j.terms.Cut, End: j.terms.End,
 		},
-		seals: make([]string, len(j.services)),
-		sent:  make([]int, len(j.services)),
+		seals:   make([]string, len(j.services)),
+		sent:    make([]int, len(j.services)),
+		pending: make([]bool, len(j.services)),
 		// Each portion ends once, may be asked for anew once, and so may all that is missing.
 		ends: make(chan portionEnd, 2*len(plan)+1),
 	}
@@ -82,16 +83,13 @@
 		v.beginHere(ctx, shards)
 		return
 	}
-	for _, s := range shards {
-		// Until the other VM has answered, it may have sent them to as many endpoints as the route allows.
-		v.sent[s] = v.route.Attempts
-	}
+	v.mark(shards, true)
 	v.union.Begin()
 	v.dispatcher.mateSent(p.Mate.Node)
 	go func() {
 		result, err := v.dispatcher.ask(ctx, v.job, v.pick(shards), p.Mate.Address)
 		v.dispatcher.mateEnded(p.Mate.Node, err != nil && ctx.Err() == nil)
-		v.ends <- portionEnd{shards: shards, remote: true, part: part{wirePart: result, ran: true}, err: err}
+		v.ends <- portionEnd{shards: shards, part: part{wirePart: result, ran: true}, err: err}
 	}()
 }
 
@@ -103,7 +101,7 @@
 	var open []int
 	var again []bool
 	for _, s := range shards {
-		if v.sent[s] < v.route.Attempts {
+		if v.sent[s] < v.route.Attempts && !v.pending[s] {
 			open = append(open, s)
 			again = append(again, v.sent[s] > 0)
 			terms.Attempts = min(terms.Attempts, v.route.Attempts-v.sent[s])
@@ -116,6 +114,7 @@
 		// After the cut the answer waits for what is missing.
 		terms.Cut = terms.End
 	}
+	v.mark(open, true)
 	v.union.Begin()
 	go func() {
 		p := v.dispatcher.serveServices(ctx, v.job, v.pick(open), terms, again)
@@ -123,6 +122,13 @@
 	}()
 }
 
+// mark notes whether shards are of a portion that is under way.
+func (v *divided) mark(shards []int, pending bool) {
+	for _, s := range shards {
+		v.pending[s] = pending
+	}
+}
+
 // pick gives the services of shards.
 func (v *divided) pick(shards []int) []unit.ServiceName {
 	all := make([]unit.ServiceName, 0, len(shards))
@@ -159,17 +165,15 @@
 
 // take takes the end of a portion. One that was lost is asked for anew here while that can still help.
 func (v *divided) take(ctx context.Context, e portionEnd) {
+	v.mark(e.shards, false)
 	if e.err != nil {
 		v.lost(ctx, e)
 		return
 	}
 	n := 0
 	for i, shard := range e.shards {
-		if e.remote {
-			v.sent[shard] = 0
-		}
 		v.sent[shard] += e.part.Sent[i]
-		if seal := e.part.Seals[i]; seal != "" && v.seals[shard] == "" {
+		if seal := e.part.Seals[i]; seal != "" {
 			v.seals[shard] = seal
 			n++
 		}
@@ -193,7 +197,7 @@
 	sent := v.sentLost(now, e.err)
 	v.ran = v.ran || sent > 0
 	for _, s := range e.shards {
-		v.sent[s] = sent
+		v.sent[s] += sent
 	}
 	if v.union.Redo(now) {
 		v.beginHere(ctx, e.shards)
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -48,11 +48,10 @@
 // Fleet is this VM's part of the exchange. The function fields are its seams.
 type Fleet struct {
 	// Self is this VM as the seeds are told of it.
-	Self  census.Caller
-	Seeds []unit.Address
-	Now   func() time.Time
-	Rand  func() float64
-	Log   *slog.Logger
+	Self census.Caller
+	Now  func() time.Time
+	Rand func() float64
+	Log  *slog.Logger
 	// Call calls a method of a peer and waits for its result.
 	Call func(ctx context.Context, to unit.Address, method peer.Method, params, result any) error
 	// Held gives what this VM knows under a prefix.
@@ -63,8 +62,9 @@
 	loop   *kernel.Loop
 	census *census.Census
 	mates  []divide.Mate
-	// seed says that this VM is a seed itself, large that there are many VMs, and turn chooses the seed to follow.
-	seed  bool
+	// list holds the seeds, which a reload changes; large says that there are many VMs, and turn chooses the seed to
+	// follow.
+	list  atomic.Pointer[[]unit.Address]
 	large atomic.Bool
 	turn  atomic.Uint64
 	// leaving is set once this VM is stopping.
@@ -78,7 +78,6 @@
 	f.loop = loop
 	f.census = census.New(f.Now(), f.Self.Node)
 	f.Call = link.Call
-	f.seed = slices.Contains(f.Seeds, f.Self.Address)
 	f.turn.Store(uint64(f.Rand() * maxTurn))
 	kernel.On(loop, f.onCall)
 	kernel.On(loop, f.onTold)
@@ -87,6 +86,15 @@
 	peer.Handle(link, methodChanges, f.answerChanges)
 }
 
+// SetSeeds changes the seeds; it must be called before the exchange starts.
+func (f *Fleet) SetSeeds(seeds []unit.Address) {
+	f.list.Store(&seeds)
+}
+
+func (f *Fleet) seeds() []unit.Address {
+	return *f.list.Load()
+}
+
 // Service gives the exchange as a service with that name.
 func (f *Fleet) Service(name kernel.Name) kernel.Service {
 	return kernel.Service{
@@ -236,7 +244,7 @@
 // ask calls all seeds and gives the counts of those that answer.
 func (f *Fleet) ask(ctx context.Context) []wireCount {
 	var counts []wireCount
-	for _, seed := range f.Seeds {
+	for _, seed := range f.seeds() {
 		c, err := f.askOne(ctx, seed)
 		if err != nil {
 			f.Log.Debug("seed does not answer", "seed", seed, "error", err)
--- a/internal/core/fleet/listing.go
+++ b/internal/core/fleet/listing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"basilspan/internal/core/registry"
@@ -59,11 +60,12 @@
 func (f *Fleet) Relay(
 	ctx context.Context, prefix registry.Prefix, after unit.Revision, wait time.Duration,
 ) (registry.News, error) {
-	if len(f.Seeds) == 0 {
+	seeds := f.seeds()
+	if len(seeds) == 0 {
 		return registry.News{}, errNoNews
 	}
 	turn := f.turn.Load()
-	seed := f.Seeds[int(turn)%len(f.Seeds)]
+	seed := seeds[int(turn)%len(seeds)]
 	var w wireNews
 	ask := wireFollow{wireAsk: wireAsk{Prefix: string(prefix), After: after}, Wait: wait.Milliseconds()}
 	if err := f.Call(ctx, seed, methodChanges, ask, &w); err != nil {
@@ -84,7 +86,7 @@
 	switch {
 	case !f.large.Load():
 		return registry.RoleAlone
-	case f.seed:
+	case slices.Contains(f.seeds(), f.Self.Address):
 		return registry.RoleLeading
 	default:
 		return registry.RoleFollowing
@@ -113,9 +115,10 @@
 func (f *Fleet) Listing(
 	ctx context.Context, prefix registry.Prefix, after unit.Revision,
 ) (registry.Listing, error) {
-	first := int(f.Rand() * float64(len(f.Seeds)))
-	for i := range f.Seeds {
-		seed := f.Seeds[(first+i)%len(f.Seeds)]
+	seeds := f.seeds()
+	first := int(f.Rand() * float64(len(seeds)))
+	for i := range seeds {
+		seed := seeds[(first+i)%len(seeds)]
 		w, err := f.listingOf(ctx, seed, wireAsk{Prefix: string(prefix), After: after})
 		if err != nil {
 			f.Log.Debug("seed tells no values", "seed", seed, "prefix", prefix, "error", err)
--- a/internal/policy/allowance/allowance.go
+++ b/internal/policy/allowance/allowance.go
@@ -49,6 +49,15 @@
 	return &Allowance{Terms: terms, services: make(map[unit.ServiceName]*ledger)}
 }
 
+// SetTerms changes the bounds. With another window, what was counted is forgotten, and the requests of the time before
+// allow nothing.
+func (a *Allowance) SetTerms(terms Terms) {
+	if terms.Window != a.Terms.Window {
+		clear(a.services)
+	}
+	a.Terms = terms
+}
+
 // Asked counts a caller's request for the service.
 func (a *Allowance) Asked(now time.Time, service unit.ServiceName) {
 	l := a.ledger(now, service)
--- a/internal/policy/divide/union.go
+++ b/internal/policy/divide/union.go
@@ -46,11 +46,11 @@
 	return u.verdict == gather.VerdictNone && now.Before(early)
 }
 
-// RedoMissing says whether all missing shards are to be asked for anew, because what has come in time is too little
-// for an answer. It says so once.
+// RedoMissing says whether all missing shards are to be asked for anew, because all portions have come and are too
+// little for an answer. It says so once.
 func (u *Union) RedoMissing(now time.Time) bool {
 	short := u.answered < u.least() && !u.redone && now.Before(u.End)
-	if !short || (u.pending > 0 && now.Before(u.Cut)) {
+	if !short || u.pending > 0 {
 		return false
 	}
 	u.redone = true
--- a/internal/serve/gateway/gateway.go
+++ b/internal/serve/gateway/gateway.go
@@ -34,12 +34,16 @@
 
 // Gateway is one entry VM.
 type Gateway struct {
-	kernel   *kernel.Kernel
+	kernel *kernel.Kernel
+	// mu guards settings, which a reload changes.
+	mu       sync.Mutex
 	settings config.Settings
 	options  Options
 	life     *life.Life
 	views    *outlook.Views
 	callers  *ingress.Server
+	// reloaded hands changed settings to the services.
+	reloaded func(config.Settings)
 	// leave tells the other entry VMs that this one is stopping.
 	leave   func(ctx context.Context)
 	leaving sync.WaitGroup
@@ -71,6 +75,16 @@
 	return g.life.State(g.views.Load().Complete()) == life.StateReady
 }
 
+// Reload takes changed settings and gives the names of those that have changed and stay as they are until a restart.
+func (g *Gateway) Reload(settings config.Settings) (kept []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.reloaded(settings)
+	kept = g.settings.Fixed(settings)
+	g.settings.Seeds, g.settings.Extra, g.settings.Grace = settings.Seeds, settings.Extra, settings.Grace
+	return kept
+}
+
 // BeginDrain begins a planned stop: the balancer is told to send no more callers, and each answer asks its caller to
 // connect anew. Requests are served on, as callers may be sent for some seconds.
 func (g *Gateway) BeginDrain() {
@@ -89,7 +103,9 @@
 // what is in flight, ends every service and waits.
 func (g *Gateway) Close() error {
 	g.BeginDrain()
+	g.mu.Lock()
 	serve := time.Duration((1-finishShare)*float64(g.settings.Grace)) - exitTime
+	g.mu.Unlock()
 	timer := time.NewTimer(max(0, serve))
 	defer timer.Stop()
 	<-timer.C
--- a/internal/serve/gateway/services.go
+++ b/internal/serve/gateway/services.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	config "basilspan/internal/config/gateway"
 	"basilspan/internal/core/dispatch"
 	"basilspan/internal/core/fleet"
 	"basilspan/internal/core/kernel"
@@ -34,16 +35,20 @@
 	link := peer.New(g.settings.Peers)
 	exchange := &fleet.Fleet{
 		Self:    g.self(),
-		Seeds:   g.settings.Seeds,
 		Now:     g.options.Now,
 		Rand:    g.options.Rand,
 		Log:     g.options.Log,
 		Held:    believed.Held,
 		Changes: believed.Changes,
 	}
+	exchange.SetSeeds(g.settings.Seeds)
 	exchange.Install(loop, link)
 	dispatcher := g.dispatcher(metrics, pool, link)
 	g.leave = exchange.Leave
+	g.reloaded = func(settings config.Settings) {
+		exchange.SetSeeds(settings.Seeds)
+		dispatcher.SetExtra(settings.Extra)
+	}
 	services := []kernel.Service{
 		{Name: kernel.ServiceMetrics, Value: metrics},
 		{Name: kernel.ServiceViews, Value: g.views},
