--- a/internal/policy/gather/pace.go
+++ b/internal/policy/gather/pace.go
@@ -11,8 +11,8 @@
 	hedgeLatest = 0.6
 	// usualTrip stands for the time to a caller and back that is not known.
 	usualTrip = 2 * time.Millisecond
-	// answerLeast is the least time that is kept for the merge and the writing of an answer.
-	answerLeast = 3 * time.Millisecond
+	// answerLeast is the least time that is kept for the merge, the writing of an answer and the wait for the processor.
+	answerLeast = 5 * time.Millisecond
 	// answerShare bounds the time that is kept before the target, as a share of the target.
 	answerShare = 0.3
 	// endTime is how long before the caller gives up it has its final answer.
