Ask an endpoint no more once another one has its address

Ruled out: hedges beyond the allowance (few at that service); a jump of the clock (the logs' times run steadily). The allowance read the time of day all the same and now counts on the steady clock. Change: a call that finds another endpoint marks the address as lost for the one that was meant.

--- a/internal/core/dispatch/fanout.go
+++ b/internal/core/dispatch/fanout.go
@@ -129,7 +129,7 @@
 		Until:       f.machine.Terms.End,
 	}
 	f.flights[id] = f.dispatcher.Send(f.dispatcher.Now(), call, func(e leaf.End) {
-		f.dispatcher.learn(f.route, endpoint.ID, attempt.Sent, e)
+		f.dispatcher.learn(f.route, endpoint, attempt.Sent, e)
 		f.ends <- end{attempt: id, leaf: e}
 	})
 }
--- a/internal/core/dispatch/learn.go
+++ b/internal/core/dispatch/learn.go
@@ -6,6 +6,7 @@
 
 	"basilspan/internal/core/unit"
 	"basilspan/internal/link/leaf"
+	"basilspan/internal/policy/directory"
 	"basilspan/internal/policy/gather"
 	"basilspan/internal/policy/routing"
 )
@@ -57,7 +58,8 @@
 const stageEndpoint unit.RankName = "endpoint"
 
 // learn takes what the end of a call says of its endpoint.
-func (d *Dispatcher) learn(route *routing.Route, id unit.EndpointID, sent time.Time, e leaf.End) {
+func (d *Dispatcher) learn(route *routing.Route, to directory.Endpoint, sent time.Time, e leaf.End) {
+	id := to.ID
 	now := d.Now()
 	outcome := outcomeOf(e, route.Gathers())
 	d.mu.Lock()
@@ -69,6 +71,10 @@
 	case gather.OutcomeWhole:
 		d.Metrics.Stage(unit.SearchName(route.Name), stageEndpoint, now.Sub(sent))
 		d.tracker.Answered(now, id, route.Name, sent)
+	case gather.OutcomeMisdirected:
+		d.tracker.Misdirected(now, id, to.Address, sent)
+		d.Metrics.Add("endpoint.misdirected", 1)
+		d.Log.Info("endpoint gone, another has its address", "endpoint", id, "address", to.Address)
 	case gather.OutcomeRejected:
 		d.tracker.Rejected(now, id, route.Name, sent)
 	case gather.OutcomeNotSent:
--- a/internal/policy/allowance/allowance.go
+++ b/internal/policy/allowance/allowance.go
@@ -30,13 +30,15 @@
 
 // Allowance counts the requests and the extra requests of each service. It is not safe for use by several goroutines.
 type Allowance struct {
-	Terms    Terms
+	Terms Terms
+	// began is the time of the first count; slots are counted from there, on the steady clock.
+	began    time.Time
 	services map[unit.ServiceName]*ledger
 }
 
 // ledger counts one service's requests in slots of a fixed length.
 type ledger struct {
-	// at is the number of the newest slot since the zero time.
+	// at is the number of the newest slot.
 	at     int64
 	asked  [slots + 1]int32
 	extra  [slots + 1]int32
@@ -93,7 +95,10 @@
 		l = &ledger{}
 		a.services[service] = l
 	}
-	l.advance(now.UnixNano() / int64(a.Terms.Window/slots))
+	if a.began.IsZero() {
+		a.began = now
+	}
+	l.advance(int64(now.Sub(a.began) / (a.Terms.Window / slots)))
 	return l
 }
 
--- a/internal/policy/replica/choose.go
+++ b/internal/policy/replica/choose.go
@@ -37,7 +37,7 @@
 ) int {
 	best, at := candidate{}, -1
 	for i, e := range all {
-		if slices.Contains(tried, e.ID) {
+		if slices.Contains(tried, e.ID) || t.isLost(e) {
 			continue
 		}
 		c := t.rate(now, route, e)
@@ -51,6 +51,12 @@
 	return at
 }
 
+// isLost says whether another endpoint has the endpoint's address.
+func (t *Tracker) isLost(e directory.Endpoint) bool {
+	s := t.states[e.ID]
+	return s != nil && s.lost && s.lostAt == e.Address
+}
+
 // rate gives an endpoint's standing and the latency that a further request may expect there, in relation to the usual.
 func (t *Tracker) rate(now time.Time, route unit.RouteName, e directory.Endpoint) candidate {
 	c := candidate{cost: 1}
--- a/internal/policy/replica/replica.go
+++ b/internal/policy/replica/replica.go
@@ -62,6 +62,9 @@
 	// fails counts the failures in a row, and until is the end of the time for which they set the endpoint aside.
 	fails int
 	until time.Time
+	// lost is set when another endpoint was found at the address lostAt.
+	lost   bool
+	lostAt unit.Address
 }
 
 // Tracker holds the state of all endpoints. It is not safe for use by several goroutines.
@@ -112,6 +115,15 @@
 	return s.fails, aside
 }
 
+// Misdirected takes that another endpoint has the address: whatever is sent there arrives at a service that it is not
+// meant for, so the endpoint is not asked again until it registers with another address.
+func (t *Tracker) Misdirected(now time.Time, id unit.EndpointID, address unit.Address, sent time.Time) {
+	s := t.state(id)
+	s.close(sent)
+	s.used = now
+	s.lost, s.lostAt = true, address
+}
+
 // Rejected takes that an endpoint was full; its load report says the rest.
 func (t *Tracker) Rejected(now time.Time, id unit.EndpointID, route unit.RouteName, sent time.Time) {
 	s := t.state(id)
--- a/internal/policy/replica/replica_test.go
+++ b/internal/policy/replica/replica_test.go
@@ -25,6 +25,11 @@
 	return e
 }
 
+func moved(e directory.Endpoint) directory.Endpoint {
+	e.Address = "elsewhere"
+	return e
+}
+
 func cold(e directory.Endpoint) directory.Endpoint {
 	e.Warm = at(100000)
 	return e
@@ -98,6 +103,14 @@
 				tr.Failed(at(i), "a", at(i))
 			}
 		}, now: at(1000), want: 1},
+		{name: "never one whose address another endpoint has", all: []directory.Endpoint{a}, do: func(tr *Tracker) {
+			tr.Sent(at(0), "a")
+			tr.Misdirected(at(1), "a", "", at(0))
+		}, now: at(10000), want: -1},
+		{name: "one that has another address since", all: []directory.Endpoint{moved(a)}, do: func(tr *Tracker) {
+			tr.Sent(at(0), "a")
+			tr.Misdirected(at(1), "a", "", at(0))
+		}, now: at(2), want: 0},
 		{name: "one that answers after it failed", all: []directory.Endpoint{a, endpoint("b", "there")}, do: func(tr *Tracker) {
 			tr.Sent(at(-3), "a")
 			tr.Failed(at(-2), "a", at(-3))
