Bring about the failed requests of the operators' page and follow its steps

Cause: nothing held the page's steps against what a VM logs. Change: TestExplain makes a slow shard, full endpoints, leaving endpoints and a lost answer, takes the request's id and has basilspan explain find the cause; an id of a VM that was killed is in no log, which it says with exit code 3.

--- a/internal/serve/gateway/gateway_test.go
+++ b/internal/serve/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -9,12 +10,15 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"gotest.tools/v3/assert"
 
+	"basilspan/internal/cmd/explain"
+	"basilspan/internal/cmd/stream"
 	config "basilspan/internal/config/gateway"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/policy/allowance"
@@ -38,8 +42,9 @@
 	gateway   *Gateway
 	// version is that of the newest routing table.
 	version int
-	// grace is how long the gateway's stop may take.
+	// grace is how long the gateway's stop may take, and log what it writes.
 	grace  time.Duration
+	log    *lines
 	closed bool
 }
 
@@ -51,7 +56,7 @@
 func newWorld(t *testing.T) *world {
 	t.Helper()
 	hlog.SetOutput(io.Discard)
-	w := &world{t: t, store: registry.New(), endpoints: make(map[string]*shard.Endpoint), grace: quick}
+	w := &world{t: t, store: registry.New(), endpoints: make(map[string]*shard.Endpoint), grace: quick, log: &lines{}}
 	for _, service := range []string{"a", "b", "c"} {
 		for i := range 2 {
 			id := fmt.Sprint(service, i)
@@ -80,7 +85,7 @@
 		Registry: unit.Address(w.store.Address()), Grace: w.grace, Power: 1,
 		Extra: allowance.Terms{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 	}
-	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	log := slog.New(slog.NewJSONHandler(w.log, nil)).With("node", "n1")
 	g, err := New(settings, Options{Now: time.Now, Log: log})
 	assert.NilError(w.t, err)
 	assert.NilError(w.t, g.Start(context.Background()))
@@ -527,3 +532,76 @@
 		}
 	}
 }
+
+// lines is a log that may be read while it is written.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+// TestExplain brings about the failed requests that the operators' page tells of, and follows its steps from the id to
+// the cause.
+func TestExplain(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(w *world)
+		path string
+		// id is that of the request, and asked the one that is looked for.
+		id, asked string
+		status    int
+		code      stream.ExitCode
+		want      []string
+	}{
+		{
+			"an answer lacks a slow shard", func(w *world) { w.behave(shard.ModeHang, "c0", "c1") }, "/all/x", "r1", "r1", 200,
+			stream.ExitOK, []string{"request answered in part", "code: 101", "c: c", "first@", "open"},
+		},
+		{
+			"endpoints are full", func(w *world) { w.behave(shard.ModeReject, "a0", "a1") }, "/one/x", "r1", "r1", 503,
+			stream.ExitOK, []string{"request not answered", "code: 210", "a: a", "rejected"},
+		},
+		{
+			"no endpoint is registered", func(w *world) {
+				for _, id := range []string{"a0", "a1"} {
+					w.store.Put("servers/"+id, w.endpoints[id].Registration("draining"))
+				}
+				w.await(func() bool { return len(w.gateway.views.Load().Endpoints["a"]) == 0 })
+			}, "/one/x", "r1", "r1", 503,
+			stream.ExitOK, []string{"request not answered", "code: 209", "endpoint registered", "leaving: true"},
+		},
+		{
+			"an endpoint loses its answers", func(w *world) { w.behave(shard.ModeLose, "a0", "a1") }, "/once/x", "r1", "r1", 502,
+			stream.ExitOK, []string{"request not answered", "code: 301", "lost", "endpoint set aside"},
+		},
+		{
+			"the VM was killed with the request", func(*world) {}, "/one/x", "r1", "r2", 200, stream.ExitNegative, nil,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t).start()
+			tt.do(w)
+			assert.Equal(t, w.ask("GET", tt.path, tt.id, "").status, tt.status)
+			var out bytes.Buffer
+			err := explain.Run(&explain.Options{
+				Streams: stream.Streams{In: strings.NewReader(w.log.String()), Out: &out}, ID: tt.asked,
+			})
+			assert.Equal(t, stream.CodeOf(err), tt.code)
+			for _, text := range tt.want {
+				assert.Assert(t, strings.Contains(out.String(), text), "%q is not in\n%s", text, out.String())
+			}
+		})
+	}
+}
