Connect after a loss of all VMs once the others are counted; compress large values for peers

Ruled out: too many connections in steady state (VMs, groups and limits give 27 of 52). Change: connections are made beforehand only when the seeds have had 0.9 s to count; a table goes to peers compressed and its transfer may take 0.7 s.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -20,6 +20,9 @@
 	"basilspan/internal/policy/divide"
 )
 
+// knownAfter is how long after its start a VM takes the seeds to know most of the others.
+const knownAfter = 900 * time.Millisecond
+
 // maxTurn bounds the draw of the first seed that a VM follows.
 const maxTurn = 1 << 16
 
@@ -43,6 +46,8 @@
 type Counted struct {
 	VMs   int
 	Mates []divide.Mate
+	// Known says that the other VMs have had the time to be counted, also when all have started at once.
+	Known bool
 }
 
 // Fleet is this VM's part of the exchange. The function fields are its seams.
@@ -62,6 +67,10 @@
 	loop   *kernel.Loop
 	census *census.Census
 	mates  []divide.Mate
+	// began is when this VM started, and known says that what the seeds tell is more than the first callers.
+	began time.Time
+	known bool
+	packs packs
 	// list holds the seeds, which a reload changes; large says that there are many VMs, and turn chooses the seed to
 	// follow.
 	list  atomic.Pointer[[]unit.Address]
@@ -76,7 +85,8 @@
 // Install has link answer peers, and loop own the census.
 func (f *Fleet) Install(loop *kernel.Loop, link *peer.Link) {
 	f.loop = loop
-	f.census = census.New(f.Now(), f.Self.Node)
+	f.began = f.Now()
+	f.census = census.New(f.began, f.Self.Node)
 	f.Call = link.Call
 	f.turn.Store(uint64(f.Rand() * maxTurn))
 	kernel.On(loop, f.onCall)
@@ -182,9 +192,10 @@
 	if mates == nil {
 		mates = f.mates
 	}
-	if after != before || !slices.Equal(mates, f.mates) {
-		f.mates = mates
-		f.loop.Raise(now, Counted{VMs: after, Mates: mates})
+	known := f.known || (len(e.counts) > 0 && now.Sub(f.began) >= knownAfter)
+	if after != before || known != f.known || !slices.Equal(mates, f.mates) {
+		f.mates, f.known = mates, known
+		f.loop.Raise(now, Counted{VMs: after, Mates: mates, Known: known})
 	}
 	e.reply <- f.census.Pause()
 }
--- a/internal/core/fleet/listing.go
+++ b/internal/core/fleet/listing.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"basilspan/internal/core/registry"
 	"basilspan/internal/core/unit"
 )
@@ -22,8 +24,10 @@
 }
 
 type wireItem struct {
-	Key      string        `json:"key"`
-	Value    []byte        `json:"value,omitempty"`
+	Key   string `json:"key"`
+	Value []byte `json:"value,omitempty"`
+	// Packed says that Value is compressed.
+	Packed   bool          `json:"packed,omitempty"`
 	Revision unit.Revision `json:"revision"`
 	Deleted  bool          `json:"deleted,omitempty"`
 }
@@ -48,7 +52,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(w.Wait)*time.Millisecond)
 	defer cancel()
 	news := f.Changes(ctx, registry.Prefix(w.Prefix), w.After)
-	result := wireNews{wireListing: encodeListing(news.Listing), Whole: news.Whole, Age: -1}
+	result := wireNews{wireListing: f.encodeListing(news.Listing), Whole: news.Whole, Age: -1}
 	if !news.Heard.IsZero() {
 		result.Age = f.Now().Sub(news.Heard).Milliseconds()
 	}
@@ -77,7 +81,8 @@
 		return registry.News{}, errNoNews
 	}
 	heard := f.Now().Add(-time.Duration(w.Age) * time.Millisecond)
-	return registry.News{Listing: w.decode(), Whole: w.Whole, Heard: heard}, nil
+	listing, err := w.decode()
+	return registry.News{Listing: listing, Whole: w.Whole, Heard: heard}, err
 }
 
 // Role says who reads the registry. In a large deployment the seeds do for all; in a small one few reads would be saved,
@@ -99,13 +104,17 @@
 	if held.At <= w.After {
 		return wireListing{}, nil
 	}
-	return encodeListing(held), nil
+	return f.encodeListing(held), nil
 }
 
-func encodeListing(l registry.Listing) wireListing {
+func (f *Fleet) encodeListing(l registry.Listing) wireListing {
 	w := wireListing{At: l.At}
 	for _, i := range l.Items {
-		w.Items = append(w.Items, wireItem{Key: string(i.Key), Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
+		item := wireItem{Key: string(i.Key), Value: i.Value, Revision: i.Revision, Deleted: i.Deleted}
+		if len(i.Value) >= packFrom {
+			item.Value, item.Packed = f.packs.pack(i), true
+		}
+		w.Items = append(w.Items, item)
 	}
 	return w
 }
@@ -126,7 +135,7 @@
 		}
 		if w.At > after {
 			f.Log.Info("values taken from a peer", "peer", seed, "prefix", prefix, "revision", w.At, "before", after)
-			return w.decode(), nil
+			return w.decode()
 		}
 	}
 	return registry.Listing{}, errNoNews
@@ -140,11 +149,17 @@
 	return w, err
 }
 
-func (w wireListing) decode() registry.Listing {
+func (w wireListing) decode() (registry.Listing, error) {
 	all := registry.Listing{At: w.At}
 	for _, i := range w.Items {
 		item := registry.Item{Key: registry.Key(i.Key), Value: i.Value, Revision: i.Revision, Deleted: i.Deleted}
+		if i.Packed {
+			var err error
+			if item.Value, err = unpack(i.Value); err != nil {
+				return registry.Listing{}, errors.Wrapf(err, "unpack %s", i.Key)
+			}
+		}
 		all.Items = append(all.Items, item)
 	}
-	return all
+	return all, nil
 }
--- a/internal/core/outlook/outlook.go
+++ b/internal/core/outlook/outlook.go
@@ -78,6 +78,7 @@
 func (o *Outlook) onCounted(now time.Time, e fleet.Counted) {
 	o.view.VMs = e.VMs
 	o.view.Mates = e.Mates
+	o.view.Known = e.Known
 	o.publish(now)
 }
 
--- a/internal/core/outlook/view.go
+++ b/internal/core/outlook/view.go
@@ -28,6 +28,8 @@
 	Heard time.Time
 	// VMs is how many entry VMs there are, this one included.
 	VMs int
+	// Known says that VMs and Mates are more than a guess.
+	Known bool
 	// Mates are the VMs that share requests with this one, this one included, in the order that all of them have.
 	Mates []divide.Mate
 
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -31,9 +31,10 @@
 	// retryFollowing replaces retryMost at a VM that follows others: they notice the registry's return for it.
 	retryFollowing = 3 * time.Second
 	// relayTime is how long a peer waits for a change before it answers that there is none, and relaySlack how much
-	// longer its answer may take; both are short, since a peer that is gone is noticed by the lack of an answer.
+	// longer its answer may take, with a large table over a small link; both are short, since a peer that is gone is
+	// noticed by the lack of an answer.
 	relayTime  = time.Second
-	relaySlack = 300 * time.Millisecond
+	relaySlack = 700 * time.Millisecond
 	// relayAge is how old a peer's knowledge may be; with an older one this VM reads the registry itself.
 	relayAge = leadTime + watchSlack
 	// directTime is how long this VM reads the registry itself before it relies on peers again.
--- a/internal/serve/gateway/services.go
+++ b/internal/serve/gateway/services.go
@@ -151,6 +151,8 @@
 }
 
 // prepare opens connections to the endpoints that this VM sends requests to and closes those to endpoints that are gone.
+// While it is not known how the VMs divide the endpoints, connections are made when they are needed, since after a loss
+// of all VMs each of them would otherwise connect to every endpoint at once.
 func (g *Gateway) prepare(pool *leaf.Pool, v *outlook.View) {
 	if !v.Complete() {
 		return
@@ -160,7 +162,7 @@
 	for service, endpoints := range v.Endpoints {
 		for _, e := range endpoints {
 			known[e.Address] = true
-			if used[service] && !e.Lapsed {
+			if v.Known && used[service] && !e.Lapsed {
 				pool.Warm(e.Address)
 			}
 		}
