Share the start and end of the ports, and bound a stop's wait by its grace time

Cause: reading the change, four ports started and stopped hertz alike, two services ran a goroutine alike, and a stop of the gateway waited hertz's default of five seconds for requests in flight, more than is left of a grace time of six. Change: serve/listen and kernel.Background; the gateway's port waits for its part of the grace time.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -6,7 +6,6 @@
 	"context"
 	"log/slog"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -78,8 +77,6 @@
 	turn  atomic.Uint64
 	// leaving is set once this VM is stopping.
 	leaving atomic.Bool
-	cancel  context.CancelFunc
-	wg      sync.WaitGroup
 }
 
 // Install has link answer peers, and loop own the census.
@@ -107,21 +104,7 @@
 
 // Service gives the exchange as a service with that name.
 func (f *Fleet) Service(name kernel.Name) kernel.Service {
-	return kernel.Service{
-		Name:  name,
-		Value: f,
-		Start: func(ctx context.Context) error {
-			ctx, f.cancel = context.WithCancel(ctx)
-			f.wg.Add(1)
-			go f.run(ctx)
-			return nil
-		},
-		Close: func() error {
-			f.cancel()
-			f.wg.Wait()
-			return nil
-		},
-	}
+	return kernel.Background(name, f, f.run)
 }
 
 // called is the event that a VM has called this one; the result goes to reply, which has room for it.
@@ -238,7 +221,6 @@
 
 // run calls the seeds until ctx ends.
 func (f *Fleet) run(ctx context.Context) {
-	defer f.wg.Done()
 	for ctx.Err() == nil {
 		reply := make(chan time.Duration, 1)
 		if err := kernel.Post(ctx, f.loop, told{counts: f.ask(ctx), reply: reply}); err != nil {
--- a/internal/core/kernel/kernel.go
+++ b/internal/core/kernel/kernel.go
@@ -23,6 +23,29 @@
 	Close func() error
 }
 
+// Background gives a service whose run goes on until ctx ends, in a goroutine of its own that Close waits for.
+func Background(name Name, value any, run func(ctx context.Context)) Service {
+	var cancel context.CancelFunc
+	done := make(chan struct{})
+	return Service{
+		Name:  name,
+		Value: value,
+		Start: func(ctx context.Context) error {
+			ctx, cancel = context.WithCancel(ctx)
+			go func() {
+				defer close(done)
+				run(ctx)
+			}()
+			return nil
+		},
+		Close: func() error {
+			cancel()
+			<-done
+			return nil
+		},
+	}
+}
+
 // Kernel holds the services of one process.
 type Kernel struct {
 	mu       sync.Mutex
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"log/slog"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -131,8 +130,6 @@
 	// Batch is the pause between the answer to a watch and the next one, in which changes gather; each read counts.
 	Batch time.Duration
 
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
 	// at is the revision that this VM has caught up with, and direct until when it reads the registry itself.
 	at     unit.Revision
 	direct time.Time
@@ -140,26 +137,11 @@
 
 // Service gives the follower as a service with that name.
 func (f *Follower) Service(name kernel.Name) kernel.Service {
-	return kernel.Service{
-		Name:  name,
-		Value: f,
-		Start: func(ctx context.Context) error {
-			ctx, f.cancel = context.WithCancel(ctx)
-			f.wg.Add(1)
-			go f.run(ctx)
-			return nil
-		},
-		Close: func() error {
-			f.cancel()
-			f.wg.Wait()
-			return nil
-		},
-	}
+	return kernel.Background(name, f, f.run)
 }
 
 // run follows the prefix until ctx ends.
 func (f *Follower) run(ctx context.Context) {
-	defer f.wg.Done()
 	failures := 0
 	for ctx.Err() == nil {
 		if f.Role() == RoleFollowing && f.Now().After(f.direct) && f.followPeer(ctx) {
--- a/internal/platform/ingress/ingress.go
+++ b/internal/platform/ingress/ingress.go
@@ -4,19 +4,17 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cockroachdb/errors"
 
 	"basilspan/internal/core/dispatch"
 	"basilspan/internal/core/kernel"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/serve/keepalive"
-	"basilspan/internal/serve/port"
+	"basilspan/internal/serve/listen"
 )
 
 const (
@@ -38,16 +36,17 @@
 	Now    func() time.Time
 	Answer func(ctx context.Context, q *dispatch.Request) dispatch.Answer
 
-	listen   unit.Address
-	listener net.Listener
-	server   *server.Hertz
-	tracker  *keepalive.Tracker
-	done     chan struct{}
+	listen unit.Address
+	finish time.Duration
+	server *listen.Server
 }
 
-// Install registers the port with the kernel; it finds the dispatcher there when it starts.
-func Install(k *kernel.Kernel, listen unit.Address, now func() time.Time) (*Server, error) {
-	s := &Server{Now: now, listen: listen, tracker: keepalive.New(), done: make(chan struct{})}
+// Install registers the port with the kernel; it finds the dispatcher there when it starts. finish bounds the wait at its
+// close for requests in flight.
+func Install(
+	k *kernel.Kernel, address unit.Address, now func() time.Time, finish time.Duration,
+) (*Server, error) {
+	s := &Server{Now: now, listen: address, finish: finish}
 	return s, k.Register(kernel.Service{
 		Name:  kernel.ServiceCaller,
 		Value: s,
@@ -59,28 +58,22 @@
 			s.Answer = d.Serve
 			return s.start(ctx)
 		},
-		Close: s.close,
+		Close: func() error { return s.server.Close() },
 	})
 }
 
 // Address gives the address that the port listens at.
 func (s *Server) Address() unit.Address {
-	return unit.Address(s.listener.Addr().String())
+	return s.server.Address()
 }
 
 // BeginDrain has each further answer ask its caller to close the connection; requests are served on.
 func (s *Server) BeginDrain() {
-	s.tracker.BeginDrain()
+	s.server.Tracker.BeginDrain()
 }
 
-func (s *Server) start(ctx context.Context) error {
-	listener, err := net.Listen("tcp", string(s.listen))
-	if err != nil {
-		return errors.Wrap(err, "listen for callers")
-	}
-	s.listener = listener
-	options := append(s.tracker.Options(),
-		server.WithListener(listener),
+func (s *Server) start(ctx context.Context) (err error) {
+	options := []config.Option{
 		server.WithOnConnect(connect),
 		server.WithMaxRequestBodySize(maxBody),
 		server.WithMaxHeaderBytes(maxHeader),
@@ -89,32 +82,21 @@
 		server.WithReadTimeout(readTime),
 		server.WithWriteTimeout(writeTime),
 		server.WithIdleTimeout(idleTime),
-		server.WithDisablePrintRoute(true),
+		server.WithExitWaitTime(s.finish),
 		server.WithDisableDefaultDate(true),
 		server.WithDisableDefaultContentType(true),
-		config.Option{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
-	)
-	s.server = server.New(options...)
-	s.server.Any("/*path", s.handle)
-	s.server.NoRoute(s.handle)
-	go func() {
-		defer close(s.done)
-		_ = s.server.Run()
-	}()
-	return port.Await(ctx, listener.Addr())
-}
-
-// close stops accepting connections, closes those without a request and waits for the others.
-func (s *Server) close() error {
-	s.tracker.BeginDrain()
-	s.tracker.CloseIdle()
-	err := s.server.Shutdown(context.Background())
-	<-s.done
-	return errors.Wrap(err, "close the port for callers")
+		{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
+	}
+	s.server, err = listen.Start(ctx, s.listen, options, func(h *server.Hertz, tracker *keepalive.Tracker) {
+		handle := func(ctx context.Context, rc *app.RequestContext) { s.handle(ctx, rc, tracker) }
+		h.Any("/*path", handle)
+		h.NoRoute(handle)
+	})
+	return err
 }
 
-func (s *Server) handle(ctx context.Context, rc *app.RequestContext) {
-	defer s.tracker.EndConnection(rc)
+func (s *Server) handle(ctx context.Context, rc *app.RequestContext, tracker *keepalive.Tracker) {
+	defer tracker.EndConnection(rc)
 	if fault := framingFault(rc.Request.Header.RawHeaders()); fault != "" {
 		rc.SetConnectionClose()
 		write(rc, dispatch.Answer{Code: unit.CodeBadRequest})
@@ -126,7 +108,7 @@
 		write(rc, dispatch.Answer{Code: unit.CodeBadRequest})
 		return
 	}
-	if !s.tracker.Answerable(rc) {
+	if !tracker.Answerable(rc) {
 		write(rc, dispatch.Answer{Code: unit.CodeStopping})
 		return
 	}
--- a/internal/serve/caller/caller.go
+++ b/internal/serve/caller/caller.go
@@ -5,14 +5,12 @@
 import (
 	"context"
 	"io"
-	"net"
 	"strconv"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cockroachdb/errors"
 
 	"basilspan/internal/core/kernel"
 	"basilspan/internal/core/metric"
@@ -20,7 +18,7 @@
 	"basilspan/internal/core/unit"
 	"basilspan/internal/policy/fanout"
 	"basilspan/internal/serve/keepalive"
-	"basilspan/internal/serve/port"
+	"basilspan/internal/serve/listen"
 )
 
 const (
@@ -45,18 +43,15 @@
 	Now    func() time.Time
 	Answer func(ctx context.Context, q fanout.Query) fanout.Answer
 
-	guard    *guard
-	metrics  *metric.Set
-	listen   unit.Address
-	listener net.Listener
-	server   *server.Hertz
-	tracker  *keepalive.Tracker
-	done     chan struct{}
+	guard   *guard
+	metrics *metric.Set
+	listen  unit.Address
+	server  *listen.Server
 }
 
 // Install registers the port with the kernel; it finds the query service there when it starts.
-func Install(k *kernel.Kernel, listen unit.Address, now func() time.Time) error {
-	s := &Server{Now: now, listen: listen, tracker: keepalive.New(), done: make(chan struct{})}
+func Install(k *kernel.Kernel, address unit.Address, now func() time.Time) error {
+	s := &Server{Now: now, listen: address}
 	s.guard = &guard{limit: maxConnections, readTime: readTime}
 	return k.Register(kernel.Service{
 		Name:  kernel.ServiceCaller,
@@ -71,30 +66,23 @@
 			s.Answer = runner.Run
 			return s.start(ctx)
 		},
-		Close: s.close,
+		Close: func() error { return s.server.Close() },
 	})
 }
 
 // Address gives the address that the port listens at.
 func (s *Server) Address() unit.Address {
-	return unit.Address(s.listener.Addr().String())
+	return s.server.Address()
 }
 
 // BeginDrain has each further answer ask its caller to close the connection; queries are served on.
 func (s *Server) BeginDrain() {
-	s.tracker.BeginDrain()
+	s.server.Tracker.BeginDrain()
 }
 
-func (s *Server) start(ctx context.Context) error {
-	listener, err := net.Listen("tcp", string(s.listen))
-	if err != nil {
-		return errors.Wrap(err, "listen for callers")
-	}
-	s.listener = listener
+func (s *Server) start(ctx context.Context) (err error) {
 	s.guard.metrics = s.metrics
-	options := append(s.tracker.Options(), s.guard.options()...)
-	options = append(options,
-		server.WithListener(listener),
+	options := append(s.guard.options(),
 		// The handler reads the body itself, since hertz answers one that is too large without a result code.
 		server.WithStreamBody(true),
 		server.WithMaxRequestBodySize(maxBody),
@@ -104,30 +92,19 @@
 		server.WithWriteTimeout(writeTime),
 		server.WithIdleTimeout(idleTime),
 		server.WithExitWaitTime(query.MaxTimeout+stopSlack),
-		server.WithDisablePrintRoute(true),
 		config.Option{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
 	)
-	s.server = server.New(options...)
-	s.server.POST("/query", s.handle)
-	s.server.NoRoute(s.noRoute)
-	go func() {
-		defer close(s.done)
-		_ = s.server.Run()
-	}()
-	return port.Await(ctx, listener.Addr())
-}
-
-// close stops accepting connections and waits for the queries in flight.
-func (s *Server) close() error {
-	s.tracker.BeginDrain()
-	s.tracker.CloseIdle()
-	err := s.server.Shutdown(context.Background())
-	<-s.done
-	return errors.Wrap(err, "close the port for callers")
+	s.server, err = listen.Start(ctx, s.listen, options, func(h *server.Hertz, tracker *keepalive.Tracker) {
+		h.POST("/query", func(ctx context.Context, rc *app.RequestContext) {
+			defer tracker.EndConnection(rc)
+			s.handle(ctx, rc)
+		})
+		h.NoRoute(s.noRoute)
+	})
+	return err
 }
 
 func (s *Server) handle(ctx context.Context, rc *app.RequestContext) {
-	defer s.tracker.EndConnection(rc)
 	body, code, message := s.read(ctx, rc)
 	if code != 0 {
 		rc.SetConnectionClose()
--- a/internal/serve/caller/caller_test.go
+++ b/internal/serve/caller/caller_test.go
@@ -22,7 +22,6 @@
 	"basilspan/internal/link/endpoint"
 	"basilspan/internal/policy/catalog"
 	"basilspan/internal/policy/fanout"
-	"basilspan/internal/serve/keepalive"
 )
 
 // fixture is a port with a query service whose calls of endpoints are counted and answered at once.
@@ -53,14 +52,14 @@
 	}
 	hlog.SetOutput(io.Discard)
 	f.Server = &Server{
-		Now: time.Now, Answer: runner.Run, listen: "127.0.0.1:0", metrics: metrics, tracker: keepalive.New(),
-		guard: &guard{limit: 8, readTime: 5 * time.Second}, done: make(chan struct{}),
+		Now: time.Now, Answer: runner.Run, listen: "127.0.0.1:0", metrics: metrics,
+		guard: &guard{limit: 8, readTime: 5 * time.Second},
 	}
 	if change != nil {
 		change(f.Server)
 	}
 	assert.NilError(t, f.start(context.Background()))
-	t.Cleanup(func() { assert.NilError(t, f.close()) })
+	t.Cleanup(func() { assert.NilError(t, f.server.Close()) })
 	return f
 }
 
--- a/internal/serve/gateway/gateway.go
+++ b/internal/serve/gateway/gateway.go
@@ -85,6 +85,11 @@
 	return kept
 }
 
+// finishTime gives how much of the grace time is kept for the requests in flight.
+func finishTime(grace time.Duration) time.Duration {
+	return time.Duration(finishShare * float64(grace))
+}
+
 // BeginDrain begins a planned stop: the balancer is told to send no more callers, and each answer asks its caller to
 // connect anew. Requests are served on, as callers may be sent for some seconds.
 func (g *Gateway) BeginDrain() {
@@ -104,7 +109,7 @@
 func (g *Gateway) Close() error {
 	g.BeginDrain()
 	g.mu.Lock()
-	serve := time.Duration((1-finishShare)*float64(g.settings.Grace)) - exitTime
+	serve := g.settings.Grace - finishTime(g.settings.Grace) - exitTime
 	g.mu.Unlock()
 	timer := time.NewTimer(max(0, serve))
 	defer timer.Stop()
--- a/internal/serve/gateway/services.go
+++ b/internal/serve/gateway/services.go
@@ -103,7 +103,7 @@
 			return err
 		}
 	}
-	callers, err := ingress.Install(g.kernel, g.settings.Callers, g.options.Now)
+	callers, err := ingress.Install(g.kernel, g.settings.Callers, g.options.Now, finishTime(g.settings.Grace))
 	g.callers = callers
 	return err
 }
--- a/internal/serve/operator/operator.go
+++ b/internal/serve/operator/operator.go
@@ -3,14 +3,12 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
-	"github.com/cockroachdb/errors"
 
 	"basilspan/internal/config/process"
 	"basilspan/internal/core/kernel"
@@ -21,7 +19,7 @@
 	"basilspan/internal/core/view"
 	"basilspan/internal/serve/keepalive"
 	"basilspan/internal/serve/life"
-	"basilspan/internal/serve/port"
+	"basilspan/internal/serve/listen"
 	traceport "basilspan/internal/serve/trace"
 )
 
@@ -35,16 +33,13 @@
 	// takes the query service's when it is nil.
 	Ejected func(now time.Time, search unit.SearchName, id unit.EndpointID) bool
 
-	pprof    bool
-	node     unit.NodeID
-	listen   unit.Address
-	listener net.Listener
-	server   *server.Hertz
-	views    *view.Store
-	metrics  *metric.Set
-	tracker  *keepalive.Tracker
-	traces   *traceport.Port
-	done     chan struct{}
+	pprof   bool
+	node    unit.NodeID
+	listen  unit.Address
+	server  *listen.Server
+	views   *view.Store
+	metrics *metric.Set
+	traces  *traceport.Port
 }
 
 // StateReady is the lifecycle state in which the balancer may send callers.
@@ -54,7 +49,6 @@
 func New(node unit.NodeID, listen unit.Address, now func() time.Time, state func() string, drain func()) *Server {
 	return &Server{
 		Now: now, State: state, Drain: drain, node: node, listen: listen,
-		tracker: keepalive.New(), done: make(chan struct{}),
 	}
 }
 
@@ -86,44 +80,35 @@
 
 // Address gives the address that the port listens at.
 func (s *Server) Address() unit.Address {
-	return unit.Address(s.listener.Addr().String())
+	return s.server.Address()
 }
 
-func (s *Server) start(ctx context.Context) error {
-	listener, err := net.Listen("tcp", string(s.listen))
-	if err != nil {
-		return errors.Wrap(err, "listen for operators")
-	}
-	s.listener = listener
-	options := append(s.tracker.Options(), server.WithListener(listener), server.WithDisablePrintRoute(true))
-	s.server = server.New(options...)
-	s.server.Use(func(ctx context.Context, rc *app.RequestContext) {
+func (s *Server) start(ctx context.Context) (err error) {
+	s.server, err = listen.Start(ctx, s.listen, nil, s.routes)
+	return err
+}
+
+func (s *Server) routes(h *server.Hertz, tracker *keepalive.Tracker) {
+	h.Use(func(ctx context.Context, rc *app.RequestContext) {
 		rc.Next(ctx)
-		s.tracker.EndConnection(rc)
+		tracker.EndConnection(rc)
 	})
-	s.server.GET("/ready", s.ready)
-	s.server.GET("/status", s.status)
-	s.server.GET("/debug/vars", s.vars)
-	s.server.POST("/drain", s.drain)
-	s.server.GET("/config", s.config)
+	h.GET("/ready", s.ready)
+	h.GET("/status", s.status)
+	h.GET("/debug/vars", s.vars)
+	h.POST("/drain", s.drain)
+	h.GET("/config", s.config)
 	if s.pprof {
-		s.server.GET("/debug/pprof/*profile", adaptor.HertzHandler(http.HandlerFunc(profile)))
+		h.GET("/debug/pprof/*profile", adaptor.HertzHandler(http.HandlerFunc(profile)))
 	}
-	s.server.GET(traceport.Path, s.traces.Handle)
-	go func() {
-		defer close(s.done)
-		_ = s.server.Run()
-	}()
-	return port.Await(ctx, listener.Addr())
+	h.GET(traceport.Path, s.traces.Handle)
 }
 
+// close ends the traces that are streamed, which would keep their connections, and then the server.
 func (s *Server) close() error {
-	s.tracker.BeginDrain()
-	s.tracker.CloseIdle()
+	s.server.Tracker.BeginDrain()
 	s.traces.Close()
-	err := s.server.Shutdown(context.Background())
-	<-s.done
-	return errors.Wrap(err, "close the port for operators")
+	return s.server.Close()
 }
 
 func (s *Server) ready(_ context.Context, rc *app.RequestContext) {
