--- /dev/null
+++ b/internal/config/gateway/gateway_test.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/allowance"
+)
+
+const whole = `{
+  "node": "n1", "centre": "z",
+  "listen": {"callers": "10.0.0.1:1", "ready": "10.0.0.1:2", "peers": "10.0.0.1:3", "metrics": "10.0.0.1:4"},
+  "seeds": "10.0.0.1:3,10.0.0.2:3", "registry": "10.0.0.9:1", "power": 0.4, "grace": 6,
+  "extra": {"ratio": 0.2, "slack": 52, "window": 10}, "level": "info"
+}`
+
+func TestParse(t *testing.T) {
+	got, unknown, err := Parse("f", []byte(whole))
+	assert.NilError(t, err)
+	assert.Equal(t, len(unknown), 0)
+	assert.DeepEqual(t, got, Settings{
+		Node: "n1", Centre: "z", Callers: "10.0.0.1:1", Ready: "10.0.0.1:2", Peers: "10.0.0.1:3", Metrics: "10.0.0.1:4",
+		Seeds: []unit.Address{"10.0.0.1:3", "10.0.0.2:3"}, Registry: "10.0.0.9:1", Power: 0.4, Grace: 6 * time.Second,
+		Extra: allowance.Terms{Ratio: 0.2, Slack: 52, Window: 10 * time.Second}, Level: "info",
+	})
+}
+
+// TestParseFaults checks that every fault of a file is named at once, and that unknown keys are none.
+func TestParseFaults(t *testing.T) {
+	tests := []struct {
+		name    string
+		content string
+		faults  []string
+		unknown []string
+	}{
+		{"unknown keys", strings.Replace(whole, `"node"`, `"new": 1, "node"`, 1), nil, []string{"new"}},
+		{"no JSON", "node=n1", []string{"f:1"}, nil},
+		{"values of another type", strings.Replace(whole, `"grace": 6`, `"grace": "6"`, 1), []string{"grace"}, nil},
+		{"an empty object", "{}", []string{
+			"node", "centre", "listen.callers", "listen.ready", "registry", "power", "grace", "extra.window",
+		}, nil},
+		{"addresses that are none", strings.ReplaceAll(whole, "10.0.0.1:", "here:"), []string{
+			"listen.callers", "listen.ready", "listen.peers", "listen.metrics", "seeds",
+		}, nil},
+		{"a level that is none", strings.Replace(whole, `"info"`, `"loud"`, 1), []string{"level"}, nil},
+		{"bounds below zero", strings.Replace(whole, `"ratio": 0.2, "slack": 52`, `"ratio": -1, "slack": -1`, 1), []string{
+			"extra.ratio", "extra.slack",
+		}, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, unknown, err := Parse("f", []byte(tt.content))
+			assert.DeepEqual(t, unknown, tt.unknown)
+			assert.Equal(t, err != nil, len(tt.faults) > 0)
+			for _, fault := range tt.faults {
+				assert.ErrorContains(t, err, fault)
+			}
+		})
+	}
+}
+
+// TestFixed checks that each setting either changes at a reload or is named as one that does not.
+func TestFixed(t *testing.T) {
+	reloaded := map[string]bool{"Seeds": true, "Grace": true, "Extra": true}
+	var other Settings
+	fields := reflect.TypeFor[Settings]().NumField()
+	s := Settings{
+		Node: "x", Centre: "x", Callers: "x", Ready: "x", Peers: "x", Metrics: "x", Registry: "x", Power: 1, Level: "x",
+	}
+	assert.Equal(t, len(s.Fixed(other)), fields-len(reloaded))
+	assert.Equal(t, len(s.Fixed(s)), 0)
+}
+
+// TestPages checks that the page of settings and the platform's template have every key.
+func TestPages(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/CONFIG.md")
+	assert.NilError(t, err)
+	template, err := os.ReadFile("../../../deploy/gateway.json.tmpl")
+	assert.NilError(t, err)
+	for _, key := range keys(reflect.TypeFor[wireSettings](), "") {
+		assert.Assert(t, strings.Contains(string(page), "`"+key+"`"), "%s is not in the page", key)
+		name := key[strings.LastIndex(key, ".")+1:]
+		assert.Assert(t, strings.Contains(string(template), `"`+name+`"`), "%s is not in the template", key)
+	}
+}
+
+// keys gives the paths of a wire type's values.
+func keys(t reflect.Type, prefix string) []string {
+	var all []string
+	for i := range t.NumField() {
+		path := prefix + t.Field(i).Tag.Get("json")
+		if t.Field(i).Type.Kind() == reflect.Struct {
+			all = append(all, keys(t.Field(i).Type, path+".")...)
+			continue
+		}
+		all = append(all, path)
+	}
+	return all
+}
--- a/internal/core/logline/logline.go
+++ b/internal/core/logline/logline.go
@@ -19,6 +19,8 @@
 	perSecond = 40
 	// queueSize is how many lines may wait for the output; more are left out.
 	queueSize = 1024
+	// maxBatch is the size in bytes at which the lines that have gathered are written, so that they take bounded memory.
+	maxBatch = 64 << 10
 )
 
 // Writer is the queue in front of an output.
@@ -91,20 +93,28 @@
 	}
 }
 
-// flush writes line and all that are queued behind it at once.
+// flush writes line and those that are queued behind it, in batches.
 func (w *Writer) flush(line []byte) {
 	for {
 		select {
 		case next := <-w.lines:
+			if len(line)+len(next) > maxBatch {
+				w.write(line)
+				line = line[:0]
+			}
 			line = append(line, next...)
 		default:
-			// A failed write to the standard output can be reported nowhere else.
-			_, _ = w.out.Write(line)
+			w.write(line)
 			return
 		}
 	}
 }
 
+// write writes a batch. A failed write to the standard output can be reported nowhere else.
+func (w *Writer) write(batch []byte) {
+	_, _ = w.out.Write(batch)
+}
+
 // Handler passes on at most perSecond lines with the same message in a second and says how many it has left out.
 type Handler struct {
 	inner slog.Handler
--- /dev/null
+++ b/internal/core/logline/logline_test.go
@@ -0,0 +1,85 @@
+package logline
+
+import (
+	"bytes"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// output is an output that may be held up.
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+	hold chan struct{}
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	if o.hold != nil {
+		<-o.hold
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(p)
+}
+
+// TestBounds checks that lines of one message are bounded in each second, and that what is left out is counted.
+func TestBounds(t *testing.T) {
+	second := time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+	tests := []struct {
+		name string
+		// lines are how many lines come in each second, by message.
+		lines []map[string]int
+		want  map[string]int
+		left  []string
+	}{
+		{"few", []map[string]int{{"a": 3}}, map[string]int{"a": 3}, nil},
+		{"many of one message", []map[string]int{{"a": 100, "b": 2}, {"b": 1}}, map[string]int{"a": perSecond, "b": 3}, []string{`"of":"a","count":60`}},
+		{"the next second begins anew", []map[string]int{{"a": 100}, {"a": 100}, {"b": 1}}, map[string]int{"a": 2 * perSecond, "b": 1}, []string{`"of":"a","count":60`}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			out := &output{}
+			w := NewWriter(out)
+			h := NewHandler(w, slog.LevelInfo)
+			for i, messages := range tt.lines {
+				for message, n := range messages {
+					for range n {
+						r := slog.NewRecord(second.Add(time.Duration(i)*time.Second), slog.LevelInfo, message, 0)
+						assert.NilError(t, h.Handle(t.Context(), r))
+					}
+				}
+			}
+			assert.NilError(t, w.Close())
+			text := out.text.String()
+			for message, n := range tt.want {
+				assert.Equal(t, strings.Count(text, `"msg":"`+message+`"`), n)
+			}
+			for _, line := range tt.left {
+				assert.Assert(t, strings.Contains(text, line), text)
+			}
+		})
+	}
+}
+
+// TestNeverWaits checks that an output that is held up holds up nobody, and that the lines lost are counted.
+func TestNeverWaits(t *testing.T) {
+	out := &output{hold: make(chan struct{})}
+	w := NewWriter(out)
+	line := strings.Repeat("x", 1023) + "\n"
+	for range 2 * queueSize {
+		_, err := io.WriteString(w, line)
+		assert.NilError(t, err)
+	}
+	lost := w.Dropped()
+	// The queue is full, and a batch and one line more are out of it.
+	assert.Assert(t, lost >= int64(queueSize-maxBatch/len(line)-1), "%d lines lost", lost)
+	close(out.hold)
+	assert.NilError(t, w.Close())
+	assert.Equal(t, int64(strings.Count(out.text.String(), "\n")), 2*queueSize-lost)
+}
