Leave out a VM that let a request down until its time was over

Change: a VM that has not answered by the cut has failed; it is left out for 3 s, doubled up to 24 s each further time. TestDividedAvoidsSilentVM failed before.

--- a/internal/core/dispatch/divided.go
+++ b/internal/core/dispatch/divided.go
@@ -88,11 +88,16 @@
 	v.dispatcher.mateSent(p.Mate.Node)
 	go func() {
 		result, err := v.dispatcher.ask(ctx, v.job, v.pick(shards), p.Mate.Address)
-		v.dispatcher.mateEnded(p.Mate.Node, err != nil && ctx.Err() == nil)
+		v.dispatcher.mateEnded(p.Mate.Node, v.letDown(ctx, err))
 		v.ends <- portionEnd{shards: shards, part: part{wirePart: result, ran: true}, err: err}
 	}()
 }
 
+// letDown says whether another VM has failed to answer. One that is not waited for any longer has, if its answer was due.
+func (v *divided) letDown(ctx context.Context, err error) bool {
+	return err != nil && (ctx.Err() == nil || !v.dispatcher.Now().Before(v.terms.Cut))
+}
+
 // beginHere starts a portion at this VM. Its shards may have been sent to before; one that was sent to as many
 // endpoints as the route allows is left out.
 func (v *divided) beginHere(ctx context.Context, shards []int) {
--- a/internal/core/dispatch/divided_test.go
+++ b/internal/core/dispatch/divided_test.go
@@ -179,6 +179,20 @@
 	}
 }
 
+// TestDividedAvoidsSilentVM checks that a VM that has let a request down gets no portion of the next one, also when the
+// request's own time had run out meanwhile.
+func TestDividedAvoidsSilentVM(t *testing.T) {
+	c := newCluster()
+	c.mute["n1"] = true
+	c.vms[0].Views.Publish(c.view)
+	for _, want := range []unit.Code{unit.CodeDeadline, unit.CodeWhole, unit.CodeWhole} {
+		q := &Request{ID: "r", Host: "h", Method: "GET", URI: "/x", Path: "/x", Arrived: time.Now(), Left: time.Second}
+		assert.Equal(t, c.vms[0].Serve(context.Background(), q).Code, want)
+		// The end of the portion comes once the request is over.
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // TestDividedCallerLeaves checks that a caller that leaves ends the portions at other VMs.
 func TestDividedCallerLeaves(t *testing.T) {
 	c := newCluster()
--- a/internal/policy/divide/divide.go
+++ b/internal/policy/divide/divide.go
@@ -15,8 +15,10 @@
 	portionLeast = 12
 	// perGroup is how many VMs serve a group of shards at the least, so that the loss of one leaves another.
 	perGroup = 2
-	// failedTime is how long a VM that has not answered is left out.
-	failedTime = 3 * time.Second
+	// failedFirst is how long a VM that has not answered is left out; each further time in a row doubles it up to
+	// failedMost, since each try costs a request its answer.
+	failedFirst = 3 * time.Second
+	failedMost  = 24 * time.Second
 	// remoteFactor is what a portion at another VM costs more than one here, for the call.
 	remoteFactor = 1.3
 	// spread is the share of the cost that is drawn at random, so that the VMs do not all choose alike.
@@ -47,12 +49,18 @@
 	Rand func() float64
 
 	open   map[unit.NodeID]int
-	failed map[unit.NodeID]time.Time
+	failed map[unit.NodeID]failure
+}
+
+// failure is how often in a row a VM has not answered, and until when it is left out.
+type failure struct {
+	times int
+	until time.Time
 }
 
 // New makes a tracker that knows nothing.
 func New(node unit.NodeID, rand func() float64) *Tracker {
-	return &Tracker{Node: node, Rand: rand, open: make(map[unit.NodeID]int), failed: make(map[unit.NodeID]time.Time)}
+	return &Tracker{Node: node, Rand: rand, open: make(map[unit.NodeID]int), failed: make(map[unit.NodeID]failure)}
 }
 
 // Groups gives into how many portions that many shards are divided among that many VMs.
@@ -97,7 +105,7 @@
 	least := 0.0
 	for i := group; i < len(mates); i += groups {
 		m := mates[i]
-		if now.Before(t.failed[m.Node].Add(failedTime)) {
+		if now.Before(t.failed[m.Node].until) {
 			continue
 		}
 		if cost := t.cost(m); !ok || cost < least {
@@ -115,6 +123,9 @@
 	return cost * (1 + spread*t.Rand())
 }
 
+// maxDoublings bounds the shift; failedMost is reached before.
+const maxDoublings = 8
+
 // leastPower stands for a power that is not known.
 const leastPower unit.Cores = 0.05
 
@@ -130,7 +141,8 @@
 		delete(t.open, node)
 	}
 	if failed {
-		t.failed[node] = now
+		f := t.failed[node]
+		t.failed[node] = failure{times: f.times + 1, until: now.Add(min(failedFirst<<min(f.times, maxDoublings), failedMost))}
 		return
 	}
 	delete(t.failed, node)
--- a/internal/policy/divide/divide_test.go
+++ b/internal/policy/divide/divide_test.go
@@ -51,6 +51,18 @@
 			tr.Sent("n1")
 			tr.Ended(start.Add(-time.Minute), "n1", true)
 		}, []string{"0-45 self", "45-90 n1"}},
+		{"a VM that failed again and again", 90, even, func(tr *Tracker) {
+			for range 3 {
+				tr.Sent("n1")
+				tr.Ended(start.Add(-5*time.Second), "n1", true)
+			}
+		}, []string{"0-45 self", "45-90 n3"}},
+		{"a VM that has answered since", 90, even, func(tr *Tracker) {
+			tr.Sent("n1")
+			tr.Sent("n1")
+			tr.Ended(start, "n1", true)
+			tr.Ended(start, "n1", false)
+		}, []string{"0-45 self", "45-90 n1"}},
 		{"all VMs of a group have failed", 90, even, func(tr *Tracker) {
 			tr.Ended(start, "n1", true)
 			tr.Ended(start, "n3", true)
