--- a/internal/serve/gateway/gateway.go
+++ b/internal/serve/gateway/gateway.go
@@ -42,10 +42,7 @@
 	life     *life.Life
 	views    *outlook.Views
 	callers  *ingress.Server
-	// reloaded hands changed settings to the services.
-	reloaded func(config.Settings)
-	// leave tells the other entry VMs that this one is stopping.
-	leave   func(ctx context.Context)
+	// leaving is done once the other VMs have been told of the stop.
 	leaving sync.WaitGroup
 	drain   sync.Once
 }
@@ -99,7 +96,7 @@
 		g.leaving.Add(1)
 		go func() {
 			defer g.leaving.Done()
-			g.leave(context.Background())
+			g.leave()
 		}()
 	})
 }
--- a/internal/serve/gateway/services.go
+++ b/internal/serve/gateway/services.go
@@ -25,16 +25,85 @@
 // start or leave, and one that leaves serves on for seconds.
 const endpointBatch = 400 * time.Millisecond
 
-// install registers the services in the order in which they start; they close in reverse.
+// install registers the services in the order in which they start; they close in reverse. Each finds those that it needs
+// by name.
 func (g *Gateway) install() error {
+	steps := []func() error{
+		g.installBase, g.installOutlook, g.installExchange, g.installFollowers, g.installDispatch, g.gauges, g.ports,
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (g *Gateway) register(services ...kernel.Service) error {
+	for _, s := range services {
+		if err := g.kernel.Register(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// installBase registers the services that need no other.
+func (g *Gateway) installBase() error {
 	metrics := metric.NewSet()
-	loop := kernel.NewLoop(g.options.Now)
-	pool := g.pool(metrics)
 	client := store.New(g.settings.Registry)
-	believed := g.outlook(loop, metrics, pool)
-	link := peer.New(g.settings.Peers)
+	return g.register(
+		kernel.Service{Name: kernel.ServiceMetrics, Value: metrics},
+		kernel.Service{Name: kernel.ServiceViews, Value: g.views},
+		kernel.NewLoop(g.options.Now).Service(kernel.ServiceControl),
+		g.pool(metrics).Service(kernel.ServiceEndpoint),
+		kernel.Service{Name: kernel.ServiceRegistry, Value: client, Close: client.Close},
+		peer.New(g.settings.Peers).Service(kernel.ServicePeer),
+	)
+}
+
+func (g *Gateway) pool(metrics *metric.Set) *leaf.Pool {
+	pool := leaf.New(g.options.Now)
+	pool.Encode = platformleaf.Encode
+	pool.Decode = platformleaf.Decode
+	pool.Count = func(name string) { metrics.Add(name, 1) }
+	return pool
+}
+
+func (g *Gateway) installOutlook() error {
+	f := kernel.NewFinder(g.kernel)
+	loop := kernel.Look[*kernel.Loop](f, kernel.ServiceControl)
+	metrics := kernel.Look[*metric.Set](f, kernel.ServiceMetrics)
+	pool := kernel.Look[*leaf.Pool](f, kernel.ServiceEndpoint)
+	if err := f.Err(); err != nil {
+		return err
+	}
+	believed := outlook.Install(loop, outlook.Options{
+		Node:           g.settings.Node,
+		Views:          g.views,
+		Metrics:        metrics,
+		Log:            g.options.Log,
+		Tables:         store.KeyTable,
+		Endpoints:      store.PrefixEndpoints,
+		DecodeTable:    store.Table,
+		DecodeEndpoint: store.Endpoint,
+		EndpointID:     store.EndpointID,
+		Published:      func(_ time.Time, v *outlook.View) { g.prepare(pool, v) },
+	})
+	return g.register(kernel.Service{Name: kernel.ServiceOutlook, Value: believed})
+}
+
+func (g *Gateway) installExchange() error {
+	f := kernel.NewFinder(g.kernel)
+	loop := kernel.Look[*kernel.Loop](f, kernel.ServiceControl)
+	link := kernel.Look[*peer.Link](f, kernel.ServicePeer)
+	believed := kernel.Look[*outlook.Outlook](f, kernel.ServiceOutlook)
+	if err := f.Err(); err != nil {
+		return err
+	}
+	mate := divide.Mate{Node: g.settings.Node, Address: g.settings.Peers, Power: g.settings.Power}
 	exchange := &fleet.Fleet{
-		Self:    g.self(),
+		Self:    census.Caller{Mate: mate, Centre: g.settings.Centre},
 		Now:     g.options.Now,
 		Rand:    g.options.Rand,
 		Log:     g.options.Log,
@@ -43,35 +112,89 @@
 	}
 	exchange.SetSeeds(g.settings.Seeds)
 	exchange.Install(loop, link)
-	dispatcher := g.dispatcher(metrics, pool, link)
-	g.leave = exchange.Leave
-	g.reloaded = func(settings config.Settings) {
-		exchange.SetSeeds(settings.Seeds)
-		dispatcher.SetExtra(settings.Extra)
-	}
-	g.gauges(metrics)
-	services := []kernel.Service{
-		{Name: kernel.ServiceMetrics, Value: metrics},
-		{Name: kernel.ServiceViews, Value: g.views},
-		loop.Service(kernel.ServiceControl),
-		pool.Service(kernel.ServiceEndpoint),
-		{Name: kernel.ServiceRegistry, Value: client, Close: client.Close},
-		link.Service(kernel.ServicePeer),
-		exchange.Service(kernel.ServiceExchange),
-		g.follow(store.KeyTable, 0, client, exchange, loop).Service(kernel.ServiceTables),
-		g.follow(store.PrefixEndpoints, endpointBatch, client, exchange, loop).Service(kernel.ServiceEndpoints),
-		{Name: kernel.ServiceDispatch, Value: dispatcher},
+	return g.register(exchange.Service(kernel.ServiceExchange))
+}
+
+// installFollowers registers what follows the routing tables and the endpoints' registrations.
+func (g *Gateway) installFollowers() error {
+	f := kernel.NewFinder(g.kernel)
+	loop := kernel.Look[*kernel.Loop](f, kernel.ServiceControl)
+	client := kernel.Look[*store.Client](f, kernel.ServiceRegistry)
+	exchange := kernel.Look[*fleet.Fleet](f, kernel.ServiceExchange)
+	if err := f.Err(); err != nil {
+		return err
 	}
-	for _, s := range services {
-		if err := g.kernel.Register(s); err != nil {
-			return err
+	follow := func(prefix registry.Prefix, batch time.Duration) *registry.Follower {
+		return &registry.Follower{
+			Prefix: prefix,
+			Now:    g.options.Now,
+			List:   client.List,
+			Watch:  client.Watch,
+			Peers:  exchange.Listing,
+			Relay:  exchange.Relay,
+			Role:   exchange.Role,
+			Rand:   g.options.Rand,
+			Log:    g.options.Log,
+			Post:   func(ctx context.Context, event any) error { return kernel.PostAny(ctx, loop, event) },
+			Batch:  batch,
 		}
 	}
-	return g.ports()
+	return g.register(
+		follow(store.KeyTable, 0).Service(kernel.ServiceTables),
+		follow(store.PrefixEndpoints, endpointBatch).Service(kernel.ServiceEndpoints),
+	)
+}
+
+func (g *Gateway) installDispatch() error {
+	f := kernel.NewFinder(g.kernel)
+	metrics := kernel.Look[*metric.Set](f, kernel.ServiceMetrics)
+	pool := kernel.Look[*leaf.Pool](f, kernel.ServiceEndpoint)
+	link := kernel.Look[*peer.Link](f, kernel.ServicePeer)
+	if err := f.Err(); err != nil {
+		return err
+	}
+	d := dispatch.New(g.settings.Node, g.settings.Centre, g.settings.Extra, g.options.Rand)
+	d.Now = g.options.Now
+	d.Views = g.views
+	d.Metrics = metrics
+	d.Log = g.options.Log
+	d.Send = pool.Send
+	d.Prepare = platformleaf.Prepare
+	d.Call = link.Call
+	d.Ended = dispatch.Report(g.options.Log, metrics, g.options.Rand)
+	d.AnswerPortions(link, g.Ready)
+	return g.register(kernel.Service{Name: kernel.ServiceDispatch, Value: d})
+}
+
+// reloaded hands changed settings to the services.
+func (g *Gateway) reloaded(settings config.Settings) {
+	f := kernel.NewFinder(g.kernel)
+	exchange := kernel.Look[*fleet.Fleet](f, kernel.ServiceExchange)
+	dispatcher := kernel.Look[*dispatch.Dispatcher](f, kernel.ServiceDispatch)
+	if err := f.Err(); err != nil {
+		g.options.Log.Error("settings not handed on", "error", err)
+		return
+	}
+	exchange.SetSeeds(settings.Seeds)
+	dispatcher.SetExtra(settings.Extra)
+}
+
+// leave tells the other entry VMs that this one is stopping.
+func (g *Gateway) leave() {
+	exchange, err := kernel.Find[*fleet.Fleet](g.kernel, kernel.ServiceExchange)
+	if err != nil {
+		g.options.Log.Error("the other VMs are not told of the stop", "error", err)
+		return
+	}
+	exchange.Leave(context.Background())
 }
 
 // gauges adds the ages of what this VM believes, in seconds, -1 while it knows nothing.
-func (g *Gateway) gauges(metrics *metric.Set) {
+func (g *Gateway) gauges() error {
+	metrics, err := kernel.Find[*metric.Set](g.kernel, kernel.ServiceMetrics)
+	if err != nil {
+		return err
+	}
 	age := func(at func(v *outlook.View) time.Time) func() any {
 		return func() any {
 			when := at(g.views.Load())
@@ -90,6 +213,7 @@
 		return 0
 	})
 	metrics.Gauge("vms", func() any { return g.views.Load().VMs })
+	return nil
 }
 
 // ports registers what others call, the port for callers last, so that the balancer can be answered sooner.
@@ -108,48 +232,6 @@
 	return err
 }
 
-func (g *Gateway) pool(metrics *metric.Set) *leaf.Pool {
-	pool := leaf.New(g.options.Now)
-	pool.Encode = platformleaf.Encode
-	pool.Decode = platformleaf.Decode
-	pool.Count = func(name string) { metrics.Add(name, 1) }
-	return pool
-}
-
-func (g *Gateway) follow(
-	prefix registry.Prefix, batch time.Duration, client *store.Client, exchange *fleet.Fleet,
-	loop *kernel.Loop,
-) *registry.Follower {
-	return &registry.Follower{
-		Prefix: prefix,
-		List:   client.List,
-		Watch:  client.Watch,
-		Now:    g.options.Now,
-		Peers:  exchange.Listing,
-		Relay:  exchange.Relay,
-		Role:   exchange.Role,
-		Rand:   g.options.Rand,
-		Log:    g.options.Log,
-		Batch:  batch,
-		Post:   func(ctx context.Context, event any) error { return kernel.PostAny(ctx, loop, event) },
-	}
-}
-
-func (g *Gateway) outlook(loop *kernel.Loop, metrics *metric.Set, pool *leaf.Pool) *outlook.Outlook {
-	return outlook.Install(loop, outlook.Options{
-		Node:           g.settings.Node,
-		Views:          g.views,
-		Metrics:        metrics,
-		Log:            g.options.Log,
-		Tables:         store.KeyTable,
-		Endpoints:      store.PrefixEndpoints,
-		DecodeTable:    store.Table,
-		DecodeEndpoint: store.Endpoint,
-		EndpointID:     store.EndpointID,
-		Published:      func(_ time.Time, v *outlook.View) { g.prepare(pool, v) },
-	})
-}
-
 // prepare opens connections to the endpoints that this VM sends requests to and closes those to endpoints that are gone.
 // While it is not known how the VMs divide the endpoints, connections are made when they are needed, since after a loss
 // of all VMs each of them would otherwise connect to every endpoint at once.
@@ -183,23 +265,3 @@
 	}
 	return used
 }
-
-// self is this VM as other VMs are told of it.
-func (g *Gateway) self() census.Caller {
-	mate := divide.Mate{Node: g.settings.Node, Address: g.settings.Peers, Power: g.settings.Power}
-	return census.Caller{Mate: mate, Centre: g.settings.Centre}
-}
-
-func (g *Gateway) dispatcher(metrics *metric.Set, pool *leaf.Pool, link *peer.Link) *dispatch.Dispatcher {
-	d := dispatch.New(g.settings.Node, g.settings.Centre, g.settings.Extra, g.options.Rand)
-	d.Now = g.options.Now
-	d.Views = g.views
-	d.Metrics = metrics
-	d.Log = g.options.Log
-	d.Send = pool.Send
-	d.Prepare = platformleaf.Prepare
-	d.Call = link.Call
-	d.AnswerPortions(link, g.Ready)
-	d.Ended = dispatch.Report(g.options.Log, metrics, g.options.Rand)
-	return d
-}
