Share the wait that a context ends, and drop what the last read found needless

Cause: reading the change, registry and fleet each had the same timer loop, a portion's result was walked twice, a search's cut was checked for being set though it always is, and a comment forbade what a reload does. Change: kernel.Wait; one loop; the check is gone; the comment is true. Behaviour and tests stay as they were.

--- a/internal/core/dispatch/divided.go
+++ b/internal/core/dispatch/divided.go
@@ -15,7 +15,7 @@
 
 // plan divides the shards of a job among the VMs that share requests; one portion means that it is not divided.
 func (d *Dispatcher) plan(j *job) []divide.Portion {
-	if !j.route.Gathers() || j.terms.Cut.IsZero() {
+	if !j.route.Gathers() {
 		return nil
 	}
 	d.mu.Lock()
--- a/internal/core/dispatch/portion.go
+++ b/internal/core/dispatch/portion.go
@@ -136,11 +136,9 @@
 	p := part{ran: f.machine.MayHaveRun()}
 	p.Seals = make([]string, len(services))
 	p.Sent = make([]int, len(services))
-	for shard := range services {
-		p.Sent[shard] = f.machine.Arrived(shard)
-	}
 	var bodies [][]byte
 	for shard := range services {
+		p.Sent[shard] = f.machine.Arrived(shard)
 		if id, ok := f.machine.Reply(shard); ok {
 			p.Seals[shard] = f.replies[id].Reply.Seal
 			bodies = append(bodies, f.replies[id].Reply.Body)
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -93,7 +93,7 @@
 	peer.Handle(link, methodChanges, f.answerChanges)
 }
 
-// SetSeeds changes the seeds; it must be called before the exchange starts.
+// SetSeeds changes the seeds. They are to be set once before the exchange starts, and may change at any time.
 func (f *Fleet) SetSeeds(seeds []unit.Address) {
 	f.list.Store(&seeds)
 }
@@ -259,10 +259,5 @@
 
 // pause waits for about d, so that the VMs do not call all at once.
 func (f *Fleet) pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(time.Duration(float64(d) * (0.75 + 0.25*f.Rand())))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	kernel.Wait(ctx, time.Duration(float64(d)*(0.75+0.25*f.Rand())))
 }
--- a/internal/core/kernel/kernel.go
+++ b/internal/core/kernel/kernel.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -46,6 +47,16 @@
 	}
 }
 
+// Wait waits for d or for the end of ctx.
+func Wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // Kernel holds the services of one process.
 type Kernel struct {
 	mu       sync.Mutex
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -205,7 +205,7 @@
 	f.post(ctx, Changed{Prefix: f.Prefix, Items: changes.Items, At: changes.At})
 	f.at = max(f.at, changes.At)
 	if len(changes.Items) > 0 {
-		wait(ctx, f.Batch)
+		kernel.Wait(ctx, f.Batch)
 	}
 	return nil
 }
@@ -267,17 +267,7 @@
 	for range failures {
 		pause = min(2*pause, most)
 	}
-	wait(ctx, time.Duration(float64(pause)*(0.75+0.5*f.Rand())))
-}
-
-// wait waits for d or for the end of ctx.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	kernel.Wait(ctx, time.Duration(float64(pause)*(0.75+0.5*f.Rand())))
 }
 
 // post hands an event to the control goroutine; after the loop's end nobody needs it.
