--- /dev/null
+++ b/internal/cmd/gateway/gateway.go
@@ -0,0 +1,130 @@
+// Package gateway is the command that runs an entry VM on a platform that publishes routes and endpoints.
+package gateway
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/netpoll"
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"basilspan/internal/cmd/stream"
+	config "basilspan/internal/config/gateway"
+	gateway "basilspan/internal/serve/gateway"
+)
+
+const (
+	// collectAt is the growth of the heap, in percent, at which garbage is collected; memory is dearer than the
+	// processor time that a small heap's collection takes.
+	collectAt = 50
+	// threads is how many threads run Go code; an entry VM has one core or less.
+	threads = 1
+	// envSettings is the environment variable that names the settings file.
+	envSettings = "BASILSPAN_CONFIG"
+)
+
+// Options are what the command works with.
+type Options struct {
+	Streams stream.Streams
+	// File is the settings file.
+	File string
+	// Now gives the present time.
+	Now func() time.Time
+	// ReadFile reads the settings file.
+	ReadFile func(name string) ([]byte, error)
+	// Signals gives a context that ends when the process is asked to stop.
+	Signals func(ctx context.Context) (context.Context, context.CancelFunc)
+}
+
+// New makes the command; run replaces Run in tests and may be nil.
+func New(streams stream.Streams, run func(ctx context.Context, opts *Options) error) *cli.Command {
+	opts := &Options{Streams: streams, Now: time.Now, ReadFile: os.ReadFile, Signals: signals}
+	if run == nil {
+		run = Run
+	}
+	return &cli.Command{
+		Name:  "gateway",
+		Usage: "run an entry VM on a platform that publishes routes and endpoints",
+		Description: "The settings come from one JSON file; deploy/gateway.json.tmpl shows its form. SIGTERM and SIGINT " +
+			"begin a planned stop.\n\n" +
+			"Examples:\n" +
+			"   basilspan gateway --settings /etc/basilspan/local.conf\n" +
+			"   BASILSPAN_CONFIG=/etc/basilspan/local.conf basilspan gateway",
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name:        "settings",
+				Usage:       "settings file",
+				Sources:     cli.EnvVars(envSettings),
+				Required:    true,
+				Destination: &opts.File,
+			},
+		},
+		Action: func(ctx context.Context, _ *cli.Command) error { return run(ctx, opts) },
+	}
+}
+
+// signals ends the context at the first SIGINT or SIGTERM.
+func signals(ctx context.Context) (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+}
+
+// Run runs the entry VM until it is asked to stop.
+func Run(ctx context.Context, opts *Options) error {
+	stop, cancel := opts.Signals(ctx)
+	defer cancel()
+	economize()
+	settings, unknown, err := load(opts)
+	if err != nil {
+		return stream.WithExit(err, stream.ExitUsage)
+	}
+	log := logger(opts.Streams.Out, settings)
+	if len(unknown) > 0 {
+		log.Warn("unknown settings ignored", "keys", unknown)
+	}
+	g, err := gateway.New(settings, gateway.Options{Now: opts.Now, Log: log})
+	if err != nil {
+		return err
+	}
+	if err := g.Start(ctx); err != nil {
+		return err
+	}
+	log.Info("started", "callers", settings.Callers, "registry", settings.Registry)
+	<-stop.Done()
+	log.Info("stopping", "grace", settings.Grace)
+	err = g.Close()
+	log.Info("stopped")
+	return err
+}
+
+// economize fits the runtime to a small VM.
+func economize() {
+	debug.SetGCPercent(collectAt)
+	runtime.GOMAXPROCS(threads)
+	hlog.SetOutput(io.Discard)
+	// A failure leaves the library's default, which costs memory only.
+	_ = netpoll.Configure(netpoll.Config{PollerNum: threads})
+}
+
+func load(opts *Options) (config.Settings, []string, error) {
+	content, err := opts.ReadFile(opts.File)
+	if err != nil {
+		return config.Settings{}, nil, errors.Wrap(err, "settings")
+	}
+	return config.Parse(opts.File, content)
+}
+
+func logger(w io.Writer, settings config.Settings) *slog.Logger {
+	var level slog.Level
+	// The settings' check has let only known levels pass.
+	_ = level.UnmarshalText([]byte(settings.Level))
+	return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level})).With("node", settings.Node)
+}
--- a/internal/cmd/root/root.go
+++ b/internal/cmd/root/root.go
@@ -11,6 +11,7 @@
 	"basilspan/internal/cmd/config"
 	"basilspan/internal/cmd/demo"
 	"basilspan/internal/cmd/drain"
+	"basilspan/internal/cmd/gateway"
 	"basilspan/internal/cmd/query"
 	"basilspan/internal/cmd/replay"
 	"basilspan/internal/cmd/serve"
@@ -49,6 +50,7 @@
 		ConfigureShellCompletionCommand: func(cmd *cli.Command) { cmd.Hidden = false },
 		Commands: []*cli.Command{
 			serve.New(streams, nil),
+			gateway.New(streams, nil),
 			query.New(streams, nil),
 			config.New(streams),
 			status.New(streams, nil),
--- /dev/null
+++ b/internal/config/gateway/gateway.go
@@ -0,0 +1,143 @@
+// Package gateway holds the settings of an entry VM that serves the routes and endpoints published in a registry. They
+// come from one JSON file, which the platform renders from deploy/gateway.json.tmpl at each start and change.
+package gateway
+
+import (
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"basilspan/internal/config/strict"
+	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/allowance"
+)
+
+// Settings are an entry VM's own settings.
+type Settings struct {
+	Node   unit.NodeID
+	Centre unit.CentreName
+	// Callers, Ready, Peers and Metrics are the addresses that the VM listens at.
+	Callers unit.Address
+	Ready   unit.Address
+	Peers   unit.Address
+	Metrics unit.Address
+	// Seeds are the peer addresses of some entry VMs.
+	Seeds []unit.Address
+	// Registry is the address of the store in which routes and endpoints are published.
+	Registry unit.Address
+	// Grace is how long a stop may take before the process is killed.
+	Grace time.Duration
+	// Extra bounds the hedges and retries of all entry VMs together.
+	Extra allowance.Terms
+	// Level is the least level of the log lines that are written.
+	Level string
+}
+
+// wireSettings is the settings file.
+type wireSettings struct {
+	Node     string     `json:"node"`
+	Centre   string     `json:"centre"`
+	Listen   wireListen `json:"listen"`
+	Seeds    string     `json:"seeds"`
+	Registry string     `json:"registry"`
+	Grace    float64    `json:"grace"`
+	Extra    wireExtra  `json:"extra"`
+	Level    string     `json:"level"`
+}
+
+type wireListen struct {
+	Callers string `json:"callers"`
+	Ready   string `json:"ready"`
+	Peers   string `json:"peers"`
+	Metrics string `json:"metrics"`
+}
+
+// wireExtra has the window in seconds.
+type wireExtra struct {
+	Ratio  float64 `json:"ratio"`
+	Slack  float64 `json:"slack"`
+	Window float64 `json:"window"`
+}
+
+// Parse reads a settings file. The error names every fault with its line; unknown are the keys that were passed over.
+func Parse(file string, content []byte) (s Settings, unknown []string, err error) {
+	var w wireSettings
+	result := strict.Decode(content, &w, strict.Options{Lenient: true})
+	for _, p := range result.Problems {
+		err = errors.Join(err, errors.Newf("%s:%d: %s: %s", file, p.Line, p.Field, p.Text))
+	}
+	if err != nil {
+		return Settings{}, result.Unknown, err
+	}
+	s = w.settings()
+	return s, result.Unknown, errors.Wrap(s.check(), file)
+}
+
+func (w wireSettings) settings() Settings {
+	s := Settings{
+		Node:     unit.NodeID(w.Node),
+		Centre:   unit.CentreName(w.Centre),
+		Callers:  unit.Address(w.Listen.Callers),
+		Ready:    unit.Address(w.Listen.Ready),
+		Peers:    unit.Address(w.Listen.Peers),
+		Metrics:  unit.Address(w.Listen.Metrics),
+		Registry: unit.Address(w.Registry),
+		Grace:    seconds(w.Grace),
+		Extra:    allowance.Terms{Ratio: w.Extra.Ratio, Slack: w.Extra.Slack, Window: seconds(w.Extra.Window)},
+		Level:    w.Level,
+	}
+	for _, seed := range strings.Split(w.Seeds, ",") {
+		if seed != "" {
+			s.Seeds = append(s.Seeds, unit.Address(seed))
+		}
+	}
+	return s
+}
+
+func seconds(n float64) time.Duration {
+	return time.Duration(n * float64(time.Second))
+}
+
+// check gives an error that names every setting that is missing or wrong.
+func (s Settings) check() error {
+	var all error
+	fault := func(bad bool, field, text string) {
+		if bad {
+			all = errors.Join(all, errors.Newf("%s: %s", field, text))
+		}
+	}
+	fault(s.Node == "", "node", "is missing")
+	fault(s.Centre == "", "centre", "is missing")
+	fault(!isAddress(s.Callers), "listen.callers", addressRule)
+	fault(!isAddress(s.Ready), "listen.ready", addressRule)
+	fault(s.Peers != "" && !isAddress(s.Peers), "listen.peers", addressRule)
+	fault(s.Metrics != "" && !isAddress(s.Metrics), "listen.metrics", addressRule)
+	fault(!isAddress(s.Registry), "registry", addressRule)
+	for _, seed := range s.Seeds {
+		fault(!isAddress(seed), "seeds", addressRule)
+	}
+	fault(s.Grace <= 0, "grace", "must be a number of seconds above 0")
+	fault(s.Extra.Ratio < 0, "extra.ratio", "must not be below 0")
+	fault(s.Extra.Slack < 0, "extra.slack", "must not be below 0")
+	fault(s.Extra.Window <= 0, "extra.window", "must be a number of seconds above 0")
+	fault(!isLevel(s.Level), "level", `must be "debug", "info", "warn" or "error"`)
+	return all
+}
+
+const addressRule = `must be an IP number and port, such as "10.0.0.1:8080"`
+
+func isAddress(a unit.Address) bool {
+	_, err := netip.ParseAddrPort(string(a))
+	return err == nil
+}
+
+func isLevel(level string) bool {
+	switch level {
+	case "", "debug", "info", "warn", "error":
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/config/strict/strict.go
+++ b/internal/config/strict/strict.go
@@ -29,6 +29,8 @@
 	Null string
 	// Brief leaves out places and the fields of problems, which takes less time; Place is nil then.
 	Brief bool
+	// Lenient has unknown keys listed in the result instead of reported as problems.
+	Lenient bool
 }
 
 // Result is what was read.
@@ -37,12 +39,15 @@
 	Problems []Problem
 	// Broken says that the text is no JSON, so that nothing of it is known.
 	Broken bool
+	// Unknown are the paths of the keys that a lenient reading passed over.
+	Unknown []string
 }
 
 // decoder collects the problems of one text.
 type decoder struct {
 	options  Options
 	problems []Problem
+	unknown  []string
 	// keys holds the keys of the wire types met so far.
 	keys map[reflect.Type]map[string]int
 }
@@ -61,7 +66,7 @@
 		place = &Place{}
 	}
 	d.fill(root, reflect.ValueOf(into).Elem(), "", place)
-	return Result{Place: place, Problems: d.problems}
+	return Result{Place: place, Problems: d.problems, Unknown: d.unknown}
 }
 
 func (d *decoder) add(line int, path, format string, args ...any) {
@@ -135,13 +140,22 @@
 	for _, f := range d.unique(n, path) {
 		i, ok := known[f.key]
 		if !ok {
-			d.add(f.line, d.join(path, f.key), "unknown key; the keys here are %s", list(known))
+			d.passOver(f, path, known)
 			continue
 		}
 		d.fill(f.value, into.Field(i), d.join(path, f.key), at.child(f.key))
 	}
 }
 
+// passOver takes a key that the wire type does not have.
+func (d *decoder) passOver(f field, path string, known map[string]int) {
+	if d.options.Lenient {
+		d.unknown = append(d.unknown, d.join(path, f.key))
+		return
+	}
+	d.add(f.line, d.join(path, f.key), "unknown key; the keys here are %s", list(known))
+}
+
 func (d *decoder) fillMap(n *node, into reflect.Value, path string, at *Place) {
 	into.Set(reflect.MakeMap(into.Type()))
 	for _, f := range d.unique(n, path) {
--- /dev/null
+++ b/internal/core/dispatch/fanout.go
@@ -0,0 +1,173 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"basilspan/internal/core/outlook"
+	"basilspan/internal/core/unit"
+	"basilspan/internal/link/leaf"
+	"basilspan/internal/policy/directory"
+	"basilspan/internal/policy/gather"
+	"basilspan/internal/policy/routing"
+)
+
+// fanout is one request under way. Its goroutine runs the machine; the connections' goroutines hand it the ends of its
+// attempts.
+type fanout struct {
+	dispatcher *Dispatcher
+	view       *outlook.View
+	route      *routing.Route
+	request    *Request
+	message    *leaf.Message
+	// services are the shards, and endpoints those of each.
+	services  []unit.ServiceName
+	endpoints [][]directory.Endpoint
+	machine   *gather.Machine
+	ends      chan end
+	// flights and replies are by attempt.
+	flights []*leaf.Flight
+	replies []leaf.End
+}
+
+// end is the end of an attempt.
+type end struct {
+	attempt gather.AttemptID
+	leaf    leaf.End
+}
+
+// triesPerShard bounds the attempts of a shard: those that its route allows, which are few, and those that could not
+// be sent. Ends beyond the channel's room are waited for by their connection, not lost.
+const triesPerShard = 4
+
+// run leads the request to its verdict.
+func (f *fanout) run(ctx context.Context) {
+	f.ends = make(chan end, triesPerShard*len(f.services))
+	f.do(f.step(func(now time.Time) []gather.Action { return f.machine.Start(now) }))
+	if f.machine.Verdict() != gather.VerdictNone {
+		return
+	}
+	timer := time.NewTimer(f.untilWake())
+	defer timer.Stop()
+	for f.machine.Verdict() == gather.VerdictNone {
+		select {
+		case e := <-f.ends:
+			f.take(e)
+			f.drain()
+		case <-timer.C:
+			f.do(f.step(f.machine.Tick))
+			timer.Reset(f.untilWake())
+		case <-ctx.Done():
+			f.do(f.step(func(time.Time) []gather.Action { return f.machine.Leave() }))
+		}
+	}
+}
+
+// drain takes the ends that are there already.
+func (f *fanout) drain() {
+	for f.machine.Verdict() == gather.VerdictNone {
+		select {
+		case e := <-f.ends:
+			f.take(e)
+		default:
+			return
+		}
+	}
+}
+
+// take hands the machine the end of an attempt.
+func (f *fanout) take(e end) {
+	f.replies[e.attempt] = e.leaf
+	outcome := outcomeOf(e.leaf, f.route.Gathers())
+	f.do(f.step(func(now time.Time) []gather.Action { return f.machine.Ended(now, e.attempt, outcome) }))
+}
+
+// step runs the machine, whose choices depend on what all requests share. The actions are copied, as the machine may
+// use their room again.
+func (f *fanout) step(run func(now time.Time) []gather.Action) []gather.Action {
+	f.dispatcher.mu.Lock()
+	defer f.dispatcher.mu.Unlock()
+	actions := run(f.dispatcher.Now())
+	for _, a := range actions {
+		if a.Kind == gather.ActionSend {
+			attempt := f.machine.Attempt(a.Attempt)
+			f.dispatcher.tracker.Sent(attempt.Sent, f.endpoint(attempt).ID)
+		}
+	}
+	return slices.Clone(actions)
+}
+
+func (f *fanout) untilWake() time.Duration {
+	return max(0, f.machine.Wake().Sub(f.dispatcher.Now()))
+}
+
+// do carries out the machine's actions.
+func (f *fanout) do(actions []gather.Action) {
+	for _, a := range actions {
+		switch a.Kind {
+		case gather.ActionSend:
+			f.send(a.Attempt)
+		case gather.ActionAbandon:
+			if flight := f.flights[a.Attempt]; flight != nil {
+				flight.Abandon(f.dispatcher.Now())
+			}
+		}
+	}
+}
+
+// send starts an attempt.
+func (f *fanout) send(id gather.AttemptID) {
+	attempt := f.machine.Attempt(id)
+	endpoint := f.endpoint(attempt)
+	for len(f.flights) <= int(id) {
+		f.flights = append(f.flights, nil)
+		f.replies = append(f.replies, leaf.End{})
+	}
+	f.dispatcher.Metrics.Add("attempt."+attempt.Reason.String(), 1)
+	call := leaf.Call{
+		Message:     f.message,
+		Endpoint:    endpoint.ID,
+		Address:     endpoint.Address,
+		Connections: f.connections(attempt.Shard),
+		Until:       f.machine.Terms.End,
+	}
+	f.flights[id] = f.dispatcher.Send(f.dispatcher.Now(), call, func(e leaf.End) {
+		f.dispatcher.learn(f.route, endpoint.ID, attempt.Sent, e)
+		f.ends <- end{attempt: id, leaf: e}
+	})
+}
+
+// connections gives how many connections this VM may hold to an endpoint of the shard: its part of those that the
+// endpoint accepts, and always one.
+func (f *fanout) connections(shard int) int {
+	all := int(f.view.Table.Services[f.services[shard]].Connections)
+	return max(1, all/max(1, f.view.VMs))
+}
+
+func (f *fanout) endpoint(a gather.Attempt) directory.Endpoint {
+	return f.endpoints[a.Shard][a.Endpoint]
+}
+
+// choose picks the endpoint of an attempt. A hedge goes to another sound endpoint only; a retry may go to the same
+// endpoint again where there is no other.
+func (f *fanout) choose(now time.Time, shard int, tried []int, reason gather.Reason) (int, bool) {
+	all := f.endpoints[shard]
+	ids := make([]unit.EndpointID, 0, len(tried))
+	for _, i := range tried {
+		ids = append(ids, all[i].ID)
+	}
+	at := f.dispatcher.tracker.Choose(now, f.route.Name, all, ids, reason == gather.ReasonHedge)
+	if at < 0 && reason == gather.ReasonRetry {
+		at = f.dispatcher.tracker.Choose(now, f.route.Name, all, nil, false)
+	}
+	return at, at >= 0
+}
+
+func (f *fanout) spend(now time.Time, shard int) bool {
+	ok := f.dispatcher.allowance.Take(now, f.services[shard], f.view.VMs)
+	if !ok {
+		f.dispatcher.Metrics.Add("allowance.spent", 1)
+	}
+	return ok
+}
--- /dev/null
+++ b/internal/core/dispatch/learn.go
@@ -0,0 +1,80 @@
+package dispatch
+
+import (
+	"net/http"
+	"time"
+
+	"basilspan/internal/core/unit"
+	"basilspan/internal/link/leaf"
+	"basilspan/internal/policy/gather"
+	"basilspan/internal/policy/routing"
+)
+
+// outcomeOf gives what the end of a call means for its request. gathered replies have to be successes of the form that
+// can be merged; any other reply of a single request is passed on.
+func outcomeOf(e leaf.End, gathered bool) gather.Outcome {
+	switch {
+	case e.Kind == leaf.KindNotSent:
+		return gather.OutcomeNotSent
+	case e.Kind == leaf.KindLost:
+		return gather.OutcomeLost
+	case e.Reply.Misdirected:
+		return gather.OutcomeMisdirected
+	case e.Reply.Unrun:
+		return gather.OutcomeRejected
+	case e.Reply.Encoded || e.Reply.Seal == "":
+		return gather.OutcomeLost
+	case isSuccess(e.Reply.Status):
+		return gather.OutcomeWhole
+	case !gathered && isFinal(e.Reply.Status):
+		return gather.OutcomeWhole
+	default:
+		return gather.OutcomeFailed
+	}
+}
+
+func isSuccess(status int) bool {
+	return status >= 200 && status < 300
+}
+
+// isFinal says whether another endpoint would answer alike: the request itself is at fault.
+func isFinal(status int) bool {
+	return status >= 300 && status < 500 && !isPromise(status)
+}
+
+// isPromise says whether a status tells a caller that its request has not run.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests,
+		http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+
+// learn takes what the end of a call says of its endpoint.
+func (d *Dispatcher) learn(route *routing.Route, id unit.EndpointID, sent time.Time, e leaf.End) {
+	now := d.Now()
+	outcome := outcomeOf(e, route.Gathers())
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e.Kind == leaf.KindReply && e.Reply.Load != nil {
+		d.tracker.Reported(now, id, *e.Reply.Load)
+	}
+	switch outcome {
+	case gather.OutcomeWhole:
+		d.tracker.Answered(now, id, route.Name, sent)
+	case gather.OutcomeRejected:
+		d.tracker.Rejected(now, id, route.Name, sent)
+	case gather.OutcomeNotSent:
+		if leaf.IsBusy(e.Err) {
+			d.tracker.Abandoned(now, id, route.Name, sent)
+			return
+		}
+		d.tracker.Failed(now, id, sent)
+	default:
+		d.tracker.Failed(now, id, sent)
+	}
+}
--- a/internal/core/kernel/loop.go
+++ b/internal/core/kernel/loop.go
@@ -58,6 +58,11 @@
 
 // Post hands an event to the control goroutine; it waits while the queue is full.
 func Post[E any](ctx context.Context, l *Loop, event E) error {
+	return PostAny(ctx, l, event)
+}
+
+// PostAny is Post for an event whose type is known only at run time.
+func PostAny(ctx context.Context, l *Loop, event any) error {
 	select {
 	case l.events <- event:
 		return nil
--- a/internal/core/kernel/names.go
+++ b/internal/core/kernel/names.go
@@ -28,4 +28,18 @@
 	ServiceCaller Name = "caller"
 	// ServiceOperator is the port for operators.
 	ServiceOperator Name = "operator"
+	// ServiceProbe is the port for the balancer.
+	ServiceProbe Name = "probe"
+	// ServiceMetricsPort is the port for metrics.
+	ServiceMetricsPort Name = "metrics-port"
+	// ServiceDispatch serves requests along a routing table.
+	ServiceDispatch Name = "dispatch"
+	// ServiceOutlook is the belief about published routes and endpoints.
+	ServiceOutlook Name = "outlook"
+	// ServiceRegistry is the client of the registry.
+	ServiceRegistry Name = "registry"
+	// ServiceTables follows the published routing tables.
+	ServiceTables Name = "tables"
+	// ServiceEndpoints follows the endpoints' registrations.
+	ServiceEndpoints Name = "endpoints"
 )
--- /dev/null
+++ b/internal/core/outlook/outlook.go
@@ -0,0 +1,192 @@
+package outlook
+
+import (
+	"log/slog"
+	"time"
+
+	"basilspan/internal/core/kernel"
+	"basilspan/internal/core/metric"
+	"basilspan/internal/core/registry"
+	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/directory"
+	"basilspan/internal/policy/routing"
+)
+
+// unknownVMs stands for the number of entry VMs while it is not known; a high number keeps shared bounds safe.
+const unknownVMs = 16
+
+// Options are what the belief works with. The function fields are its seams.
+type Options struct {
+	Views   *Views
+	Metrics *metric.Set
+	Log     *slog.Logger
+	// Tables and Endpoints are the prefixes under which they are published.
+	Tables    registry.Prefix
+	Endpoints registry.Prefix
+	// DecodeTable, DecodeEndpoint and EndpointID read published values and keys.
+	DecodeTable    func(value []byte) (*routing.Table, error)
+	DecodeEndpoint func(now time.Time, item registry.Item) (directory.Registration, error)
+	EndpointID     func(key registry.Key) unit.EndpointID
+	// Published is told of each new view.
+	Published func(now time.Time, v *View)
+}
+
+// Outlook is the state that the control goroutine owns.
+type Outlook struct {
+	Options
+	view      View
+	directory *directory.Directory
+	listed    bool
+	lost      map[registry.Prefix]time.Time
+}
+
+// Install makes the belief and has loop hand it the events that it decides on.
+func Install(loop *kernel.Loop, options Options) *Outlook {
+	o := &Outlook{
+		Options:   options,
+		view:      View{VMs: unknownVMs},
+		directory: directory.New(),
+		lost:      make(map[registry.Prefix]time.Time),
+	}
+	kernel.On(loop, o.onListed)
+	kernel.On(loop, o.onChanged)
+	kernel.On(loop, o.onLost)
+	kernel.On(loop, o.onTick)
+	return o
+}
+
+func (o *Outlook) onListed(now time.Time, e registry.Listed) {
+	o.regained(now, e.Prefix)
+	if e.Prefix == o.Tables {
+		o.takeTables(now, e.Items)
+		return
+	}
+	all := make([]directory.Registration, 0, len(e.Items))
+	for _, item := range e.Items {
+		if r, ok := o.decode(now, item); ok {
+			all = append(all, r)
+		}
+	}
+	o.directory.Replace(now, all)
+	o.listed = true
+	o.Log.Info("endpoints listed", "count", len(all), "unreadable", len(e.Items)-len(all), "revision", e.At)
+	o.publishEndpoints(now, e.At)
+}
+
+func (o *Outlook) onChanged(now time.Time, e registry.Changed) {
+	o.regained(now, e.Prefix)
+	if e.Prefix == o.Tables {
+		o.takeTables(now, e.Items)
+		return
+	}
+	for _, item := range e.Items {
+		o.takeEndpoint(now, item)
+	}
+	if len(e.Items) > 0 {
+		o.publishEndpoints(now, e.At)
+	}
+}
+
+// takeEndpoint takes one change of a registration.
+func (o *Outlook) takeEndpoint(now time.Time, item registry.Item) {
+	id := o.EndpointID(item.Key)
+	if item.Deleted {
+		o.Log.Info("endpoint unregistered", "endpoint", id, "revision", item.Revision)
+		o.directory.Remove(now, id, item.Revision, false)
+		return
+	}
+	r, ok := o.decode(now, item)
+	if !ok {
+		o.directory.Remove(now, id, item.Revision, true)
+		return
+	}
+	o.Log.Info("endpoint registered", "endpoint", id, "service", r.Service, "address", r.Address,
+		"leaving", r.Leaving, "revision", r.Revision)
+	o.directory.Put(r)
+}
+
+func (o *Outlook) decode(now time.Time, item registry.Item) (directory.Registration, bool) {
+	r, err := o.DecodeEndpoint(now, item)
+	if err != nil {
+		o.Metrics.Add("endpoint.unreadable", 1)
+		o.Log.Warn("registration ignored", "key", item.Key, "revision", item.Revision, "error", err)
+		return directory.Registration{}, false
+	}
+	return r, true
+}
+
+// takeTables takes published routing tables; one that cannot be read or is older leaves the last good one in force.
+func (o *Outlook) takeTables(now time.Time, items []registry.Item) {
+	for _, item := range items {
+		if item.Deleted || string(item.Key) != string(o.Tables) {
+			continue
+		}
+		table, err := o.DecodeTable(item.Value)
+		if err != nil {
+			o.Metrics.Add("table.unreadable", 1)
+			o.Log.Error("routing table ignored", "revision", item.Revision, "in_force", o.version(), "error", err)
+			continue
+		}
+		if o.view.Table != nil && table.Version <= o.view.Table.Version {
+			continue
+		}
+		o.Log.Info("routing table in force", "version", table.Version, "before", o.version(),
+			"revision", item.Revision, "routes", len(table.Routes()))
+		o.view.Table = table
+		o.view.TableAt = now
+		o.publish(now)
+	}
+}
+
+func (o *Outlook) version() unit.TableVersion {
+	if o.view.Table == nil {
+		return 0
+	}
+	return o.view.Table.Version
+}
+
+func (o *Outlook) onLost(now time.Time, e registry.Lost) {
+	o.Metrics.Add("registry.failed", 1)
+	if _, known := o.lost[e.Prefix]; known {
+		return
+	}
+	o.lost[e.Prefix] = now
+	o.Log.Warn("registry lost", "prefix", e.Prefix, "error", e.Err)
+	if e.Prefix == o.Endpoints {
+		o.directory.Away()
+	}
+}
+
+// regained takes an answer of the registry.
+func (o *Outlook) regained(now time.Time, prefix registry.Prefix) {
+	o.view.Heard = now
+	since, known := o.lost[prefix]
+	if !known {
+		return
+	}
+	delete(o.lost, prefix)
+	o.Log.Info("registry regained", "prefix", prefix, "away", now.Sub(since))
+	if prefix == o.Endpoints {
+		o.directory.Back(now)
+	}
+}
+
+func (o *Outlook) onTick(now time.Time, _ kernel.Tick) {
+	if o.listed && o.directory.Sweep(now) {
+		o.publishEndpoints(now, o.view.EndpointsAt)
+	}
+}
+
+func (o *Outlook) publishEndpoints(now time.Time, at unit.Revision) {
+	o.view.Endpoints = o.directory.Endpoints()
+	o.view.EndpointsAt = at
+	o.publish(now)
+}
+
+func (o *Outlook) publish(now time.Time) {
+	next := o.view
+	o.Views.publish(&next)
+	if o.Published != nil {
+		o.Published(now, &next)
+	}
+}
--- /dev/null
+++ b/internal/core/registry/registry.go
@@ -0,0 +1,181 @@
+// Package registry follows what operators and endpoints publish: it lists a prefix of keys, watches it for changes and
+// lists it anew when changes may have been missed. What it reads goes to the control goroutine.
+package registry
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"basilspan/internal/core/kernel"
+	"basilspan/internal/core/unit"
+)
+
+const (
+	// watchTime is how long one watch waits for a change. A connection that has gone silent is noticed when it is over,
+	// which has to be sooner than an endpoint that leaves may be sent requests.
+	watchTime = 2500 * time.Millisecond
+	// watchSlack is how much longer the answer to a watch may take.
+	watchSlack = 500 * time.Millisecond
+	// listTime bounds a read; a slow registry answers within it.
+	listTime = 1500 * time.Millisecond
+	// retryFirst is the pause after a failed read; each further one doubles it up to retryMost, which bounds how late
+	// the registry's return is noticed.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+)
+
+// ErrCompacted means that the registry no longer holds the changes since the revision that was asked for.
+var ErrCompacted = errors.New("the registry no longer has the history")
+
+// Key names one published value, and Prefix begins the keys of several.
+type (
+	Key    string
+	Prefix string
+)
+
+// Item is a published value at a revision, or its end.
+type Item struct {
+	Key      Key
+	Value    []byte
+	Revision unit.Revision
+	Deleted  bool
+}
+
+// Listing is the answer to a read.
+type Listing struct {
+	Items []Item
+	// At is the revision that a watch continues from.
+	At unit.Revision
+}
+
+// Listed is the event that all values with the prefix were read.
+type Listed struct {
+	Prefix Prefix
+	Items  []Item
+	At     unit.Revision
+}
+
+// Changed is the event that values with the prefix have changed; Items may be empty.
+type Changed struct {
+	Prefix Prefix
+	Items  []Item
+	At     unit.Revision
+}
+
+// Lost is the event that the registry could not be read.
+type Lost struct {
+	Prefix Prefix
+	Err    error
+}
+
+// Follower follows one prefix. The function fields are its seams.
+type Follower struct {
+	Prefix Prefix
+	List   func(ctx context.Context, prefix Prefix) (Listing, error)
+	Watch  func(ctx context.Context, prefix Prefix, after unit.Revision, wait time.Duration) (Listing, error)
+	// Rand gives a number from 0 to 1, by which the retries of several VMs are spread.
+	Rand func() float64
+	Log  *slog.Logger
+
+	loop   *kernel.Loop
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// Service gives the follower as a service with that name; its events go to loop.
+func (f *Follower) Service(name kernel.Name, loop *kernel.Loop) kernel.Service {
+	f.loop = loop
+	return kernel.Service{
+		Name:  name,
+		Value: f,
+		Start: func(ctx context.Context) error {
+			ctx, f.cancel = context.WithCancel(ctx)
+			f.wg.Add(1)
+			go f.run(ctx)
+			return nil
+		},
+		Close: func() error {
+			f.cancel()
+			f.wg.Wait()
+			return nil
+		},
+	}
+}
+
+// run lists and watches until ctx ends.
+func (f *Follower) run(ctx context.Context) {
+	defer f.wg.Done()
+	failures := 0
+	for ctx.Err() == nil {
+		answered, err := f.follow(ctx)
+		if answered {
+			failures = 0
+		}
+		if errors.Is(err, ErrCompacted) {
+			f.Log.Info("history compacted; listing anew", "prefix", f.Prefix)
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		f.post(ctx, Lost{Prefix: f.Prefix, Err: err})
+		f.pause(ctx, failures)
+		failures++
+	}
+}
+
+// follow lists the prefix once and watches it until a read fails. answered says whether any read succeeded.
+func (f *Follower) follow(ctx context.Context) (answered bool, err error) {
+	listing, err := f.list(ctx)
+	if err != nil {
+		return false, err
+	}
+	f.post(ctx, Listed{Prefix: f.Prefix, Items: listing.Items, At: listing.At})
+	at := listing.At
+	for {
+		changes, err := f.watch(ctx, at)
+		if err != nil {
+			return true, err
+		}
+		f.post(ctx, Changed{Prefix: f.Prefix, Items: changes.Items, At: changes.At})
+		at = max(at, changes.At)
+	}
+}
+
+func (f *Follower) list(ctx context.Context) (Listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTime)
+	defer cancel()
+	return f.List(ctx, f.Prefix)
+}
+
+func (f *Follower) watch(ctx context.Context, after unit.Revision) (Listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTime+watchSlack)
+	defer cancel()
+	return f.Watch(ctx, f.Prefix, after, watchTime)
+}
+
+// pause waits before the next try.
+func (f *Follower) pause(ctx context.Context, failures int) {
+	wait := retryFirst
+	for range failures {
+		wait = min(2*wait, retryMost)
+	}
+	wait = time.Duration(float64(wait) * (0.75 + 0.5*f.Rand()))
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// post hands an event to the control goroutine; after the loop's end nobody needs it.
+func (f *Follower) post(ctx context.Context, event any) {
+	if err := kernel.PostAny(ctx, f.loop, event); err != nil && ctx.Err() == nil {
+		f.Log.Warn("event not delivered", "prefix", f.Prefix, "error", err)
+	}
+}
--- a/internal/core/unit/code.go
+++ b/internal/core/unit/code.go
@@ -39,6 +39,7 @@
 	CodeNotConnected   Code = 213
 	CodeStaleView      Code = 214
 	CodeNotSent        Code = 215
+	CodeNoRoute        Code = 216
 
 	CodeDeadline      Code = 300
 	CodeConnection    Code = 301
@@ -47,6 +48,7 @@
 	CodeEndpointError Code = 304
 	CodeOwnerLost     Code = 305
 	CodeBelowMinimum  Code = 306
+	CodeCallerGone    Code = 307
 )
 
 // codeText gives the short text of each code.
@@ -69,12 +71,14 @@
 	CodeNotConnected:   "no connection to the endpoint could be made",
 	CodeStaleView:      "this entry VM's view is too old to send work",
 	CodeNotSent:        "given up before the request was sent",
+	CodeNoRoute:        "no route has the request's host and path",
 	CodeDeadline:       "the deadline passed after the request was sent",
 	CodeConnection:     "the connection failed after the request was sent",
 	CodeCancelled:      "cancelled after the request was sent",
 	CodeBadReply:       "the endpoint's reply is not valid",
 	CodeEndpointError:  "the endpoint failed while it ran the request",
 	CodeBelowMinimum:   "the coverage is below the minimum of the search, so its parts are withheld",
+	CodeCallerGone:     "the caller left before its answer",
 	CodeOwnerLost:      "the entry VM that owns the endpoint was lost after the request was sent",
 }
 
--- a/internal/core/unit/unit.go
+++ b/internal/core/unit/unit.go
@@ -61,3 +61,21 @@
 func (r Remaining) Millis() int64 {
 	return max(0, time.Duration(r).Milliseconds())
 }
+
+// ServiceName names a group of endpoints that answer alike, for example one shard of an index.
+type ServiceName string
+
+// RouteName names one route of a routing table.
+type RouteName string
+
+// HostName is the host that a caller addresses.
+type HostName string
+
+// TableVersion numbers the routing tables; a later table has a higher version, with gaps.
+type TableVersion uint64
+
+// Bytes is a size in bytes.
+type Bytes int64
+
+// Weight is a service's portion of a split, relative to the other weights of the split.
+type Weight float64
--- /dev/null
+++ b/internal/link/leaf/conn.go
@@ -0,0 +1,172 @@
+package leaf
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// The reasons for which a connection ends.
+var (
+	errSurplus = errors.New("the endpoint sent bytes that no call waits for")
+	errClosed  = errors.New("the connection was closed by this VM")
+)
+
+// conn is one connection to an endpoint. Its own goroutine reads all that the endpoint sends, so that an end of the
+// connection is seen at once, also while no call is under way.
+type conn struct {
+	net.Conn
+	pool *Pool
+	host *host
+	r    *bufio.Reader
+
+	mu     sync.Mutex
+	flight *Flight
+	// writing is set while a call's bytes are being written.
+	writing bool
+	closed  bool
+	// idleSince is when the connection became free, and idleLimit how long it may stay so; 0 is not known.
+	idleSince time.Time
+	idleLimit time.Duration
+}
+
+// begin starts a call on a free connection and writes it. It says false when the connection is closed or the call has
+// been abandoned; nothing has left then.
+func (c *conn) begin(now time.Time, f *Flight) bool {
+	c.mu.Lock()
+	if c.closed || !f.attach(c) {
+		c.mu.Unlock()
+		return false
+	}
+	c.flight = f
+	c.writing = true
+	c.mu.Unlock()
+	c.write(now, f)
+	return true
+}
+
+// write sends the call's bytes. A failure closes the connection; what becomes of the call depends on whether any byte
+// has left.
+func (c *conn) write(now time.Time, f *Flight) {
+	data := c.pool.Encode(f.call, now)
+	if len(data) > smallWrite {
+		_ = c.SetWriteDeadline(f.call.Until)
+	}
+	n, err := c.Write(data)
+	c.mu.Lock()
+	c.writing = false
+	c.mu.Unlock()
+	if err == nil {
+		return
+	}
+	kind := KindLost
+	if n == 0 {
+		kind = KindNotSent
+	}
+	c.mu.Lock()
+	if c.flight == f {
+		c.flight = nil
+	}
+	c.mu.Unlock()
+	c.shut()
+	f.end(End{Kind: kind, Err: errors.Wrap(err, "write to the endpoint")})
+}
+
+// limit bounds the wait for the reply of a call that was abandoned.
+func (c *conn) limit(f *Flight, until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.flight == f {
+		_ = c.SetReadDeadline(until)
+	}
+}
+
+// run reads replies until the connection ends.
+func (c *conn) run() {
+	defer c.pool.wg.Done()
+	for {
+		if err := c.readReply(); err != nil {
+			c.fail(err)
+			return
+		}
+	}
+}
+
+// readReply reads one reply and ends its call with it.
+func (c *conn) readReply() error {
+	if _, err := c.r.Peek(1); err != nil {
+		return errors.Wrap(err, "wait for the endpoint")
+	}
+	c.mu.Lock()
+	f := c.flight
+	c.mu.Unlock()
+	if f == nil {
+		return errSurplus
+	}
+	reply, err := c.pool.Decode(c.r, f.call.Message.Method)
+	if err != nil {
+		return errors.Wrap(err, "read the endpoint's reply")
+	}
+	if reply.ID != f.call.Message.ID {
+		// A surplus reply to an earlier call; the one that belongs to this call follows.
+		c.pool.count("leaf.surplus")
+		return nil
+	}
+	c.finish(f, reply)
+	return nil
+}
+
+// finish frees the connection, or closes it when it cannot take a further call, and ends the call.
+func (c *conn) finish(f *Flight, reply Reply) {
+	now := c.pool.Now()
+	c.mu.Lock()
+	c.flight = nil
+	reusable := !reply.Last && !c.writing && c.r.Buffered() == 0 && !c.closed
+	_ = c.SetReadDeadline(time.Time{})
+	c.idleSince = now
+	if reply.Idle > 0 {
+		c.idleLimit = reply.Idle
+	}
+	c.mu.Unlock()
+	if reusable {
+		c.pool.release(c)
+	} else {
+		c.shut()
+	}
+	f.end(End{Kind: KindReply, Reply: reply})
+}
+
+// fail closes the connection and ends its call, which may have run.
+func (c *conn) fail(err error) {
+	c.mu.Lock()
+	f := c.flight
+	c.flight = nil
+	c.mu.Unlock()
+	c.shut()
+	if f != nil {
+		f.end(End{Kind: KindLost, Err: err})
+	}
+}
+
+// shut closes the connection and has the pool forget it; further calls do nothing.
+func (c *conn) shut() {
+	c.mu.Lock()
+	closed := c.closed
+	c.closed = true
+	c.mu.Unlock()
+	if closed {
+		return
+	}
+	_ = c.Close()
+	c.pool.forget(c)
+}
+
+// stale says whether the endpoint may be about to close the free connection.
+func (c *conn) stale(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed || (c.idleLimit > 0 && now.Sub(c.idleSince) > c.idleLimit-min(idleSlack, c.idleLimit/4))
+}
--- /dev/null
+++ b/internal/platform/ingress/decode.go
@@ -0,0 +1,111 @@
+package ingress
+
+import (
+	"bytes"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"basilspan/internal/core/dispatch"
+	"basilspan/internal/core/unit"
+	"basilspan/internal/link/leaf"
+	platform "basilspan/internal/platform/leaf"
+)
+
+// The header fields of a request that are not passed on as they are, in lower case.
+const (
+	// fieldRequest is the caller's id of this attempt.
+	fieldRequest = "basilspan-request-id"
+	// fieldDeadline is how many milliseconds the caller waits from now.
+	fieldDeadline = "basilspan-deadline-ms"
+	// fieldExpected is set by this VM alone.
+	fieldExpected = "basilspan-expected-instance"
+)
+
+// decode copies the request, since hertz uses its memory again while abandoned attempts may still hold it.
+func decode(rc *app.RequestContext, now time.Time) *dispatch.Request {
+	h := &rc.Request.Header
+	uri := string(h.RequestURI())
+	path, _, _ := strings.Cut(uri, "?")
+	q := &request{dispatch.Request{
+		Host:    unit.HostName(h.Host()),
+		Method:  string(h.Method()),
+		URI:     uri,
+		Path:    path,
+		Body:    bytes.Clone(rc.Request.Body()),
+		Arrived: now,
+	}}
+	dropped := connectionFields(string(h.Peek("Connection")))
+	h.VisitAll(func(key, value []byte) {
+		q.take(string(key), string(value), dropped)
+	})
+	return &q.Request
+}
+
+// request is a request that is being decoded.
+type request struct {
+	dispatch.Request
+}
+
+// connectionFields gives the names of the fields that the caller says concern the connection alone.
+func connectionFields(connection string) []string {
+	var names []string
+	for _, name := range strings.Split(connection, ",") {
+		names = append(names, strings.ToLower(strings.TrimSpace(name)))
+	}
+	return names
+}
+
+// framingFault says what is ambiguous about the end of a request: its header has both or several of the fields that
+// tell the length of its body, or a form of them that others may read otherwise.
+func framingFault(raw []byte) string {
+	lengths, codings := 0, 0
+	for _, line := range bytes.Split(raw, []byte("\n")) {
+		if len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
+			return "a folded header field"
+		}
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		switch strings.ToLower(strings.TrimSpace(string(name))) {
+		case "content-length":
+			lengths++
+			if _, err := strconv.ParseUint(strings.TrimSpace(string(value)), 10, 63); err != nil {
+				return "a length that is no number"
+			}
+		case "transfer-encoding":
+			codings++
+			if !strings.EqualFold(strings.TrimSpace(string(value)), "chunked") {
+				return "a transfer encoding other than chunked"
+			}
+		}
+	}
+	if lengths+codings > 1 {
+		return "more than one length"
+	}
+	return ""
+}
+
+// take takes one header field. Those of the connection are not passed on, and those that this VM sets itself neither.
+func (q *request) take(name, value string, dropped []string) {
+	lower := strings.ToLower(name)
+	switch {
+	case lower == "host", lower == fieldExpected, slices.Contains(dropped, lower), platform.IsConnectionField(name):
+	case lower == fieldRequest:
+		q.ID = unit.RequestID(value)
+	case lower == fieldDeadline:
+		q.Left = millis(value)
+	default:
+		q.Fields = append(q.Fields, leaf.Field{Name: name, Value: value})
+	}
+}
+
+// millis decodes a time; one that cannot be read is not stated.
+func millis(text string) time.Duration {
+	n, err := strconv.ParseInt(strings.TrimSpace(text), 10, 32)
+	if err != nil || n < 0 {
+		return 0
+	}
+	return time.Duration(n) * time.Millisecond
+}
--- /dev/null
+++ b/internal/platform/ingress/encode.go
@@ -0,0 +1,71 @@
+package ingress
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"basilspan/internal/core/dispatch"
+	"basilspan/internal/core/unit"
+)
+
+// The header fields of an answer.
+const (
+	// fieldSeals lists the signatures of the replies that a merged answer was drawn from.
+	fieldSeals = "Basilspan-Part-Stamps"
+	// fieldMissing is how many shards a merged answer leaves out.
+	fieldMissing = "Basilspan-Missing-Parts"
+	// fieldComeBack is in seconds with a fraction.
+	fieldComeBack = "Retry-After"
+)
+
+// write encodes an answer. An answer of this VM's own that says that the request has not run uses a status that
+// promises so, and any other one a status that does not.
+func write(rc *app.RequestContext, a dispatch.Answer) {
+	switch {
+	case a.Gathered:
+		rc.Response.Header.Set(fieldSeals, strings.Join(a.Seals, ", "))
+		rc.Response.Header.Set(fieldMissing, strconv.Itoa(a.Missing))
+		rc.SetStatusCode(http.StatusOK)
+		rc.Response.SetBodyRaw(a.Body)
+	case a.Status != 0:
+		for _, f := range a.Fields {
+			rc.Response.Header.Add(f.Name, f.Value)
+		}
+		rc.SetStatusCode(a.Status)
+		rc.Response.SetBodyRaw(a.Body)
+	default:
+		refuse(rc, a)
+	}
+}
+
+// refuse encodes an answer that no endpoint's reply stands behind.
+func refuse(rc *app.RequestContext, a dispatch.Answer) {
+	if a.ComeBack > 0 {
+		seconds := strconv.FormatFloat(a.ComeBack.Round(time.Millisecond).Seconds(), 'f', 3, 64)
+		rc.Response.Header.Set(fieldComeBack, seconds)
+	}
+	rc.SetStatusCode(status(a.Code))
+	rc.SetBodyString(strconv.Itoa(int(a.Code)) + " " + a.Code.String() + "\n")
+}
+
+// status gives the status of a result code.
+func status(code unit.Code) int {
+	switch code {
+	case unit.CodeNoRoute:
+		return http.StatusNotFound
+	case unit.CodeBadRequest:
+		return http.StatusBadRequest
+	case unit.CodeTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case unit.CodeDeadline:
+		return http.StatusGatewayTimeout
+	}
+	if code.Outcome() == unit.OutcomeNotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
--- /dev/null
+++ b/internal/policy/directory/directory.go
@@ -0,0 +1,167 @@
+// Package directory decides which endpoints an entry VM believes in, from what the endpoints have published about
+// themselves and from how well the registry could be read.
+package directory
+
+import (
+	"time"
+
+	"basilspan/internal/core/unit"
+)
+
+// lapseGrace is how long an endpoint whose registration has vanished may still be used as a last resort, or, after an
+// outage of the registry, as before. Live endpoints register again within two seconds of the registry's return.
+const lapseGrace = 2 * time.Second
+
+// Registration is what one endpoint has published about itself.
+type Registration struct {
+	ID       unit.EndpointID
+	Service  unit.ServiceName
+	Address  unit.Address
+	Centre   unit.CentreName
+	Slots    unit.Slots
+	Revision unit.Revision
+	// Leaving endpoints get no new requests.
+	Leaving bool
+	// Warm is when the endpoint, which is slow after its start, reaches its usual speed.
+	Warm time.Time
+}
+
+// Endpoint is an endpoint that may get requests.
+type Endpoint struct {
+	Registration
+	// Lapsed endpoints have lost their registration and are a last resort.
+	Lapsed bool
+}
+
+// entry is a registration with what became of it.
+type entry struct {
+	Registration
+	// vanished is when the registration was first missing; zero while it stands.
+	vanished time.Time
+	// excused says that it vanished around an outage of the registry, and so may only have expired.
+	excused bool
+}
+
+// Directory holds the registrations that an entry VM knows. It is not safe for use by several goroutines.
+type Directory struct {
+	entries map[unit.EndpointID]*entry
+	// away is set while the registry cannot be read; back is when it could be read again.
+	away bool
+	back time.Time
+}
+
+// New makes an empty directory.
+func New() *Directory {
+	return &Directory{entries: make(map[unit.EndpointID]*entry)}
+}
+
+// Put takes a registration; one that is older than what is known is ignored.
+func (d *Directory) Put(r Registration) {
+	if known := d.entries[r.ID]; known != nil && known.Revision > r.Revision {
+		return
+	}
+	d.entries[r.ID] = &entry{Registration: r}
+}
+
+// Remove takes the end of a registration at that revision. unreadable says that the registration was replaced by one
+// that names no endpoint, which ends it for good.
+func (d *Directory) Remove(now time.Time, id unit.EndpointID, revision unit.Revision, unreadable bool) {
+	known := d.entries[id]
+	if known == nil || known.Revision > revision {
+		return
+	}
+	if known.Leaving || unreadable {
+		delete(d.entries, id)
+		return
+	}
+	d.vanish(now, known)
+}
+
+// Replace takes a whole listing of the registry: what it lacks has vanished.
+func (d *Directory) Replace(now time.Time, all []Registration) {
+	listed := make(map[unit.EndpointID]bool, len(all))
+	for _, r := range all {
+		listed[r.ID] = true
+		d.Put(r)
+	}
+	for id, e := range d.entries {
+		switch {
+		case listed[id]:
+		case e.Leaving:
+			delete(d.entries, id)
+		default:
+			d.vanish(now, e)
+		}
+	}
+}
+
+func (d *Directory) vanish(now time.Time, e *entry) {
+	if e.vanished.IsZero() {
+		e.vanished = now
+		e.excused = d.away || now.Before(d.back.Add(lapseGrace))
+	}
+}
+
+// Away takes that the registry cannot be read.
+func (d *Directory) Away() {
+	d.away = true
+}
+
+// Back takes that the registry can be read again.
+func (d *Directory) Back(now time.Time) {
+	if d.away {
+		d.away = false
+		d.back = now
+	}
+}
+
+// Sweep drops the endpoints whose grace is over and says whether there were any.
+func (d *Directory) Sweep(now time.Time) bool {
+	dropped := false
+	for id, e := range d.entries {
+		if !e.vanished.IsZero() && !now.Before(d.graceEnd(e)) {
+			delete(d.entries, id)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+// graceEnd gives when a vanished endpoint is gone for good.
+func (d *Directory) graceEnd(e *entry) time.Time {
+	if e.excused && d.back.After(e.vanished) {
+		return d.back.Add(lapseGrace)
+	}
+	return e.vanished.Add(lapseGrace)
+}
+
+// Len gives the number of known registrations.
+func (d *Directory) Len() int {
+	return len(d.entries)
+}
+
+// Endpoints gives the endpoints of each service that may get requests.
+func (d *Directory) Endpoints() map[unit.ServiceName][]Endpoint {
+	holders := d.holders()
+	all := make(map[unit.ServiceName][]Endpoint)
+	for id, e := range d.entries {
+		if e.Leaving || holders[e.Address] != id {
+			continue
+		}
+		lapsed := !e.vanished.IsZero() && !e.excused
+		all[e.Service] = append(all[e.Service], Endpoint{Registration: e.Registration, Lapsed: lapsed})
+	}
+	return all
+}
+
+// holders gives the endpoint that has each address: addresses are used again, and the newest registration holds.
+func (d *Directory) holders() map[unit.Address]unit.EndpointID {
+	holders := make(map[unit.Address]unit.EndpointID, len(d.entries))
+	for id, e := range d.entries {
+		other, taken := holders[e.Address]
+		if !taken || d.entries[other].Revision < e.Revision {
+			holders[e.Address] = id
+		}
+	}
+	return holders
+}
--- /dev/null
+++ b/internal/policy/merge/merge.go
@@ -0,0 +1,36 @@
+// Package merge draws the greatest records from the parts of a gathered answer.
+package merge
+
+import (
+	"bytes"
+	"slices"
+)
+
+// RecordSize is the length of a record in bytes; a shorter rest of a part is no record.
+const RecordSize = 16
+
+// Top gives the n greatest records of the parts, the greatest first, compared byte by byte. Equal records all count.
+func Top(n int, parts [][]byte) []byte {
+	kept := make([][]byte, 0, n+1)
+	for _, part := range parts {
+		for len(part) >= RecordSize {
+			record := part[:RecordSize:RecordSize]
+			part = part[RecordSize:]
+			kept = insert(kept, n, record)
+		}
+	}
+	return bytes.Join(kept, nil)
+}
+
+// insert puts record into kept, which falls and holds n records at most.
+func insert(kept [][]byte, n int, record []byte) [][]byte {
+	if len(kept) == n && (n == 0 || bytes.Compare(record, kept[n-1]) <= 0) {
+		return kept
+	}
+	at, _ := slices.BinarySearchFunc(kept, record, func(have, want []byte) int { return bytes.Compare(want, have) })
+	kept = slices.Insert(kept, at, record)
+	if len(kept) > n {
+		kept = kept[:n]
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/policy/routing/routing.go
@@ -0,0 +1,123 @@
+// Package routing holds the routes that callers' requests are matched against, and picks among the services of a
+// split. A table is never changed once it is built.
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"basilspan/internal/core/unit"
+)
+
+// Route says where the requests under one host and prefix go, and under which terms.
+type Route struct {
+	Name   unit.RouteName
+	Host   unit.HostName
+	Prefix string
+	// Repeatable requests may run more than once.
+	Repeatable bool
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration
+	// Target is the time within which an answer has its full worth.
+	Target  time.Duration
+	Urgency unit.Urgency
+	// Attempts is how many endpoints one request may be sent to, for each service of Shards.
+	Attempts int
+	// Split are the services that a request goes to one of; it is empty on a route with Shards.
+	Split []Portion
+	// Shards are the services that every request goes to; their replies are merged.
+	Shards []unit.ServiceName
+	// Top is how many of the greatest records the merged answer holds.
+	Top int
+	// Least is the share of Shards below which there is no answer.
+	Least unit.Share
+}
+
+// Portion is one service of a split.
+type Portion struct {
+	Service unit.ServiceName
+	Weight  unit.Weight
+}
+
+// Gathers says whether a request goes to every service of the route.
+func (r *Route) Gathers() bool {
+	return len(r.Shards) > 0
+}
+
+// Service is what is published about the endpoints of one service together.
+type Service struct {
+	Name unit.ServiceName
+	// Connections is how many connections one endpoint accepts from all entry VMs together.
+	Connections unit.Connections
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	Header unit.Bytes
+	Body   unit.Bytes
+	// HeaderTime bounds the reading of a request's header, and IdleTime the wait for a connection's next request.
+	HeaderTime time.Duration
+	IdleTime   time.Duration
+}
+
+// Table is one version of all routes and services.
+type Table struct {
+	Version  unit.TableVersion
+	Services map[unit.ServiceName]Service
+	Limits   Limits
+
+	byHost map[unit.HostName][]*Route
+	routes []*Route
+}
+
+// NewTable makes a table of those routes and services.
+func NewTable(version unit.TableVersion, routes []*Route, services []Service, limits Limits) *Table {
+	t := &Table{
+		Version:  version,
+		Services: make(map[unit.ServiceName]Service, len(services)),
+		Limits:   limits,
+		byHost:   make(map[unit.HostName][]*Route),
+		routes:   routes,
+	}
+	for _, s := range services {
+		t.Services[s.Name] = s
+	}
+	for _, r := range routes {
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for _, list := range t.byHost {
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return t
+}
+
+// Routes gives all routes in the order in which they were published.
+func (t *Table) Routes() []*Route {
+	return t.routes
+}
+
+// Match gives the route of that host with the longest prefix of path, or nil.
+func (t *Table) Match(host unit.HostName, path string) *Route {
+	for _, r := range t.byHost[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Used gives the names of the services that some route sends requests to.
+func (t *Table) Used() map[unit.ServiceName]bool {
+	used := make(map[unit.ServiceName]bool)
+	for _, r := range t.routes {
+		for _, s := range r.Shards {
+			used[s] = true
+		}
+		for _, p := range r.Split {
+			used[p.Service] = true
+		}
+	}
+	return used
+}
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -17,6 +17,7 @@
 	"basilspan/internal/core/view"
 	"basilspan/internal/link/peer"
 	"basilspan/internal/serve/caller"
+	"basilspan/internal/serve/life"
 	"basilspan/internal/serve/operator"
 )
 
@@ -36,7 +37,7 @@
 	kernel   *kernel.Kernel
 	settings process.Settings
 	options  Options
-	life     *life
+	life     *life.Life
 	drain    chan struct{}
 	once     sync.Once
 	// lag is how long the balancer may send callers on; it is set before drain is closed.
@@ -51,7 +52,7 @@
 		options:  options,
 		drain:    make(chan struct{}),
 	}
-	e.life = newLife(options.Log)
+	e.life = life.New(options.Log)
 	if err := e.install(); err != nil {
 		return nil, err
 	}
@@ -69,14 +70,14 @@
 // State gives the lifecycle state.
 func (e *Entry) State() string {
 	views, err := kernel.Find[*view.Store](e.kernel, kernel.ServiceViews)
-	return e.life.state(err == nil && views.Load().Catalog != nil)
+	return string(e.life.State(err == nil && views.Load().Catalog != nil))
 }
 
 // BeginDrain asks for a planned stop; Draining tells whoever runs the entry.
 func (e *Entry) BeginDrain() {
 	e.once.Do(func() {
 		served := e.State() == operator.StateReady
-		e.life.fire(triggerDrain)
+		e.life.Fire(life.TriggerDrain)
 		if port, err := kernel.Find[*caller.Server](e.kernel, kernel.ServiceCaller); err == nil {
 			port.BeginDrain()
 		}
@@ -102,7 +103,7 @@
 	defer lag.Stop()
 	<-lag.C
 	err := e.kernel.Close()
-	e.life.fire(triggerStopped)
+	e.life.Fire(life.TriggerStopped)
 	return err
 }
 
--- /dev/null
+++ b/internal/serve/gateway/gateway.go
@@ -0,0 +1,94 @@
+// Package gateway puts the services of an entry VM that serves a registry's routes together in a kernel, and leads
+// them through its life.
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	config "basilspan/internal/config/gateway"
+	"basilspan/internal/core/kernel"
+	"basilspan/internal/core/outlook"
+	"basilspan/internal/platform/ingress"
+	"basilspan/internal/serve/life"
+)
+
+const (
+	// finishShare is the share of the grace time that is kept for the requests in flight once nothing new is accepted.
+	finishShare = 0.3
+	// exitTime is the part of the grace time that is kept for the end of the process itself.
+	exitTime = 300 * time.Millisecond
+)
+
+// Options are the seams of a gateway.
+type Options struct {
+	Now  func() time.Time
+	Rand func() float64
+	Log  *slog.Logger
+}
+
+// Gateway is one entry VM.
+type Gateway struct {
+	kernel   *kernel.Kernel
+	settings config.Settings
+	options  Options
+	life     *life.Life
+	views    *outlook.Views
+	callers  *ingress.Server
+	drain    sync.Once
+	drained  chan struct{}
+}
+
+// New registers the services of an entry VM; nothing runs before Start.
+func New(settings config.Settings, options Options) (*Gateway, error) {
+	if options.Rand == nil {
+		options.Rand = rand.Float64
+	}
+	g := &Gateway{
+		kernel:   kernel.New(),
+		settings: settings,
+		options:  options,
+		life:     life.New(options.Log),
+		views:    outlook.NewViews(),
+		drained:  make(chan struct{}),
+	}
+	return g, g.install()
+}
+
+// Start starts the services; the entry VM is ready once routes and endpoints are known.
+func (g *Gateway) Start(ctx context.Context) error {
+	return errors.Wrapf(g.kernel.Start(ctx), "start entry VM %q", g.settings.Node)
+}
+
+// Ready says whether the balancer may send callers.
+func (g *Gateway) Ready() bool {
+	return g.life.State(g.views.Load().Complete()) == life.StateReady
+}
+
+// BeginDrain begins a planned stop: the balancer is told to send no more callers, and each answer asks its caller to
+// connect anew. Requests are served on, as callers may be sent for some seconds.
+func (g *Gateway) BeginDrain() {
+	g.drain.Do(func() {
+		g.life.Fire(life.TriggerDrain)
+		g.callers.BeginDrain()
+		close(g.drained)
+	})
+}
+
+// Close stops the entry VM within the grace time: it accepts callers while the balancer may send some, then finishes
+// what is in flight, ends every service and waits.
+func (g *Gateway) Close() error {
+	g.BeginDrain()
+	serve := time.Duration((1-finishShare)*float64(g.settings.Grace)) - exitTime
+	timer := time.NewTimer(max(0, serve))
+	defer timer.Stop()
+	<-timer.C
+	err := g.kernel.Close()
+	g.life.Fire(life.TriggerStopped)
+	return err
+}
--- a/internal/serve/operator/operator.go
+++ b/internal/serve/operator/operator.go
@@ -20,6 +20,7 @@
 	"basilspan/internal/core/unit"
 	"basilspan/internal/core/view"
 	"basilspan/internal/serve/keepalive"
+	"basilspan/internal/serve/life"
 	"basilspan/internal/serve/port"
 	traceport "basilspan/internal/serve/trace"
 )
@@ -47,7 +48,7 @@
 }
 
 // StateReady is the lifecycle state in which the balancer may send callers.
-const StateReady = "ready"
+const StateReady = string(life.StateReady)
 
 // New makes the port.
 func New(node unit.NodeID, listen unit.Address, now func() time.Time, state func() string, drain func()) *Server {
