--- /dev/null
+++ b/internal/cmd/explain/explain.go
@@ -0,0 +1,200 @@
+// Package explain is the command that finds what was decided about one request in the logs of entry VMs.
+package explain
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"basilspan/internal/cmd/stream"
+)
+
+// maxLine is the longest log line that is read, in bytes.
+const maxLine = 1 << 20
+
+// aroundTime is how long before a request's line the changes of belief of its VM are shown.
+const aroundTime = 5 * time.Second
+
+// Options are what the command works with.
+type Options struct {
+	Streams stream.Streams
+	ID      string
+	Files   []string
+	JSON    bool
+	// Open opens a log file.
+	Open func(name string) (io.ReadCloser, error)
+}
+
+// New makes the command; run replaces Run in tests and may be nil.
+func New(streams stream.Streams, run func(opts *Options) error) *cli.Command {
+	opts := &Options{Streams: streams, Open: func(name string) (io.ReadCloser, error) { return os.Open(name) }}
+	if run == nil {
+		run = Run
+	}
+	return &cli.Command{
+		Name:  "explain",
+		Usage: "print what was decided about a request, from the logs of entry VMs",
+		Description: "The log files are the standard output of \"basilspan gateway\", of one or several entry VMs; without a " +
+			"file, the standard input is read. The lines of the request are printed in the order of their times, with what " +
+			"its entry VM came to believe in the seconds before.\n\n" +
+			"Examples:\n" +
+			"   basilspan explain --id 9c41d07be2a35f68 e1.log e2.log\n" +
+			"   cat *.log | basilspan explain --id 9c41d07be2a35f68 --json",
+		ArgsUsage: "[LOGFILE...]",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "id", Usage: "request id", Required: true, Destination: &opts.ID},
+			&cli.BoolFlag{Name: "json", Usage: "print the lines as they were logged", Destination: &opts.JSON},
+		},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			opts.Files = cmd.Args().Slice()
+			return run(opts)
+		},
+	}
+}
+
+// line is one log line.
+type line struct {
+	at      time.Time
+	node    string
+	message string
+	id      string
+	fields  map[string]any
+	text    string
+}
+
+// Run finds and prints the lines.
+func Run(opts *Options) error {
+	all, err := read(opts)
+	if err != nil {
+		return err
+	}
+	slices.SortStableFunc(all, func(a, b line) int { return a.at.Compare(b.at) })
+	found := pick(all, opts.ID)
+	if len(found) == 0 {
+		err := errors.Newf("no line has the id %q; whole requests are logged as samples, and lines beyond a rate are left "+
+			"out: look for \"lines left out\" and at the counters of the entry VM", opts.ID)
+		return stream.WithExit(err, stream.ExitNegative)
+	}
+	for _, l := range found {
+		show(opts, l)
+	}
+	return nil
+}
+
+// read reads the lines of all files.
+func read(opts *Options) ([]line, error) {
+	if len(opts.Files) == 0 {
+		return scan(opts.Streams.In)
+	}
+	var all []line
+	for _, name := range opts.Files {
+		file, err := opts.Open(name)
+		if err != nil {
+			return nil, errors.Wrap(err, "open a log file")
+		}
+		lines, err := scan(file)
+		if err = errors.CombineErrors(err, file.Close()); err != nil {
+			return nil, errors.Wrapf(err, "read %s", name)
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+// scan reads the log lines; text around their JSON, as a log collector may add, is passed over.
+func scan(r io.Reader) ([]line, error) {
+	var all []line
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLine)
+	for s.Scan() {
+		if l, ok := parse(s.Text()); ok {
+			all = append(all, l)
+		}
+	}
+	return all, errors.Wrap(s.Err(), "read the log")
+}
+
+func parse(text string) (line, bool) {
+	start := strings.IndexByte(text, '{')
+	if start < 0 {
+		return line{}, false
+	}
+	l := line{text: text[start:]}
+	if json.Unmarshal([]byte(l.text), &l.fields) != nil {
+		return line{}, false
+	}
+	l.node, _ = l.fields["node"].(string)
+	l.message, _ = l.fields["msg"].(string)
+	l.id, _ = l.fields["id"].(string)
+	stamp, _ := l.fields["time"].(string)
+	at, err := time.Parse(time.RFC3339Nano, stamp)
+	l.at = at
+	return l, err == nil
+}
+
+// pick gives the lines of the request, and the changes of belief of its VMs shortly before them.
+func pick(all []line, id string) []line {
+	var found []line
+	for i, l := range all {
+		if l.id == id || leadsTo(all[i:], l, id) {
+			found = append(found, l)
+		}
+	}
+	return found
+}
+
+// leadsTo says whether l is a change of belief shortly before a line of the request on the same VM; rest begins with l.
+func leadsTo(rest []line, l line, id string) bool {
+	if l.id != "" {
+		return false
+	}
+	for _, later := range rest {
+		if later.at.Sub(l.at) > aroundTime {
+			return false
+		}
+		if later.id == id && later.node == l.node {
+			return true
+		}
+	}
+	return false
+}
+
+// show prints one line, as it was logged or for people.
+func show(opts *Options, l line) {
+	if opts.JSON {
+		opts.Streams.Printf("%s\n", l.text)
+		return
+	}
+	opts.Streams.Printf("%s %s: %s\n", l.at.Format("15:04:05.000"), l.node, l.message)
+	names := make([]string, 0, len(l.fields))
+	for name := range l.fields {
+		if !slices.Contains([]string{"time", "level", "msg", "node", "id"}, name) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		showField(opts, name, l.fields[name])
+	}
+}
+
+// showField prints one field; a list has a line for each item.
+func showField(opts *Options, name string, value any) {
+	items, ok := value.([]any)
+	if !ok {
+		opts.Streams.Printf("    %s: %v\n", name, value)
+		return
+	}
+	opts.Streams.Printf("    %s:\n", name)
+	for _, item := range items {
+		opts.Streams.Printf("      %v\n", item)
+	}
+}
--- a/internal/cmd/gateway/gateway.go
+++ b/internal/cmd/gateway/gateway.go
@@ -119,7 +119,7 @@
 	}
 	log.Info("started", "callers", settings.Callers, "registry", settings.Registry)
 	watch(stop, hangup, opts, g, log)
-	log.Info("stopping", "grace", settings.Grace)
+	log.Info("stopping", "grace_s", settings.Grace.Seconds())
 	err = g.Close()
 	log.Info("stopped")
 	return err
--- a/internal/cmd/root/root.go
+++ b/internal/cmd/root/root.go
@@ -11,6 +11,7 @@
 	"basilspan/internal/cmd/config"
 	"basilspan/internal/cmd/demo"
 	"basilspan/internal/cmd/drain"
+	"basilspan/internal/cmd/explain"
 	"basilspan/internal/cmd/gateway"
 	"basilspan/internal/cmd/query"
 	"basilspan/internal/cmd/replay"
@@ -51,6 +52,7 @@
 		Commands: []*cli.Command{
 			serve.New(streams, nil),
 			gateway.New(streams, nil),
+			explain.New(streams, nil),
 			query.New(streams, nil),
 			config.New(streams),
 			status.New(streams, nil),
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -25,6 +26,7 @@
 	Rand    func() float64
 	Views   *outlook.Views
 	Metrics *metric.Set
+	Log     *slog.Logger
 	// Send starts a call.
 	Send func(now time.Time, call leaf.Call, done func(leaf.End)) *leaf.Flight
 	// Prepare encodes what the calls of a request have in common.
--- a/internal/core/dispatch/divided_test.go
+++ b/internal/core/dispatch/divided_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"log/slog"
 	"sync"
 	"testing"
 	"time"
@@ -77,6 +79,7 @@
 	d := New(node, "z", terms, func() float64 { return 0 })
 	d.Now = time.Now
 	d.Metrics = metric.NewSet()
+	d.Log = slog.New(slog.NewTextHandler(io.Discard, nil))
 	d.Views = outlook.NewViews()
 	d.Send = c.send
 	d.Call = c.call
--- a/internal/core/dispatch/learn.go
+++ b/internal/core/dispatch/learn.go
@@ -53,6 +53,9 @@
 	}
 }
 
+// stageEndpoint names the histogram of single attempts.
+const stageEndpoint unit.RankName = "endpoint"
+
 // learn takes what the end of a call says of its endpoint.
 func (d *Dispatcher) learn(route *routing.Route, id unit.EndpointID, sent time.Time, e leaf.End) {
 	now := d.Now()
@@ -64,6 +67,7 @@
 	}
 	switch outcome {
 	case gather.OutcomeWhole:
+		d.Metrics.Stage(unit.SearchName(route.Name), stageEndpoint, now.Sub(sent))
 		d.tracker.Answered(now, id, route.Name, sent)
 	case gather.OutcomeRejected:
 		d.tracker.Rejected(now, id, route.Name, sent)
@@ -72,8 +76,16 @@
 			d.tracker.Abandoned(now, id, route.Name, sent)
 			return
 		}
-		d.tracker.Failed(now, id, sent)
+		d.failed(now, id, sent, e)
 	default:
-		d.tracker.Failed(now, id, sent)
+		d.failed(now, id, sent, e)
 	}
 }
+
+// failed has an endpoint set aside and says so.
+func (d *Dispatcher) failed(now time.Time, id unit.EndpointID, sent time.Time, e leaf.End) {
+	fails, aside := d.tracker.Failed(now, id, sent)
+	d.Metrics.Add("endpoint.failed", 1)
+	d.Log.Info("endpoint set aside", "endpoint", id, "failures", fails, "for_ms", aside.Milliseconds(),
+		"attempt_ms", now.Sub(sent).Milliseconds(), "status", e.Reply.Status, "error", e.Err)
+}
--- a/internal/core/metric/metric.go
+++ b/internal/core/metric/metric.go
@@ -110,6 +110,16 @@
 	s.counters.Add(name, n)
 }
 
+// Gauge adds a value that is read anew each time.
+func (s *Set) Gauge(name string, read func() any) {
+	s.counters.Set(name, expvar.Func(read))
+}
+
+// Stage records how long one stage of a query of that search took.
+func (s *Set) Stage(search unit.SearchName, stage unit.RankName, took time.Duration) {
+	s.histogram(search, stage).Record(took)
+}
+
 // Get gives the counter with that name.
 func (s *Set) Get(name string) int64 {
 	v, ok := s.counters.Get(name).(*expvar.Int)
--- a/internal/core/outlook/outlook.go
+++ b/internal/core/outlook/outlook.go
@@ -17,6 +17,9 @@
 	"basilspan/internal/policy/routing"
 )
 
+// heardPeriod is how old a view's time of the registry's last answer may grow while the registry answers.
+const heardPeriod = 5 * time.Second
+
 // Options are what the belief works with. The function fields are its seams.
 type Options struct {
 	Node    unit.NodeID
@@ -192,13 +195,16 @@
 		return
 	}
 	delete(o.lost, prefix)
-	o.Log.Info("registry regained", "prefix", prefix, "away", now.Sub(since))
+	o.Log.Info("registry regained", "prefix", prefix, "away_s", now.Sub(since).Seconds())
 	if prefix == o.Endpoints {
 		o.directory.Back(now)
 	}
 }
 
 func (o *Outlook) onTick(now time.Time, _ kernel.Tick) {
+	if o.view.Complete() && o.Views.Load().Heard.Add(heardPeriod).Before(o.view.Heard) {
+		o.publish(now)
+	}
 	if o.listed && o.directory.Sweep(now) {
 		o.publishEndpoints(now, o.view.EndpointsAt)
 	}
--- a/internal/policy/replica/replica.go
+++ b/internal/policy/replica/replica.go
@@ -101,12 +101,15 @@
 	t.sample(now, s, route, now.Sub(sent))
 }
 
-// Failed takes the failure of a request: the endpoint is set aside for a while.
-func (t *Tracker) Failed(now time.Time, id unit.EndpointID, sent time.Time) {
+// Failed takes the failure of a request: the endpoint is set aside for a while. It gives how many failures in a row there
+// are and for how long they set it aside.
+func (t *Tracker) Failed(now time.Time, id unit.EndpointID, sent time.Time) (fails int, aside time.Duration) {
 	s := t.state(id)
 	s.close(sent)
 	s.fails++
-	s.until = now.Add(setAside(s.fails))
+	aside = setAside(s.fails)
+	s.until = now.Add(aside)
+	return s.fails, aside
 }
 
 // Rejected takes that an endpoint was full; its load report says the rest.
--- a/internal/serve/gateway/services.go
+++ b/internal/serve/gateway/services.go
@@ -49,6 +49,7 @@
 		exchange.SetSeeds(settings.Seeds)
 		dispatcher.SetExtra(settings.Extra)
 	}
+	g.gauges(metrics)
 	services := []kernel.Service{
 		{Name: kernel.ServiceMetrics, Value: metrics},
 		{Name: kernel.ServiceViews, Value: g.views},
@@ -69,6 +70,28 @@
 	return g.ports()
 }
 
+// gauges adds the ages of what this VM believes, in seconds, -1 while it knows nothing.
+func (g *Gateway) gauges(metrics *metric.Set) {
+	age := func(at func(v *outlook.View) time.Time) func() any {
+		return func() any {
+			when := at(g.views.Load())
+			if when.IsZero() {
+				return -1
+			}
+			return g.options.Now().Sub(when).Seconds()
+		}
+	}
+	metrics.Gauge("table.age", age(func(v *outlook.View) time.Time { return v.TableAt }))
+	metrics.Gauge("registry.age", age(func(v *outlook.View) time.Time { return v.Heard }))
+	metrics.Gauge("table.version", func() any {
+		if t := g.views.Load().Table; t != nil {
+			return t.Version
+		}
+		return 0
+	})
+	metrics.Gauge("vms", func() any { return g.views.Load().VMs })
+}
+
 // ports registers what others call, the port for callers last, so that the balancer can be answered sooner.
 func (g *Gateway) ports() error {
 	if err := ingress.InstallProbe(g.kernel, kernel.ServiceProbe, g.settings.Ready, g.Ready); err != nil {
@@ -170,6 +193,7 @@
 	d.Now = g.options.Now
 	d.Views = g.views
 	d.Metrics = metrics
+	d.Log = g.options.Log
 	d.Send = pool.Send
 	d.Prepare = platformleaf.Prepare
 	d.Call = link.Call
