--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -137,7 +137,7 @@
 	defer cancel()
 	answer, err := ask(ctx, s.client, entry, id, flow, time.Until(deadline))
 	if err != nil {
-		s.row.cut()
+		s.row.cut(err)
 		return
 	}
 	s.row.answered(answer, id, time.Since(intended))
--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -123,7 +123,8 @@
 				Duration: time.Second,
 			})
 			got := rows[0]
-			got.Flow, got.Latency = Flow{}, nil
+			assert.Equal(t, got.FirstCut != nil, tt.want.Cut > 0)
+			got.Flow, got.Latency, got.FirstCut = Flow{}, nil, nil
 			tt.want.Sent = 1
 			assert.DeepEqual(t, got, tt.want)
 		})
--- a/internal/standin/load/row.go
+++ b/internal/standin/load/row.go
@@ -22,6 +22,8 @@
 	Late int64
 	// Cut are queries without an HTTP answer: the connection was refused or broke, or nothing came in time.
 	Cut int64
+	// FirstCut is why the first of them has no answer.
+	FirstCut error
 	// Broken are answers that break an invariant: of another request, of two snapshots, or with false coverage.
 	Broken int64
 	Extra  Extra
@@ -70,11 +72,14 @@
 	r.row.Unsent++
 }
 
-func (r *row) cut() {
+func (r *row) cut(err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.row.Sent++
 	r.row.Cut++
+	if r.row.FirstCut == nil {
+		r.row.FirstCut = err
+	}
 }
 
 // answered counts an answer that came so long after the query was to be sent.
--- a/internal/standin/proc/pause_test.go
+++ b/internal/standin/proc/pause_test.go
@@ -58,7 +58,8 @@
 			wg.Wait()
 			assert.Equal(t, d.Stats("ot-00-a").Runs+d.Stats("ot-00-b").Runs, runs)
 			assert.Equal(t, row.Broken, int64(0))
-			assert.Equal(t, row.Partial, row.Sent, "whole %d, not run %d, unknown %d", row.Whole, row.NotRun, row.Unknown)
+			assert.Equal(t, row.Partial, row.Sent, "whole %d, not run %d, unknown %d, cut %d (%v)",
+				row.Whole, row.NotRun, row.Unknown, row.Cut, row.FirstCut)
 			assert.Assert(t, counter(woken, "control.paused") > 0)
 			assert.Equal(t, len(versions(woken)), 2)
 			assert.Equal(t, status(woken).Revision, uint64(2))
