Bound what a restarted VM may send more than once; notice a silent registry within the calm time

Change: settings fresh and calm, which the platform fills in. Unless the whole system starts for the first time, a VM has only the reserve of the slack for its first window. A watch waits for the calm time less a second, at most 4 s. A VM that is restarted twice in a window may still exceed its part, as INVARIANTS says.

--- a/internal/config/gateway/gateway.go
+++ b/internal/config/gateway/gateway.go
@@ -33,6 +33,8 @@
 	Grace time.Duration
 	// Extra bounds the hedges and retries of all entry VMs together.
 	Extra allowance.Terms
+	// Calm is how long after a disturbance the VM has to be up to date with what is published.
+	Calm time.Duration
 	// Level is the least level of the log lines that are written.
 	Level string
 }
@@ -47,7 +49,11 @@
 	Power    float64    `json:"power"`
 	Grace    float64    `json:"grace"`
 	Extra    wireExtra  `json:"extra"`
-	Level    string     `json:"level"`
+	// Calm is in milliseconds.
+	Calm float64 `json:"calm"`
+	// Fresh says that the whole system starts for the first time.
+	Fresh bool   `json:"fresh"`
+	Level string `json:"level"`
 }
 
 type wireListen struct {
@@ -89,8 +95,11 @@
 		Registry: unit.Address(w.Registry),
 		Power:    unit.Cores(w.Power),
 		Grace:    seconds(w.Grace),
-		Extra:    allowance.Terms{Ratio: w.Extra.Ratio, Slack: w.Extra.Slack, Window: seconds(w.Extra.Window)},
-		Level:    w.Level,
+		Extra: allowance.Terms{
+			Ratio: w.Extra.Ratio, Slack: w.Extra.Slack, Window: seconds(w.Extra.Window), Fresh: w.Fresh,
+		},
+		Calm:  time.Duration(w.Calm * float64(time.Millisecond)),
+		Level: w.Level,
 	}
 	for _, seed := range strings.Split(w.Seeds, ",") {
 		if seed != "" {
@@ -116,6 +125,7 @@
 	add(s.Metrics != other.Metrics, "listen.metrics")
 	add(s.Registry != other.Registry, "registry")
 	add(s.Power != other.Power, "power")
+	add(s.Calm != other.Calm, "calm")
 	add(s.Level != other.Level, "level")
 	return names
 }
@@ -147,6 +157,7 @@
 	fault(s.Extra.Ratio < 0, "extra.ratio", "must not be below 0")
 	fault(s.Extra.Slack < 0, "extra.slack", "must not be below 0")
 	fault(s.Extra.Window <= 0, "extra.window", "must be a number of seconds above 0")
+	fault(s.Calm <= 0, "calm", "must be a number of milliseconds above 0")
 	fault(!isLevel(s.Level), "level", `must be "debug", "info", "warn" or "error"`)
 	return all
 }
--- a/internal/config/gateway/gateway_test.go
+++ b/internal/config/gateway/gateway_test.go
@@ -17,7 +17,7 @@
   "node": "n1", "centre": "z",
   "listen": {"callers": "10.0.0.1:1", "ready": "10.0.0.1:2", "peers": "10.0.0.1:3", "metrics": "10.0.0.1:4"},
   "seeds": "10.0.0.1:3,10.0.0.2:3", "registry": "10.0.0.9:1", "power": 0.4, "grace": 6,
-  "extra": {"ratio": 0.2, "slack": 52, "window": 10}, "level": "info"
+  "extra": {"ratio": 0.2, "slack": 52, "window": 10}, "calm": 4000, "fresh": true, "level": "info"
 }`
 
 func TestParse(t *testing.T) {
@@ -27,7 +27,8 @@
 	assert.DeepEqual(t, got, Settings{
 		Node: "n1", Centre: "z", Callers: "10.0.0.1:1", Ready: "10.0.0.1:2", Peers: "10.0.0.1:3", Metrics: "10.0.0.1:4",
 		Seeds: []unit.Address{"10.0.0.1:3", "10.0.0.2:3"}, Registry: "10.0.0.9:1", Power: 0.4, Grace: 6 * time.Second,
-		Extra: allowance.Terms{Ratio: 0.2, Slack: 52, Window: 10 * time.Second}, Level: "info",
+		Extra: allowance.Terms{Ratio: 0.2, Slack: 52, Window: 10 * time.Second, Fresh: true}, Calm: 4 * time.Second,
+		Level: "info",
 	})
 }
 
@@ -43,7 +44,7 @@
 		{"no JSON", "node=n1", []string{"f:1"}, nil},
 		{"values of another type", strings.Replace(whole, `"grace": 6`, `"grace": "6"`, 1), []string{"grace"}, nil},
 		{"an empty object", "{}", []string{
-			"node", "centre", "listen.callers", "listen.ready", "registry", "power", "grace", "extra.window",
+			"node", "centre", "listen.callers", "listen.ready", "registry", "power", "grace", "extra.window", "calm",
 		}, nil},
 		{"addresses that are none", strings.ReplaceAll(whole, "10.0.0.1:", "here:"), []string{
 			"listen.callers", "listen.ready", "listen.peers", "listen.metrics", "seeds",
@@ -71,7 +72,8 @@
 	var other Settings
 	fields := reflect.TypeFor[Settings]().NumField()
 	s := Settings{
-		Node: "x", Centre: "x", Callers: "x", Ready: "x", Peers: "x", Metrics: "x", Registry: "x", Power: 1, Level: "x",
+		Node: "x", Centre: "x", Callers: "x", Ready: "x", Peers: "x", Metrics: "x", Registry: "x", Power: 1, Calm: 1,
+		Level: "x",
 	}
 	assert.Equal(t, len(s.Fixed(other)), fields-len(reloaded))
 	assert.Equal(t, len(s.Fixed(s)), 0)
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -14,10 +14,11 @@
 )
 
 const (
-	// watchTime is how long one watch waits for a change. A connection that has gone silent is noticed when it is over;
-	// until then this VM counts as cut off from the registry for longer than that.
-	watchTime = 4 * time.Second
-	// leadTime replaces watchTime at a VM that others follow, since they have to notice in time that it is cut off.
+	// watchMost is how long one watch waits for a change at the most; each wait counts as a read.
+	watchMost = 4 * time.Second
+	// catchUpTime is what is left of Follower.Notice for the read that follows a watch without an answer.
+	catchUpTime = 500 * time.Millisecond
+	// leadTime replaces the usual wait at a VM that others follow, since they have to notice in time that it is cut off.
 	leadTime = time.Second
 	// watchSlack is how much longer the answer to a watch may take.
 	watchSlack = 500 * time.Millisecond
@@ -127,6 +128,8 @@
 	Log  *slog.Logger
 	// Post hands an event to the control goroutine.
 	Post func(ctx context.Context, event any) error
+	// Notice is the time within which a connection to the registry that has gone silent is to be noticed and replaced.
+	Notice time.Duration
 	// Batch is the pause between the answer to a watch and the next one, in which changes gather; each read counts.
 	Batch time.Duration
 
@@ -211,15 +214,20 @@
 }
 
 func (f *Follower) watch(ctx context.Context) (Listing, error) {
-	wait := watchTime
-	if f.Role() == RoleLeading {
-		wait = leadTime
-	}
+	wait := f.watchTime()
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	return f.Watch(ctx, f.Prefix, f.at, wait)
 }
 
+// watchTime is how long one watch waits for a change. A connection that has gone silent is noticed when it is over.
+func (f *Follower) watchTime() time.Duration {
+	if f.Role() == RoleLeading {
+		return leadTime
+	}
+	return min(watchMost, max(leadTime, f.Notice-watchSlack-catchUpTime))
+}
+
 // followPeer follows a peer until that fails or knows too little, after which this VM reads the registry itself. It says
 // whether the peer has told anything.
 func (f *Follower) followPeer(ctx context.Context) (told bool) {
--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -180,6 +180,28 @@
 	}
 }
 
+// TestWatchTime checks that a registry that has gone silent is noticed, and read again, in time.
+func TestWatchTime(t *testing.T) {
+	tests := []struct {
+		name   string
+		role   Role
+		notice time.Duration
+		want   time.Duration
+	}{
+		{"a short time", RoleAlone, 4 * time.Second, 3 * time.Second},
+		{"a long time", RoleAlone, time.Minute, 4 * time.Second},
+		{"no time", RoleAlone, 0, time.Second},
+		{"a VM that others follow", RoleLeading, time.Minute, time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := (&script{}).follower(tt.role, 0)
+			f.Notice = tt.notice
+			assert.Equal(t, f.watchTime(), tt.want)
+		})
+	}
+}
+
 func count(lines string) int {
 	return strings.Count(lines, ",")
 }
--- a/internal/policy/allowance/allowance.go
+++ b/internal/policy/allowance/allowance.go
@@ -2,7 +2,8 @@
 //
 // A service takes, in any window, at most Ratio extra requests for each request, and Slack beyond that, from all entry
 // VMs together. Each VM keeps to Ratio of its own requests and to its portion of Slack, so that the VMs need not talk
-// to each other to keep the bound.
+// to each other to keep the bound. A VM that has been restarted does not know what it spent before, so it has only a small
+// part of its portion for the first window.
 package allowance
 
 import (
@@ -14,7 +15,8 @@
 const (
 	// slots is how many parts a window is counted in; one more is kept so that the count always covers a whole window.
 	slots = 40
-	// slackUse is the share of the slack that is handed out; the rest covers VMs that are not known of yet.
+	// slackUse is the share of the slack that is handed out; the rest covers VMs that are not known of yet, and those that
+	// have been restarted, which may have spent their portion before.
 	slackUse = 0.8
 )
 
@@ -26,6 +28,8 @@
 	Slack float64
 	// Window is the span over which both are counted.
 	Window time.Duration
+	// Fresh says that no VM has spent anything before this one has started.
+	Fresh bool
 }
 
 // Allowance counts the requests and the extra requests of each service. It is not safe for use by several goroutines.
@@ -70,7 +74,7 @@
 // Take counts an extra request and says whether it may be sent; vms is how many entry VMs share the slack.
 func (a *Allowance) Take(now time.Time, service unit.ServiceName, vms int) bool {
 	l := a.ledger(now, service)
-	if float64(l.extraN+1) > a.Terms.Ratio*float64(l.askedN)+a.portion(vms) {
+	if float64(l.extraN+1) > a.Terms.Ratio*float64(l.askedN)+a.portion(now, vms) {
 		return false
 	}
 	l.extra[l.at%(slots+1)]++
@@ -79,14 +83,18 @@
 }
 
 // portion is this VM's part of the slack.
-func (a *Allowance) portion(vms int) float64 {
-	return slackUse * a.Terms.Slack / float64(max(vms, 1))
+func (a *Allowance) portion(now time.Time, vms int) float64 {
+	use := slackUse
+	if !a.Terms.Fresh && now.Sub(a.began) < a.Terms.Window {
+		use = 1 - slackUse
+	}
+	return use * a.Terms.Slack / float64(max(vms, 1))
 }
 
 // Left gives how many extra requests may be sent now.
 func (a *Allowance) Left(now time.Time, service unit.ServiceName, vms int) int {
 	l := a.ledger(now, service)
-	return int(a.Terms.Ratio*float64(l.askedN) + a.portion(vms) - float64(l.extraN))
+	return int(a.Terms.Ratio*float64(l.askedN) + a.portion(now, vms) - float64(l.extraN))
 }
 
 func (a *Allowance) ledger(now time.Time, service unit.ServiceName) *ledger {
--- a/internal/policy/allowance/allowance_test.go
+++ b/internal/policy/allowance/allowance_test.go
@@ -10,12 +10,16 @@
 
 var (
 	start = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
-	terms = Terms{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
+	terms = Terms{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Fresh: true}
 )
 
+// restarted are the terms of a VM that may have spent its portion before it was restarted.
+var restarted = Terms{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
+
 func TestTake(t *testing.T) {
 	tests := []struct {
-		name string
+		name  string
+		terms Terms
 		// asked requests come at start, and tries extra ones after that.
 		asked int
 		vms   int
@@ -23,16 +27,18 @@
 		tries int
 		want  int
 	}{
-		{"the slack alone, all of one VM", 0, 1, 0, 100, 40},
-		{"the slack alone, shared", 0, 10, 0, 100, 4},
-		{"slack and requests", 100, 10, 0, 100, 24},
-		{"requests of the last window", 100, 10, 9 * time.Second, 100, 24},
-		{"requests before the last window", 100, 10, 11 * time.Second, 100, 4},
-		{"fewer than allowed", 100, 1, 0, 7, 7},
+		{"the slack alone, all of one VM", terms, 0, 1, 0, 100, 40},
+		{"the slack alone, shared", terms, 0, 10, 0, 100, 4},
+		{"slack and requests", terms, 100, 10, 0, 100, 24},
+		{"requests of the last window", terms, 100, 10, 9 * time.Second, 100, 24},
+		{"requests before the last window", terms, 100, 10, 11 * time.Second, 100, 4},
+		{"fewer than allowed", terms, 100, 1, 0, 7, 7},
+		{"after a restart", restarted, 100, 1, 0, 100, 30},
+		{"a window after a restart", restarted, 100, 1, 11 * time.Second, 100, 40},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			a := New(terms)
+			a := New(tt.terms)
 			for range tt.asked {
 				a.Asked(start, "s")
 			}
@@ -56,20 +62,27 @@
 	assert.Equal(t, a.Left(start, "s", 10), 0)
 }
 
-// TestBoundOfAllVMs checks the operators' bound for all VMs together in every window, whatever comes when at which VM:
-// the extra requests are at most the ratio of the requests of that window plus the slack.
+// TestBoundOfAllVMs checks the operators' bound for all VMs together in every window, whatever comes when at which VM,
+// and whichever is restarted, once in a window at the most: the extra requests are at most the ratio of the requests of
+// that window plus the slack.
 func TestBoundOfAllVMs(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		vms := rapid.IntRange(1, 8).Draw(t, "vms")
 		all := make([]*Allowance, vms)
+		started := make([]time.Time, vms)
 		for i := range all {
 			all[i] = New(terms)
+			started[i] = start
 		}
 		var asked, extra []time.Time
 		now := start
 		for range rapid.IntRange(1, 400).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "gap")) * time.Millisecond)
-			a := all[rapid.IntRange(0, vms-1).Draw(t, "vm")]
+			vm := rapid.IntRange(0, vms-1).Draw(t, "vm")
+			if now.Sub(started[vm]) >= terms.Window && rapid.IntRange(0, 9).Draw(t, "restarts") == 0 {
+				all[vm], started[vm] = New(restarted), now
+			}
+			a := all[vm]
 			if rapid.Bool().Draw(t, "asks") {
 				a.Asked(now, "s")
 				asked = append(asked, now)
--- a/internal/serve/gateway/services.go
+++ b/internal/serve/gateway/services.go
@@ -133,6 +133,7 @@
 			Peers:  exchange.Listing,
 			Relay:  exchange.Relay,
 			Role:   exchange.Role,
+			Notice: g.settings.Calm,
 			Rand:   g.options.Rand,
 			Log:    g.options.Log,
 			Post:   func(ctx context.Context, event any) error { return kernel.PostAny(ctx, loop, event) },
