Serve at once what another VM could not send, and wait for missing shards until there are enough

A VM that was behind knew no endpoint of the new shards and returned its portion at once, but its shards were sent only after all portions had come, and were given up at the cut some milliseconds later. Change: shards that another VM has not sent are served here as soon as its portion is back, and that VM is left out for a while if their endpoints are known here; missing shards are waited for beyond the cut until there are enough for an answer. Two new rows of TestDivided fail without it.

--- a/internal/core/dispatch/divided.go
+++ b/internal/core/dispatch/divided.go
@@ -39,9 +39,10 @@
 	ran     bool
 }
 
-// portionEnd is the end of a portion.
+// portionEnd is the end of a portion. here says that it was served by this VM.
 type portionEnd struct {
 	shards []int
+	here   bool
 	part   part
 	err    error
 }
@@ -59,7 +60,7 @@
 		seals:   make([]string, len(j.services)),
 		sent:    make([]int, len(j.services)),
 		pending: make([]bool, len(j.services)),
-		// Each portion ends once, may be asked for anew once, and so may all that is missing.
+		// Each portion ends once, may be served anew here once, and so may all that is missing.
 		ends: make(chan portionEnd, 2*len(plan)+1),
 	}
 	d.Metrics.Add("request.divided", 1)
@@ -80,7 +81,7 @@
 		shards = append(shards, i)
 	}
 	if p.Self {
-		v.beginHere(ctx, shards)
+		v.beginHere(ctx, shards, v.terms)
 		return
 	}
 	v.mark(shards, true)
@@ -88,7 +89,7 @@
 	v.dispatcher.mateSent(p.Mate.Node)
 	go func() {
 		result, err := v.dispatcher.ask(ctx, v.job, v.pick(shards), p.Mate.Address)
-		v.dispatcher.mateEnded(p.Mate.Node, v.letDown(ctx, err))
+		v.dispatcher.mateEnded(p.Mate.Node, v.letDown(ctx, err) || v.isBehind(shards, result))
 		v.ends <- portionEnd{shards: shards, part: part{wirePart: result, ran: true}, err: err}
 	}()
 }
@@ -98,11 +99,34 @@
 	return err != nil && (ctx.Err() == nil || !v.dispatcher.Now().Before(v.terms.Cut))
 }
 
-// beginHere starts a portion at this VM. Its shards may have been sent to before; one that was sent to as many
-// endpoints as the route allows is left out.
-func (v *divided) beginHere(ctx context.Context, shards []int) {
-	terms := v.terms
+// isBehind says whether another VM has not sent a shard because it knows none of the endpoints that are known here.
+func (v *divided) isBehind(shards []int, result wirePart) bool {
+	for i, n := range result.Sent {
+		if n == 0 && result.Seals[i] == "" && len(v.view.Endpoints[v.services[shards[i]]]) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// beginHere starts a portion at this VM, which gives what has come by the cut. Its shards may have been sent to before; one
+// that was sent to as many endpoints as the route allows is left out.
+func (v *divided) beginHere(ctx context.Context, shards []int, terms gather.Terms) {
 	terms.Least = 0
+	v.serveHere(ctx, shards, terms)
+}
+
+// beginMissing starts all missing shards at this VM. Without them there is no answer, so they are waited for beyond the
+// cut until there are enough.
+func (v *divided) beginMissing(ctx context.Context) {
+	terms := v.terms
+	missing := v.missing()
+	terms.Least = unit.Share(v.union.Need()) / unit.Share(len(missing))
+	v.serveHere(ctx, missing, terms)
+}
+
+// serveHere starts a portion at this VM under those terms.
+func (v *divided) serveHere(ctx context.Context, shards []int, terms gather.Terms) {
 	var open []int
 	var again []bool
 	for _, s := range shards {
@@ -115,15 +139,12 @@
 	if len(open) == 0 {
 		return
 	}
-	if !v.dispatcher.Now().Before(terms.Cut) {
-		// After the cut the answer waits for what is missing.
-		terms.Cut = terms.End
-	}
+	terms.Least *= unit.Share(len(shards)) / unit.Share(len(open))
 	v.mark(open, true)
 	v.union.Begin()
 	go func() {
 		p := v.dispatcher.serveServices(ctx, v.job, v.pick(open), terms, again)
-		v.ends <- portionEnd{shards: open, part: p}
+		v.ends <- portionEnd{shards: open, here: true, part: p}
 	}()
 }
 
@@ -158,7 +179,7 @@
 		}
 		if v.union.RedoMissing(v.dispatcher.Now()) {
 			v.dispatcher.Metrics.Add("portion.missing", 1)
-			v.beginHere(ctx, v.missing())
+			v.beginMissing(ctx)
 		}
 	}
 }
@@ -176,11 +197,14 @@
 		return
 	}
 	n := 0
+	var unsent []int
 	for i, shard := range e.shards {
 		v.sent[shard] += e.part.Sent[i]
 		if seal := e.part.Seals[i]; seal != "" {
 			v.seals[shard] = seal
 			n++
+		} else if v.sent[shard] == 0 {
+			unsent = append(unsent, shard)
 		}
 	}
 	v.union.Took(n)
@@ -192,6 +216,10 @@
 	v.record.Retries += e.part.Retries
 	v.record.Denied += e.part.Denied
 	v.record.Details = append(v.record.Details, e.part.details...)
+	if len(unsent) > 0 && !e.here && v.union.Redo(v.dispatcher.Now()) {
+		v.dispatcher.Metrics.Add("portion.unsent", 1)
+		v.beginHere(ctx, unsent, v.terms)
+	}
 }
 
 // lost takes a portion whose VM has not answered.
@@ -205,7 +233,7 @@
 		v.sent[s] += sent
 	}
 	if v.union.Redo(now) {
-		v.beginHere(ctx, e.shards)
+		v.beginHere(ctx, e.shards, v.terms)
 	}
 }
 
--- a/internal/core/dispatch/divided_test.go
+++ b/internal/core/dispatch/divided_test.go
@@ -36,6 +36,10 @@
 	silent map[unit.EndpointID]bool
 	// refuse, lose and mute say what becomes of portions at a VM.
 	refuse, lose, mute map[unit.Address]bool
+	// blind VMs know no endpoint.
+	blind map[unit.NodeID]bool
+	// refuseAfter is how long it takes to refuse a portion, and answerAfter how long endpoints take.
+	refuseAfter, answerAfter time.Duration
 	records            []Record
 }
 
@@ -52,6 +56,7 @@
 		refuse:   make(map[unit.Address]bool),
 		lose:     make(map[unit.Address]bool),
 		mute:     make(map[unit.Address]bool),
+		blind:    make(map[unit.NodeID]bool),
 	}
 	endpoints := make(map[unit.ServiceName][]directory.Endpoint)
 	for i := range shards {
@@ -103,7 +108,7 @@
 	if !c.silent[call.Endpoint] {
 		body := []byte(string(service) + ".............")
 		reply := leaf.Reply{ID: call.Message.ID, Status: 200, Seal: string(call.Endpoint), Body: body}
-		go done(leaf.End{Kind: leaf.KindReply, Reply: reply})
+		time.AfterFunc(c.answerAfter, func() { done(leaf.End{Kind: leaf.KindReply, Reply: reply}) })
 	}
 	return &leaf.Flight{}
 }
@@ -116,6 +121,7 @@
 	refuse, lose, mute := c.refuse[to], c.lose[to], c.mute[to]
 	c.mu.Unlock()
 	if refuse {
+		time.Sleep(c.refuseAfter)
 		return errors.Mark(errLost, peer.ErrNotSent)
 	}
 	served := c.vms[int(to[1]-'0')].servePortion(ctx, params.(wirePortion)).wirePart
@@ -142,6 +148,14 @@
 	}{
 		{"all answer", func(*cluster) {}, unit.CodeWhole, 0, 1, 0},
 		{"a VM that is stopping", func(c *cluster) { c.refuse["n1"], c.refuse["n3"] = true, true }, unit.CodeWhole, 0, 1, 1},
+		{"a VM that knows no endpoints, of slow shards", func(c *cluster) {
+			c.blind["n1"], c.blind["n3"] = true, true
+			c.answerAfter = 250 * time.Millisecond
+		}, unit.CodeWhole, 0, 2, 0},
+		{"a refusal so late that the missing shards come after the cut", func(c *cluster) {
+			c.refuse["n1"], c.refuse["n3"] = true, true
+			c.refuseAfter, c.answerAfter = 300*time.Millisecond, 150*time.Millisecond
+		}, unit.CodePartial, 2, 2, 1},
 		{"a VM whose answer is lost", func(c *cluster) { c.lose["n1"], c.lose["n3"] = true, true }, unit.CodeWhole, 0, 2, 1},
 		{"a silent endpoint is hedged where it is called", func(c *cluster) {
 			c.silent["s23-0"] = true
@@ -155,8 +169,12 @@
 		t.Run(tt.name, func(t *testing.T) {
 			c := newCluster()
 			tt.do(c)
-			for _, d := range c.vms {
-				d.Views.Publish(c.view)
+			for i, d := range c.vms {
+				view := *c.view
+				if c.blind[view.Mates[i].Node] {
+					view.Endpoints = nil
+				}
+				d.Views.Publish(&view)
 			}
 			q := &Request{ID: "r", Host: "h", Method: "GET", URI: "/x", Path: "/x", Arrived: time.Now(), Left: 2 * time.Second}
 			got := c.vms[0].Serve(context.Background(), q)
--- a/internal/platform/ingress/ingress.go
+++ b/internal/platform/ingress/ingress.go
@@ -108,7 +108,8 @@
 	locate(ctx, q)
 	switch {
 	case q.ID == "":
-		write(rc, s.Refuse(q, unit.CodeBadRequest))
+		// No line could be found by an id; this VM's own check that the port answers is such a request.
+		write(rc, dispatch.Answer{Code: unit.CodeBadRequest})
 	case !tracker.Answerable(rc):
 		write(rc, s.Refuse(q, unit.CodeStopping))
 	default:
--- a/internal/policy/divide/union.go
+++ b/internal/policy/divide/union.go
@@ -40,7 +40,7 @@
 	u.answered += answered
 }
 
-// Redo says whether the shards of a portion that was lost are to be asked for anew.
+// Redo says whether the shards of a portion that was lost, or that its VM has not sent, are to be asked for anew.
 func (u *Union) Redo(now time.Time) bool {
 	early := u.Began.Add(time.Duration(redoShare * float64(u.Cut.Sub(u.Began))))
 	return u.verdict == gather.VerdictNone && now.Before(early)
@@ -93,6 +93,11 @@
 	return gather.LeastShards(u.Least, u.Shards)
 }
 
+// Need gives how many shards an answer still needs.
+func (u *Union) Need() int {
+	return max(0, u.least()-u.answered)
+}
+
 // Missing gives how many shards an answer leaves out now.
 func (u *Union) Missing() int {
 	return u.Shards - u.answered
