Count the lines left out in the last second, and let unlimited endpoints have more than one connection

Ruled out: lines dropped by the queue; they are counted apart and were none. Change: the handler's Close writes the counts. Measured: TestBounds' new row fails without Close.

--- a/internal/cmd/gateway/gateway.go
+++ b/internal/cmd/gateway/gateway.go
@@ -106,7 +106,9 @@
 	}
 	lines := logline.NewWriter(opts.Streams.Out)
 	defer func() { _ = lines.Close() }()
-	log := logger(lines, settings)
+	handler := logline.NewHandler(lines, level(settings))
+	defer func() { _ = handler.Close() }()
+	log := slog.New(handler).With("node", settings.Node)
 	if len(unknown) > 0 {
 		log.Warn("unknown settings ignored", "keys", unknown)
 	}
@@ -183,9 +185,10 @@
 	return config.Parse(opts.File, content)
 }
 
-func logger(w *logline.Writer, settings config.Settings) *slog.Logger {
+// level gives the least level of the lines that are written.
+func level(settings config.Settings) slog.Level {
 	var level slog.Level
 	// The settings' check has let only known levels pass.
 	_ = level.UnmarshalText([]byte(settings.Level))
-	return slog.New(logline.NewHandler(w, level)).With("node", settings.Node)
+	return level
 }
--- a/internal/core/dispatch/divided_test.go
+++ b/internal/core/dispatch/divided_test.go
@@ -40,7 +40,7 @@
 	blind map[unit.NodeID]bool
 	// refuseAfter is how long it takes to refuse a portion, and answerAfter how long endpoints take.
 	refuseAfter, answerAfter time.Duration
-	records            []Record
+	records                  []Record
 }
 
 const shards = 24
--- a/internal/core/logline/logline.go
+++ b/internal/core/logline/logline.go
@@ -154,6 +154,15 @@
 	return h.inner.Handle(ctx, r)
 }
 
+// Close says how many lines were left out since the last count; the lines that follow are not bounded by earlier ones.
+func (h *Handler) Close() error {
+	now := time.Now()
+	for message, n := range h.state.end(now) {
+		h.report(context.Background(), now, message, n)
+	}
+	return nil
+}
+
 // report writes how many lines of a message were left out.
 func (h *Handler) report(ctx context.Context, now time.Time, message string, n int) {
 	r := slog.NewRecord(now, slog.LevelWarn, "lines left out", 0)
@@ -166,14 +175,27 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if now.Sub(s.second) >= time.Second || now.Before(s.second) {
-		left = s.excess()
-		s.second = now
-		clear(s.counts)
+		left = s.restart(now)
 	}
 	s.counts[message]++
 	return s.counts[message] <= perSecond, left
 }
 
+// end begins a new second and gives the messages that had lines left out in the last one.
+func (s *state) end(now time.Time) (left map[string]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.restart(now)
+}
+
+// restart begins a new second and gives the messages that had lines left out in the last one.
+func (s *state) restart(now time.Time) (left map[string]int) {
+	left = s.excess()
+	s.second = now
+	clear(s.counts)
+	return left
+}
+
 // excess gives the lines left out since the last call, by message.
 func (s *state) excess() map[string]int {
 	var left map[string]int
--- a/internal/core/logline/logline_test.go
+++ b/internal/core/logline/logline_test.go
@@ -41,6 +41,7 @@
 		{"few", []map[string]int{{"a": 3}}, map[string]int{"a": 3}, nil},
 		{"many of one message", []map[string]int{{"a": 100, "b": 2}, {"b": 1}}, map[string]int{"a": perSecond, "b": 3}, []string{`"of":"a","count":60`}},
 		{"the next second begins anew", []map[string]int{{"a": 100}, {"a": 100}, {"b": 1}}, map[string]int{"a": 2 * perSecond, "b": 1}, []string{`"of":"a","count":60`}},
+		{"many in the last second", []map[string]int{{"a": 100}}, map[string]int{"a": perSecond}, []string{`"of":"a","count":60`}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -55,6 +56,7 @@
 					}
 				}
 			}
+			assert.NilError(t, h.Close())
 			assert.NilError(t, w.Close())
 			text := out.text.String()
 			for message, n := range tt.want {
--- a/internal/policy/reach/reach.go
+++ b/internal/policy/reach/reach.go
@@ -3,6 +3,8 @@
 package reach
 
 import (
+	"math"
+
 	"github.com/cespare/xxhash/v2"
 
 	"basilspan/internal/core/unit"
@@ -19,7 +21,7 @@
 
 // Share is what the VMs that use an endpoint have in common.
 type Share struct {
-	// Connections is how many connections the endpoint accepts; 0 is not published.
+	// Connections is how many connections the endpoint accepts; 0 means that no limit is published.
 	Connections unit.Connections
 	// VMs is how many entry VMs use the endpoint.
 	VMs int
@@ -33,7 +35,7 @@
 // portion gives how many connections there are for each VM, which may be less than one.
 func (s Share) portion() float64 {
 	if s.Connections <= 0 {
-		return 1
+		return math.MaxInt32
 	}
 	return use * float64(s.Connections) / float64(max(s.VMs, 1))
 }
