Bound how long a call waits for a connection that another call uses

Ruled out: the hedge; it waited in the same way at the other endpoint. Change: a call that has not got a connection within half the hedge's delay ends as not sent, which costs nothing, and goes to another endpoint. TestWaitEnds does not end without it.

--- a/internal/core/dispatch/fanout.go
+++ b/internal/core/dispatch/fanout.go
@@ -128,6 +128,7 @@
 		Endpoint:    endpoint.ID,
 		Address:     endpoint.Address,
 		Connections: f.view.Share(service).Each(endpoint.Slots),
+		Wait:        f.machine.Terms.ConnectWait(),
 		Until:       f.machine.Terms.End,
 	}
 	f.flights[id] = f.dispatcher.Send(f.dispatcher.Now(), call, func(e leaf.End) {
--- a/internal/link/leaf/call.go
+++ b/internal/link/leaf/call.go
@@ -32,6 +32,8 @@
 	Address  unit.Address
 	// Connections is how many connections to the endpoint this VM may hold.
 	Connections int
+	// Wait is how long the call may wait for a connection that another call uses.
+	Wait time.Duration
 	// Until is when the endpoint is to stop working on the call.
 	Until time.Time
 }
@@ -87,6 +89,8 @@
 	conn      *conn
 	abandoned bool
 	ended     bool
+	// patience ends the wait for a connection; nil while the call has not waited.
+	patience *time.Timer
 }
 
 // Abandon says that nobody waits for the call any longer: one that has not left never will, and one that has left gets
@@ -101,6 +105,26 @@
 	}
 }
 
+// await bounds the wait of a call that waits for a connection. One that has not left by then never will.
+func (f *Flight) await() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.patience == nil {
+		f.patience = time.AfterFunc(f.call.Wait, f.giveUp)
+	}
+}
+
+// giveUp ends a call that has not left.
+func (f *Flight) giveUp() {
+	f.mu.Lock()
+	waiting := f.conn == nil && !f.abandoned
+	f.abandoned = f.abandoned || waiting
+	f.mu.Unlock()
+	if waiting {
+		f.end(End{Kind: KindNotSent, Err: ErrFull})
+	}
+}
+
 // attach gives the flight its connection; it says false for one that was abandoned before it left.
 func (f *Flight) attach(c *conn) bool {
 	f.mu.Lock()
@@ -117,6 +141,9 @@
 	f.mu.Lock()
 	first := !f.ended
 	f.ended = true
+	if f.patience != nil {
+		f.patience.Stop()
+	}
 	f.mu.Unlock()
 	if first {
 		f.done(e)
--- a/internal/link/leaf/leaf_test.go
+++ b/internal/link/leaf/leaf_test.go
@@ -139,6 +139,7 @@
 		Endpoint:    "i-1",
 		Address:     unit.Address(s.listener.Addr().String()),
 		Connections: connections,
+		Wait:        10 * time.Second,
 		Until:       time.Now().Add(10 * time.Second),
 	}
 }
@@ -280,6 +281,28 @@
 	}
 }
 
+// TestWaitEnds checks that a call which waits for a connection for too long is not sent any more, and that one which has
+// left is not affected.
+func TestWaitEnds(t *testing.T) {
+	s := listen(t, &script{answers: []string{whole("ID", "a"), whole("ID", "b")}, hold: make(chan struct{})})
+	p := newPool(t)
+	begin := func(id unit.RequestID) <-chan leaf.End {
+		c := newCall(t, s, id, 1)
+		c.Wait = 20 * time.Millisecond
+		ends := make(chan leaf.End, 1)
+		p.Send(time.Now(), c, func(e leaf.End) { ends <- e })
+		return ends
+	}
+	first, second := begin("first"), begin("second")
+	end := <-second
+	assert.Equal(t, end.Kind, leaf.KindNotSent)
+	assert.ErrorIs(t, end.Err, leaf.ErrFull)
+	close(s.hold)
+	assert.Equal(t, (<-first).Kind, leaf.KindReply)
+	assert.Equal(t, string(call(t, p, s, "third", 1).Reply.Body), "b")
+	assert.Equal(t, s.requests.Load(), int64(2))
+}
+
 // TestAbandon checks that a call that was abandoned while it waited never leaves, and that one that has left gives its
 // connection back with its reply.
 func TestAbandon(t *testing.T) {
--- a/internal/link/leaf/pool.go
+++ b/internal/link/leaf/pool.go
@@ -221,6 +221,7 @@
 		return nil, nextDial
 	case len(h.waiting) < maxWaiting:
 		h.waiting = append(h.waiting, f)
+		f.await()
 		return nil, nextWait
 	default:
 		return nil, nextRefuse
--- a/internal/policy/gather/terms.go
+++ b/internal/policy/gather/terms.go
@@ -26,6 +26,18 @@
 	End time.Time
 }
 
+// waitShare is the share of the time after which an attempt is hedged that it may wait for a connection: what has not left
+// by then goes to another endpoint, at no cost, before a hedge is due.
+const waitShare = 0.5
+
+// waitLeast is the least such wait; a usual call is over within it, so that its connection is free again.
+const waitLeast = 10 * time.Millisecond
+
+// ConnectWait gives how long an attempt may wait for a connection.
+func (t Terms) ConnectWait() time.Duration {
+	return max(waitLeast, time.Duration(waitShare*float64(t.HedgeAfter)))
+}
+
 // MaxAttempts is the largest number of attempts that a request can make.
 func (t Terms) MaxAttempts() int {
 	return t.Shards * (t.Attempts + unsentTries)
