Have followers go on to another VM when theirs stops

Change: leaving ends these answers with a refusal, which the follower takes as a sign to go on. TestAnswerChanges waits for a minute without it.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -28,6 +28,9 @@
 // callTime bounds one call of a peer, which answers in milliseconds.
 const callTime = 400 * time.Millisecond
 
+// errLeaving means that this VM is stopping and tells no changes any more.
+var errLeaving = errors.New("this entry VM is stopping")
+
 // errNoNews means that no peer knows more than this VM.
 var errNoNews = errors.New("no peer has newer values")
 
@@ -75,8 +78,9 @@
 	list  atomic.Pointer[[]unit.Address]
 	large atomic.Bool
 	turn  atomic.Uint64
-	// leaving is set once this VM is stopping.
-	leaving atomic.Bool
+	// leaving ends once this VM is stopping, and leave ends it.
+	leaving context.Context
+	leave   context.CancelFunc
 }
 
 // Install has link answer peers, and loop own the census.
@@ -85,6 +89,7 @@
 	f.began = f.Now()
 	f.census = census.New(f.began, f.Self.Node)
 	f.Call = link.Call
+	f.leaving, f.leave = context.WithCancel(context.Background())
 	f.turn.Store(uint64(f.Rand() * maxTurn))
 	kernel.On(loop, f.onCall)
 	kernel.On(loop, f.onTold)
@@ -213,9 +218,10 @@
 	}
 }
 
-// Leave tells the seeds that this VM is stopping, so that it gets no more portions of requests.
+// Leave tells the seeds that this VM is stopping, so that it gets no more portions of requests, and has the VMs that follow
+// this one go on to another.
 func (f *Fleet) Leave(ctx context.Context) {
-	f.leaving.Store(true)
+	f.leave()
 	f.ask(ctx)
 }
 
@@ -252,7 +258,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	var c wireCount
-	call := wireCall{wireMate: encodeMate(f.Self.Mate), Centre: string(f.Self.Centre), Leaving: f.leaving.Load()}
+	call := wireCall{wireMate: encodeMate(f.Self.Mate), Centre: string(f.Self.Centre), Leaving: f.leaving.Err() != nil}
 	err := f.Call(ctx, seed, methodCensus, call, &c)
 	return c, err
 }
--- a/internal/core/fleet/listing.go
+++ b/internal/core/fleet/listing.go
@@ -9,6 +9,7 @@
 
 	"basilspan/internal/core/registry"
 	"basilspan/internal/core/unit"
+	"basilspan/internal/link/peer"
 )
 
 // wireAsk asks for the values under a prefix if they are newer than a revision.
@@ -51,7 +52,11 @@
 func (f *Fleet) answerChanges(ctx context.Context, w wireFollow) (wireNews, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(w.Wait)*time.Millisecond)
 	defer cancel()
+	defer context.AfterFunc(f.leaving, cancel)()
 	news := f.Changes(ctx, registry.Prefix(w.Prefix), w.After)
+	if f.leaving.Err() != nil {
+		return wireNews{}, peer.Refuse(errLeaving)
+	}
 	result := wireNews{wireListing: f.encodeListing(news.Listing), Whole: news.Whole, Age: -1}
 	if !news.Heard.IsZero() {
 		result.Age = f.Now().Sub(news.Heard).Milliseconds()
--- /dev/null
+++ b/internal/core/fleet/listing_test.go
@@ -0,0 +1,58 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilspan/internal/core/kernel"
+	"basilspan/internal/core/registry"
+	"basilspan/internal/core/unit"
+	"basilspan/internal/link/peer"
+	"basilspan/internal/policy/census"
+)
+
+// TestAnswerChanges checks that followers wait for a change while a VM runs, and go on to another one when it stops.
+func TestAnswerChanges(t *testing.T) {
+	tests := []struct {
+		name string
+		// stop is whether the VM stops before or while the follower waits.
+		before, meanwhile bool
+		wait              time.Duration
+		refused           bool
+	}{
+		{"nothing changes", false, false, 20 * time.Millisecond, false},
+		{"the VM stops meanwhile", false, true, time.Minute, true},
+		{"the VM is stopping", true, false, time.Minute, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			waiting := make(chan struct{})
+			f := &Fleet{
+				Self: census.Caller{Centre: "z"},
+				Now:  time.Now,
+				Rand: func() float64 { return 0 },
+				Changes: func(ctx context.Context, _ registry.Prefix, _ unit.Revision) registry.News {
+					close(waiting)
+					<-ctx.Done()
+					return registry.News{Heard: time.Now()}
+				},
+			}
+			f.SetSeeds(nil)
+			f.Install(kernel.NewLoop(time.Now), peer.New("127.0.0.1:0"))
+			if tt.before {
+				f.Leave(t.Context())
+			}
+			if tt.meanwhile {
+				go func() {
+					<-waiting
+					f.Leave(t.Context())
+				}()
+			}
+			_, err := f.answerChanges(t.Context(), wireFollow{Wait: tt.wait.Milliseconds()})
+			assert.Equal(t, err != nil, tt.refused)
+		})
+	}
+}
