Learn of the registry's return in time, and drop what lapsed in time

Change: the grace of an outage ends, at the latest, when the time is over within which the VM has to be up to date, counted from its last failed read; a follower that has lost the registry asks its peers each half second and reads itself each two; when its peer fails, it has a glance at the registry and goes on to another peer before it reads for itself for ten seconds; a read may take one second. TestEndpoints' new rows and TestFollower's fail without it.

--- a/internal/core/outlook/outlook.go
+++ b/internal/core/outlook/outlook.go
@@ -33,6 +33,8 @@
 	DecodeTable    func(value []byte) (*routing.Table, error)
 	DecodeEndpoint func(now time.Time, item registry.Item) (directory.Registration, error)
 	EndpointID     func(key registry.Key) unit.EndpointID
+	// Calm is how long after an outage of the registry the VM has to be up to date.
+	Calm time.Duration
 	// Published is told of each new view.
 	Published func(now time.Time, v *View)
 }
@@ -53,7 +55,7 @@
 		Options:   options,
 		view:      View{VMs: census.Unknown},
 		held:      newHeld(),
-		directory: directory.New(),
+		directory: directory.New(options.Calm),
 		lost:      make(map[registry.Prefix]time.Time),
 	}
 	kernel.On(loop, o.onListed)
@@ -178,14 +180,14 @@
 
 func (o *Outlook) onLost(now time.Time, e registry.Lost) {
 	o.Metrics.Add("registry.failed", 1)
+	if e.Prefix == o.Endpoints {
+		o.directory.Away(e.Began)
+	}
 	if _, known := o.lost[e.Prefix]; known {
 		return
 	}
 	o.lost[e.Prefix] = now
 	o.Log.Warn("registry lost", "prefix", e.Prefix, "error", e.Err)
-	if e.Prefix == o.Endpoints {
-		o.directory.Away()
-	}
 }
 
 // regained takes an answer of the registry.
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -23,13 +23,15 @@
 	// watchSlack is how much longer the answer to a watch may take.
 	watchSlack = 500 * time.Millisecond
 	// listTime bounds a read; a slow registry answers within it.
-	listTime = 1500 * time.Millisecond
+	listTime = time.Second
 	// retryFirst is the pause after a failed read; each further one doubles it up to retryMost, which bounds how late
 	// the registry's return is noticed.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
-	// retryFollowing replaces retryMost at a VM that follows others: they notice the registry's return for it.
-	retryFollowing = 3 * time.Second
+	// retryFollowing replaces retryMost at a VM that follows others: they notice the registry's return for it. Every peerPause
+	// it asks them.
+	retryFollowing = 2 * time.Second
+	peerPause      = 500 * time.Millisecond
 	// relayTime is how long a peer waits for a change before it answers that there is none, and relaySlack how much
 	// longer its answer may take, with a large table over a small link; both are short, since a peer that is gone is
 	// noticed by the lack of an answer.
@@ -37,6 +39,11 @@
 	relaySlack = 700 * time.Millisecond
 	// relayAge is how old a peer's knowledge may be; with an older one this VM reads the registry itself.
 	relayAge = leadTime + watchSlack
+	// relayTries is how many peers in a row may fail before this VM reads the registry itself: a second one answers in most
+	// cases, and a third would take longer than a change may.
+	relayTries = 2
+	// glanceTime is how long a read that only catches up waits for a change.
+	glanceTime = 10 * time.Millisecond
 	// directTime is how long this VM reads the registry itself before it relies on peers again.
 	directTime = 10 * time.Second
 )
@@ -92,9 +99,10 @@
 	Heard time.Time
 }
 
-// Lost is the event that the registry could not be read.
+// Lost is the event that a read of the registry, which began at that time, has failed.
 type Lost struct {
 	Prefix Prefix
+	Began  time.Time
 	Err    error
 }
 
@@ -133,9 +141,11 @@
 	// Batch is the pause between the answer to a watch and the next one, in which changes gather; each read counts.
 	Batch time.Duration
 
-	// at is the revision that this VM has caught up with, and direct until when it reads the registry itself.
-	at     unit.Revision
-	direct time.Time
+	// at is the revision that this VM has caught up with, direct until when it reads the registry itself, and failures how
+	// often in a row it could not.
+	at       unit.Revision
+	direct   time.Time
+	failures int
 }
 
 // Service gives the follower as a service with that name.
@@ -145,36 +155,40 @@
 
 // run follows the prefix until ctx ends.
 func (f *Follower) run(ctx context.Context) {
-	failures := 0
 	for ctx.Err() == nil {
-		if f.Role() == RoleFollowing && f.Now().After(f.direct) && f.followPeer(ctx) {
-			failures = 0
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		err := f.read(ctx)
+		began, err := f.round(ctx)
 		switch {
 		case err == nil:
-			failures = 0
+			f.failures = 0
 		case errors.Is(err, ErrCompacted):
 			f.Log.Info("history compacted; listing anew", "prefix", f.Prefix)
 			f.at = 0
 		case ctx.Err() == nil:
-			f.post(ctx, Lost{Prefix: f.Prefix, Err: err})
+			f.post(ctx, Lost{Prefix: f.Prefix, Began: began, Err: err})
 			f.askPeers(ctx)
-			f.pause(ctx, failures)
-			failures++
+			f.pause(ctx)
+			f.failures++
 		}
 	}
 }
 
+// round follows peers for as long as that is possible, and then reads the registry once. began is when the last read began.
+func (f *Follower) round(ctx context.Context) (began time.Time, err error) {
+	if f.Role() == RoleFollowing && f.Now().After(f.direct) {
+		if began, err = f.followPeers(ctx); err != nil || ctx.Err() != nil {
+			return began, err
+		}
+	}
+	began = f.Now()
+	return began, f.read(ctx)
+}
+
 // read reads the registry once: all values at first, and then what has changed.
 func (f *Follower) read(ctx context.Context) error {
 	if f.at == 0 {
 		return f.readAll(ctx)
 	}
-	return f.readChanges(ctx)
+	return f.readChanges(ctx, f.watchTime())
 }
 
 // askPeers takes what a peer knows, which may be less than what the registry holds.
@@ -200,8 +214,8 @@
 	return nil
 }
 
-func (f *Follower) readChanges(ctx context.Context) error {
-	changes, err := f.watch(ctx)
+func (f *Follower) readChanges(ctx context.Context, wait time.Duration) error {
+	changes, err := f.watch(ctx, wait)
 	if err != nil {
 		return err
 	}
@@ -213,8 +227,7 @@
 	return nil
 }
 
-func (f *Follower) watch(ctx context.Context) (Listing, error) {
-	wait := f.watchTime()
+func (f *Follower) watch(ctx context.Context, wait time.Duration) (Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	return f.Watch(ctx, f.Prefix, f.at, wait)
@@ -228,18 +241,40 @@
 	return min(watchMost, max(leadTime, f.Notice-watchSlack-catchUpTime))
 }
 
-// followPeer follows a peer until that fails or knows too little, after which this VM reads the registry itself. It says
-// whether the peer has told anything.
-func (f *Follower) followPeer(ctx context.Context) (told bool) {
+// followPeers follows a peer until that fails or knows too little, and then the next one, after a glance at the registry
+// for what the first one may have missed. After several failures in a row, or a first one while the registry is lost, this
+// VM is to read the registry itself. The error says why the glance that began at that time has failed.
+func (f *Follower) followPeers(ctx context.Context) (began time.Time, err error) {
+	failed := 0
 	for ctx.Err() == nil {
-		if err := f.relay(ctx); err != nil {
+		lost := f.relay(ctx)
+		if lost == nil {
+			failed, f.failures = 0, 0
+			continue
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		if failed++; failed == relayTries || f.failures > 0 {
 			f.direct = f.Now().Add(directTime)
-			f.Log.Info("reading the registry instead of a peer", "prefix", f.Prefix, "at", f.at, "error", err)
-			return told
+			f.Log.Info("reading the registry instead of a peer", "prefix", f.Prefix, "at", f.at, "error", lost)
+			break
+		}
+		f.Log.Info("following another peer", "prefix", f.Prefix, "at", f.at, "error", lost)
+		began = f.Now()
+		if err := f.glance(ctx); err != nil {
+			return began, err
 		}
-		told = true
 	}
-	return told
+	return began, nil
+}
+
+// glance reads what is published now, without waiting for changes.
+func (f *Follower) glance(ctx context.Context) error {
+	if f.at == 0 {
+		return f.readAll(ctx)
+	}
+	return f.readChanges(ctx, glanceTime)
 }
 
 // relay takes what a peer learns next.
@@ -264,18 +299,36 @@
 }
 
 // pause waits before the next try.
-func (f *Follower) pause(ctx context.Context, failures int) {
+func (f *Follower) pause(ctx context.Context) {
+	following := f.Role() == RoleFollowing
 	most := retryMost
-	if f.Role() == RoleFollowing {
+	if following {
 		most = retryFollowing
-		// A peer may learn of the registry's return first.
-		f.direct = time.Time{}
 	}
 	pause := retryFirst
-	for range failures {
+	for range f.failures {
 		pause = min(2*pause, most)
 	}
-	kernel.Wait(ctx, time.Duration(float64(pause)*(0.75+0.5*f.Rand())))
+	pause = time.Duration(float64(pause) * (0.75 + 0.5*f.Rand()))
+	if !following {
+		kernel.Wait(ctx, pause)
+		return
+	}
+	f.direct = time.Time{}
+	f.awaitPeers(ctx, pause)
+}
+
+// awaitPeers waits until a peer knows what is published, for that long at most: one may learn of the registry's return
+// first.
+func (f *Follower) awaitPeers(ctx context.Context, wait time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for ctx.Err() == nil {
+		kernel.Wait(ctx, peerPause)
+		if ctx.Err() == nil && f.relay(ctx) == nil {
+			return
+		}
+	}
 }
 
 // post hands an event to the control goroutine; after the loop's end nobody needs it.
--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -152,15 +152,19 @@
 		},
 		{
 			"a peer that is lost", &script{relay: []string{"5+", ""}, watch: []string{"7+"}}, RoleFollowing, 0,
-			"relay 0, listed 5, relay 5, watch 5, changed 7, watch 7",
+			"relay 0, listed 5, relay 5, watch 5, changed 7, relay 7",
+		},
+		{
+			"two peers that are lost", &script{relay: []string{"5+", "", ""}, watch: []string{"5", "7+"}}, RoleFollowing, 0,
+			"relay 0, listed 5, relay 5, watch 5, changed 5, relay 5, watch 5, changed 7, watch 7",
 		},
 		{
 			"a peer that is cut off itself", &script{relay: []string{"5+"}, list: []string{"9+"}}, RoleFollowing, time.Minute,
-			"relay 0, listed 9, watch 9",
+			"relay 0, listed 9, relay 9",
 		},
 		{
 			"a peer that is behind", &script{relay: []string{"5+", "3"}, watch: []string{"9+"}}, RoleFollowing, 0,
-			"relay 0, listed 5, relay 5, watch 5, changed 9, watch 9",
+			"relay 0, listed 5, relay 5, watch 5, changed 9, relay 9",
 		},
 		{
 			"peer and registry are lost, and the peer is back first", &script{relay: []string{"5+", "", "9+"}, watch: []string{""}},
--- a/internal/policy/directory/directory.go
+++ b/internal/policy/directory/directory.go
@@ -12,6 +12,10 @@
 // outage of the registry, as before. Live endpoints register again within two seconds of the registry's return.
 const lapseGrace = 2 * time.Second
 
+// dropTime is what is left of the time within which this VM has to be up to date once the grace of endpoints that lapsed
+// during an outage is over: the sweep and requests under way take no longer.
+const dropTime = 500 * time.Millisecond
+
 // Registration is what one endpoint has published about itself.
 type Registration struct {
 	ID       unit.EndpointID
@@ -44,15 +48,20 @@
 
 // Directory holds the registrations that an entry VM knows. It is not safe for use by several goroutines.
 type Directory struct {
+	// Calm is how long after an outage this VM has to be up to date.
+	Calm time.Duration
+
 	entries map[unit.EndpointID]*entry
-	// away is set while the registry cannot be read; back is when it could be read again.
-	away bool
-	back time.Time
+	// away is set while the registry cannot be read; failed is when it was last found so, and back when it could be read
+	// again.
+	away   bool
+	failed time.Time
+	back   time.Time
 }
 
-// New makes an empty directory.
-func New() *Directory {
-	return &Directory{entries: make(map[unit.EndpointID]*entry)}
+// New makes an empty directory of a VM that has to be up to date within calm after an outage.
+func New(calm time.Duration) *Directory {
+	return &Directory{Calm: calm, entries: make(map[unit.EndpointID]*entry)}
 }
 
 // Put takes a registration; one that is older than what is known is ignored.
@@ -102,9 +111,10 @@
 	}
 }
 
-// Away takes that the registry cannot be read.
-func (d *Directory) Away() {
+// Away takes that the registry could not be read when that was tried at now.
+func (d *Directory) Away(now time.Time) {
 	d.away = true
+	d.failed = now
 }
 
 // Back takes that the registry can be read again.
@@ -127,12 +137,20 @@
 	return dropped
 }
 
-// graceEnd gives when a vanished endpoint is gone for good.
+// graceEnd gives when a vanished endpoint is gone for good. The registry may have been there again soon after it was last
+// found away, so the grace of an outage does not outlast the calm time from then.
 func (d *Directory) graceEnd(e *entry) time.Time {
-	if e.excused && d.back.After(e.vanished) {
-		return d.back.Add(lapseGrace)
+	if !e.excused {
+		return e.vanished.Add(lapseGrace)
+	}
+	end := e.vanished.Add(lapseGrace)
+	if !d.back.Before(e.vanished) {
+		end = d.back.Add(lapseGrace)
+	}
+	if latest := d.failed.Add(d.Calm - dropTime); !d.away && latest.Before(end) {
+		return latest
 	}
-	return e.vanished.Add(lapseGrace)
+	return end
 }
 
 // Len gives the number of known registrations.
--- a/internal/policy/directory/directory_test.go
+++ b/internal/policy/directory/directory_test.go
@@ -55,6 +55,20 @@
 			d.Put(reg("a", "1", 3))
 			d.Remove(at(0), "a", 2, false)
 		}, []string{"a"}},
+		{"expired in an outage that was long over when it was noticed", func(d *Directory) {
+			d.Put(reg("a", "1", 1))
+			d.Away(at(0))
+			d.Back(at(3000))
+			d.Replace(at(3000), nil)
+			d.Sweep(at(3500))
+		}, nil},
+		{"expired in an outage that was over soon before", func(d *Directory) {
+			d.Put(reg("a", "1", 1))
+			d.Away(at(2500))
+			d.Back(at(3000))
+			d.Replace(at(3000), nil)
+			d.Sweep(at(4999))
+		}, []string{"a"}},
 		{"left as it had said", func(d *Directory) {
 			d.Put(leaving("a", "1", 1))
 			d.Remove(at(0), "a", 2, false)
@@ -65,27 +79,27 @@
 		}, nil},
 		{"expired while the registry was away", func(d *Directory) {
 			d.Put(reg("a", "1", 1))
-			d.Away()
+			d.Away(at(900))
 			d.Back(at(1000))
 			d.Remove(at(1100), "a", 2, false)
 		}, []string{"a"}},
 		{"missing from the first listing after an outage", func(d *Directory) {
 			d.Put(reg("a", "1", 1))
 			d.Put(reg("b", "2", 1))
-			d.Away()
+			d.Away(at(900))
 			d.Back(at(1000))
 			d.Replace(at(1000), []Registration{reg("b", "2", 1)})
 		}, []string{"a", "b"}},
 		{"missing for long after an outage", func(d *Directory) {
 			d.Put(reg("a", "1", 1))
-			d.Away()
+			d.Away(at(900))
 			d.Back(at(1000))
 			d.Replace(at(1000), nil)
 			d.Sweep(at(3000))
 		}, nil},
 		{"vanished long after an outage", func(d *Directory) {
 			d.Put(reg("a", "1", 1))
-			d.Away()
+			d.Away(at(900))
 			d.Back(at(1000))
 			d.Remove(at(4000), "a", 2, false)
 		}, []string{"a~"}},
@@ -101,7 +115,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			d := New()
+			d := New(4 * time.Second)
 			tt.do(d)
 			var got []string
 			for _, e := range d.Endpoints()["s"] {
@@ -129,7 +143,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			d := New()
+			d := New(4 * time.Second)
 			d.Put(reg("a", "1", 1))
 			d.Remove(at(0), "a", 2, false)
 			assert.Equal(t, d.Sweep(tt.at), tt.want)
--- a/internal/serve/gateway/services.go
+++ b/internal/serve/gateway/services.go
@@ -88,6 +88,7 @@
 		DecodeTable:    store.Table,
 		DecodeEndpoint: store.Endpoint,
 		EndpointID:     store.EndpointID,
+		Calm:           g.settings.Calm,
 		Published:      func(_ time.Time, v *outlook.View) { g.prepare(pool, v) },
 	})
 	return g.register(kernel.Service{Name: kernel.ServiceOutlook, Value: believed})
