Refuse requests beyond the published limits on header and body

Cause: the limits were decoded and not used; a body of up to 16 MB went on to endpoints. Ways weighed: limits of the HTTP library, which are fixed at its start; a check where the request is decoded, which would decide in the adapter. Chosen: the routing table's limits say what is exceeded, and the dispatcher refuses and logs. Change: Limits.Exceeded; code 217 for a large header, 201 for a large body; statuses 431 and 413. Ruled out: enforcing the time of the header here: the library reads header and body in one go, and the body's time has no limit. Measured: TestLimits fails without it.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -78,6 +78,9 @@
 	if !v.Complete() {
 		return d.refuse(q, v, nil, unit.CodeNoConfig)
 	}
+	if code := v.Table.Limits.Exceeded(q.Header, unit.Bytes(len(q.Body))); code != 0 {
+		return d.refuse(q, v, nil, code)
+	}
 	route := v.Table.Match(q.Host, q.Path)
 	if route == nil {
 		return d.refuse(q, v, nil, unit.CodeNoRoute)
@@ -114,8 +117,9 @@
 }
 
 func (d *Dispatcher) comeBack(code unit.Code, route *routing.Route) time.Duration {
-	if code == unit.CodeNoRoute || code == unit.CodeBadRequest || code == unit.CodeStopping {
-		// It would be refused again here, or another VM takes it at once.
+	switch code {
+	case unit.CodeNoRoute, unit.CodeBadRequest, unit.CodeTooLarge, unit.CodeHeaderTooLarge, unit.CodeStopping:
+		// It would be refused again, or another VM takes it at once.
 		return 0
 	}
 	d.mu.Lock()
--- a/internal/core/dispatch/request.go
+++ b/internal/core/dispatch/request.go
@@ -19,6 +19,8 @@
 	Path   string
 	Fields []leaf.Field
 	Body   []byte
+	// Header is the size of the header as it came.
+	Header unit.Bytes
 	// Left is how long the caller waits for the answer; 0 is not stated.
 	Left time.Duration
 	// Arrived is when the request was read.
--- a/internal/core/unit/code.go
+++ b/internal/core/unit/code.go
@@ -40,6 +40,7 @@
 	CodeStaleView      Code = 214
 	CodeNotSent        Code = 215
 	CodeNoRoute        Code = 216
+	CodeHeaderTooLarge Code = 217
 
 	CodeDeadline      Code = 300
 	CodeConnection    Code = 301
@@ -72,6 +73,7 @@
 	CodeStaleView:      "this entry VM's view is too old to send work",
 	CodeNotSent:        "given up before the request was sent",
 	CodeNoRoute:        "no route has the request's host and path",
+	CodeHeaderTooLarge: "the request header is too large",
 	CodeDeadline:       "the deadline passed after the request was sent",
 	CodeConnection:     "the connection failed after the request was sent",
 	CodeCancelled:      "cancelled after the request was sent",
--- a/internal/platform/ingress/decode.go
+++ b/internal/platform/ingress/decode.go
@@ -36,6 +36,7 @@
 		URI:     uri,
 		Path:    path,
 		Body:    bytes.Clone(rc.Request.Body()),
+		Header:  unit.Bytes(len(h.RawHeaders())),
 		Arrived: now,
 	}}
 	dropped := connectionFields(string(h.Peek("Connection")))
--- a/internal/platform/ingress/encode.go
+++ b/internal/platform/ingress/encode.go
@@ -61,6 +61,8 @@
 		return http.StatusBadRequest
 	case unit.CodeTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case unit.CodeHeaderTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
 	case unit.CodeDeadline:
 		return http.StatusGatewayTimeout
 	}
--- a/internal/platform/ingress/ingress.go
+++ b/internal/platform/ingress/ingress.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// maxBody is the largest request body that is read, in bytes. The published limit is checked once the body is read.
+	// maxBody is the largest request body that is read, in bytes. The dispatcher checks the published limit.
 	maxBody = 16 << 20
 	// maxHeader is the largest request header that is read, in bytes; callers keep to the published limit.
 	maxHeader = 256 << 10
--- a/internal/policy/routing/routing.go
+++ b/internal/policy/routing/routing.go
@@ -53,7 +53,7 @@
 	Connections unit.Connections
 }
 
-// Limits bound what a caller may send.
+// Limits bound what a caller may send; a limit of 0 is not published.
 type Limits struct {
 	Header unit.Bytes
 	Body   unit.Bytes
@@ -62,6 +62,18 @@
 	IdleTime   time.Duration
 }
 
+// Exceeded gives the code of a request whose header or body of that size is too large, 0 for any other.
+func (l Limits) Exceeded(header, body unit.Bytes) unit.Code {
+	switch {
+	case l.Header > 0 && header > l.Header:
+		return unit.CodeHeaderTooLarge
+	case l.Body > 0 && body > l.Body:
+		return unit.CodeTooLarge
+	default:
+		return 0
+	}
+}
+
 // Table is one version of all routes and services.
 type Table struct {
 	Version  unit.TableVersion
--- a/internal/serve/gateway/answers_test.go
+++ b/internal/serve/gateway/answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -209,3 +210,27 @@
 		})
 	}
 }
+
+// TestLimits checks that a request beyond the published limits reaches no endpoint, and that one within them does.
+func TestLimits(t *testing.T) {
+	tests := []struct {
+		name   string
+		field  int
+		body   int
+		status int
+		runs   int
+	}{
+		{"within the limits", 300, 300, 200, 1},
+		{"a large body", 0, 301, 413, 0},
+		{"a large header", 500, 0, 431, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t).start()
+			text := fmt.Sprintf("POST /one/x HTTP/1.1\r\nHost: h\r\nBasilspan-Request-Id: r1\r\nX: %s\r\nContent-Length: %d\r\n\r\n%s",
+				strings.Repeat("x", tt.field), tt.body, strings.Repeat("y", tt.body))
+			assert.Equal(t, w.send(text, "POST").status, tt.status)
+			assert.Equal(t, w.runs("r1"), tt.runs)
+		})
+	}
+}
--- a/internal/serve/gateway/world_test.go
+++ b/internal/serve/gateway/world_test.go
@@ -101,7 +101,7 @@
 		{"name":"once","host":"h","prefix":"/once/","route_kind":"non_idempotent","timeout_ms":3000,
 		 "target_latency_ms":1000,"priority":2,"service":"a","max_attempts":2}],
 		"services":[{"name":"a","max_connections":25},{"name":"b","max_connections":25},
-		{"name":"c","max_connections":25}],"limits":{}}`, w.version, one))
+		{"name":"c","max_connections":25}],"limits":{"max_header_bytes":500,"max_body_bytes":300}}`, w.version, one))
 }
 
 func (w *world) close() {
