Lift the time limit of a large call's writing once it is written

Change: the deadline is lifted after the write, and a failure to set it is no longer passed over. Ruled out: a deadline for each call, which costs a timer each. Measured: TestLargeCall fails without it.

--- a/internal/link/leaf/conn.go
+++ b/internal/link/leaf/conn.go
@@ -52,11 +52,7 @@
 // write sends the call's bytes. A failure closes the connection; what becomes of the call depends on whether any byte
 // has left.
 func (c *conn) write(now time.Time, f *Flight) {
-	data := c.pool.Encode(f.call, now)
-	if len(data) > smallWrite {
-		_ = c.SetWriteDeadline(f.call.Until)
-	}
-	n, err := c.Write(data)
+	n, err := c.send(c.pool.Encode(f.call, now), f.call.Until)
 	if err == nil {
 		c.written()
 		return
@@ -75,6 +71,20 @@
 	f.end(End{Kind: kind, Err: errors.Wrap(err, "write to the endpoint")})
 }
 
+// send writes bytes; a peer that does not read holds a large write up until a time at the most.
+func (c *conn) send(data []byte, until time.Time) (n int, err error) {
+	if len(data) <= smallWrite {
+		return c.Write(data)
+	}
+	if err := c.SetWriteDeadline(until); err != nil {
+		return 0, err
+	}
+	if n, err = c.Write(data); err != nil {
+		return n, err
+	}
+	return n, c.SetWriteDeadline(time.Time{})
+}
+
 // written takes that all bytes of a call have left. An endpoint may reply before it has read them all, and reads on
 // later, so the connection is not free earlier.
 func (c *conn) written() {
--- a/internal/link/leaf/leaf_test.go
+++ b/internal/link/leaf/leaf_test.go
@@ -281,6 +281,23 @@
 	}
 }
 
+// TestLargeCall checks that the time limit of a large call's writing does not hold for the next call of its connection.
+func TestLargeCall(t *testing.T) {
+	s := listen(t, &script{answers: []string{whole("ID", "a"), whole("ID", "b")}})
+	p := newPool(t)
+	c := newCall(t, s, "large", 1)
+	var err error
+	c.Message, err = platform.Prepare("large", "GET", "/", "h", []leaf.Field{{Name: "X", Value: strings.Repeat("x", 10_000)}}, nil)
+	assert.NilError(t, err)
+	c.Until = time.Now().Add(200 * time.Millisecond)
+	ends := make(chan leaf.End, 1)
+	p.Send(time.Now(), c, func(e leaf.End) { ends <- e })
+	assert.Equal(t, (<-ends).Kind, leaf.KindReply)
+	time.Sleep(time.Until(c.Until) + 10*time.Millisecond)
+	assert.Equal(t, string(call(t, p, s, "next", 1).Reply.Body), "b")
+	assert.Equal(t, s.connections.Load(), int64(1))
+}
+
 // TestWaitEnds checks that a call which waits for a connection for too long is not sent any more, and that one which has
 // left is not affected.
 func TestWaitEnds(t *testing.T) {
