Stay in the data centre through an endpoint's single pause

Cause: each endpoint pauses for 100 to 120 ms every few seconds; one such reply counted up to 20 times the usual latency and sent requests to the endpoint of another data centre for seconds, though the next reply was as quick as ever. Change: slowCap 3, farFactor 1.6. TestChoose's row of the pause fails with the former values.

--- a/internal/policy/replica/replica.go
+++ b/internal/policy/replica/replica.go
@@ -21,8 +21,9 @@
 	// usualCap is the ratio to the mean at which a latency is cut before it enters the route's mean, so that
 	// stragglers do not raise it.
 	usualCap = 3.0
-	// slowCap is the ratio at which a latency is cut before it enters an endpoint's mean.
-	slowCap = 20.0
+	// slowCap is the ratio at which a latency is cut before it enters an endpoint's mean. A single pause then does not send
+	// requests to another data centre, and a few slow replies in a row do.
+	slowCap = 3.0
 	// fadeHalf is the time in which a slow endpoint's mean without new samples moves half the way back to usual, so
 	// that it is tried again.
 	fadeHalf = 1500 * time.Millisecond
@@ -33,7 +34,7 @@
 	// reportHalf is the time in which a load report without a newer one loses half of its weight.
 	reportHalf = 50 * time.Millisecond
 	// farFactor is what an endpoint of another data centre costs more: the way there and the bytes between centres.
-	farFactor = 1.3
+	farFactor = 1.6
 	// coldFactor is what an endpoint costs more that has just started and is still slow.
 	coldFactor = 1.6
 	// spread is the share of the cost that is drawn at random, so that the VMs do not all choose alike.
--- a/internal/policy/replica/replica_test.go
+++ b/internal/policy/replica/replica_test.go
@@ -67,6 +67,16 @@
 			answers(tr, "b", 10, 10)
 			answers(tr, "a", 10, 30)
 		}, want: 1},
+		{name: "the near one after a pause", all: []directory.Endpoint{a, endpoint("b", "there")}, do: func(tr *Tracker) {
+			answers(tr, "b", 10, 10)
+			answers(tr, "a", 10, 10)
+			answers(tr, "a", 1, 120)
+		}, want: 0},
+		{name: "the far one when the near one stays slow", all: []directory.Endpoint{a, endpoint("b", "there")}, do: func(tr *Tracker) {
+			answers(tr, "b", 10, 10)
+			answers(tr, "a", 10, 10)
+			answers(tr, "a", 3, 120)
+		}, want: 1},
 		{name: "a slow one is tried again in time", all: []directory.Endpoint{a, endpoint("b", "there")}, do: func(tr *Tracker) {
 			answers(tr, "b", 10, 10)
 			answers(tr, "a", 10, 60)
