Ignore further signals up to the end of a process

Change: one function for both daemons and the stand-ins, which never takes the handlers back. Ruled out: a kill by the soak; the life has none. Measured: TestSignals ends with its process when the handlers are taken back.

--- a/internal/cmd/gateway/gateway.go
+++ b/internal/cmd/gateway/gateway.go
@@ -6,10 +6,8 @@
 	"io"
 	"log/slog"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/hlog"
@@ -20,13 +18,16 @@
 	"basilspan/internal/cmd/stream"
 	config "basilspan/internal/config/gateway"
 	"basilspan/internal/core/logline"
+	"basilspan/internal/core/unit"
 	gateway "basilspan/internal/serve/gateway"
 )
 
 const (
-	// collectAt is the growth of the heap, in percent, at which garbage is collected. On a fifth of a core a collection
-	// delays the queries under way by milliseconds, and a larger heap costs memory.
-	collectAt = 75
+	// collectAt is the growth of the heap, in percent, at which garbage is collected; a larger heap costs memory. On less
+	// than smallPower of a core a collection delays the queries under way by milliseconds, so that fewer are worth more.
+	collectAt      = 40
+	collectAtSmall = 75
+	smallPower     = unit.Cores(0.3)
 	// threads is how many threads run Go code; an entry VM has one core or less.
 	threads = 1
 	// checkPeriod is the time between two looks at whether the settings file has changed.
@@ -48,14 +49,15 @@
 	Stat func(name string) (os.FileInfo, error)
 	// Signals gives a context that ends when the process is asked to stop.
 	Signals func(ctx context.Context) (context.Context, context.CancelFunc)
-	// Hangups gives the signals that the settings file has changed, until cancel is called.
-	Hangups func() (hangup <-chan os.Signal, cancel func())
+	// Hangups gives the signals that the settings file has changed.
+	Hangups func() <-chan os.Signal
 }
 
 // New makes the command; run replaces Run in tests and may be nil.
 func New(streams stream.Streams, run func(ctx context.Context, opts *Options) error) *cli.Command {
 	opts := &Options{
-		Streams: streams, Now: time.Now, ReadFile: os.ReadFile, Stat: os.Stat, Signals: signals, Hangups: hangups,
+		Streams: streams, Now: time.Now, ReadFile: os.ReadFile, Stat: os.Stat, Signals: stream.UntilStopped,
+		Hangups: stream.Hangups,
 	}
 	if run == nil {
 		run = Run
@@ -81,29 +83,16 @@
 	}
 }
 
-// signals ends the context at the first SIGINT or SIGTERM.
-func signals(ctx context.Context) (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-}
-
-// hangups gives each SIGHUP.
-func hangups() (<-chan os.Signal, func()) {
-	c := make(chan os.Signal, 1)
-	signal.Notify(c, syscall.SIGHUP)
-	return c, func() { signal.Stop(c) }
-}
-
 // Run runs the entry VM until it is asked to stop.
 func Run(ctx context.Context, opts *Options) error {
 	stop, cancel := opts.Signals(ctx)
 	defer cancel()
-	hangup, done := opts.Hangups()
-	defer done()
-	economize()
+	hangup := opts.Hangups()
 	settings, unknown, err := load(opts)
 	if err != nil {
 		return stream.WithExit(err, stream.ExitUsage)
 	}
+	economize(settings.Power)
 	lines := logline.NewWriter(opts.Streams.Out)
 	defer func() { _ = lines.Close() }()
 	handler := logline.NewHandler(lines, level(settings))
@@ -168,9 +157,13 @@
 	log.Info("settings reloaded", "unknown", unknown, "kept_until_restart", kept)
 }
 
-// economize fits the runtime to a small VM.
-func economize() {
-	debug.SetGCPercent(collectAt)
+// economize fits the runtime to a VM that has that share of a core.
+func economize(power unit.Cores) {
+	percent := collectAt
+	if power < smallPower {
+		percent = collectAtSmall
+	}
+	debug.SetGCPercent(percent)
 	runtime.GOMAXPROCS(threads)
 	hlog.SetOutput(io.Discard)
 	// A failure leaves the library's default, which costs memory only.
--- a/internal/cmd/serve/serve.go
+++ b/internal/cmd/serve/serve.go
@@ -6,8 +6,6 @@
 	"io"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/hlog"
@@ -39,7 +37,7 @@
 
 // New makes the command; run replaces Run in tests and may be nil.
 func New(streams stream.Streams, run func(ctx context.Context, opts *Options) error) *cli.Command {
-	opts := &Options{Streams: streams, Now: time.Now, ReadFile: os.ReadFile, Signals: signals}
+	opts := &Options{Streams: streams, Now: time.Now, ReadFile: os.ReadFile, Signals: stream.UntilStopped}
 	if run == nil {
 		run = Run
 	}
@@ -122,11 +120,6 @@
 	}
 }
 
-// signals ends the context at the first SIGINT or SIGTERM.
-func signals(ctx context.Context) (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-}
-
 // Run runs the entry VM until it is asked to stop.
 func Run(ctx context.Context, opts *Options) error {
 	stop, cancel := opts.Signals(ctx)
--- a/internal/cmd/standin/standin.go
+++ b/internal/cmd/standin/standin.go
@@ -4,9 +4,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -23,7 +20,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands:       []*cli.Command{newPlatform(streams), newEndpoint(streams), newLoad(streams)},
 	}
-	ctx, cancel := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	ctx, cancel := stream.UntilStopped(ctx)
 	defer cancel()
 	err := root.Run(ctx, args)
 	if err != nil {
