--- a/internal/cmd/gateway/gateway.go
+++ b/internal/cmd/gateway/gateway.go
@@ -18,16 +18,13 @@
 	"basilspan/internal/cmd/stream"
 	config "basilspan/internal/config/gateway"
 	"basilspan/internal/core/logline"
-	"basilspan/internal/core/unit"
 	gateway "basilspan/internal/serve/gateway"
 )
 
 const (
-	// collectAt is the growth of the heap, in percent, at which garbage is collected; a larger heap costs memory. On less
-	// than smallPower of a core a collection delays the queries under way by milliseconds, so that fewer are worth more.
-	collectAt      = 40
-	collectAtSmall = 75
-	smallPower     = unit.Cores(0.3)
+	// collectAt is the growth of the heap, in percent, at which garbage is collected. On a fifth of a core a collection
+	// delays the queries under way by milliseconds, and a larger heap costs memory.
+	collectAt = 75
 	// threads is how many threads run Go code; an entry VM has one core or less.
 	threads = 1
 	// checkPeriod is the time between two looks at whether the settings file has changed.
@@ -92,7 +89,7 @@
 	if err != nil {
 		return stream.WithExit(err, stream.ExitUsage)
 	}
-	economize(settings.Power)
+	economize()
 	lines := logline.NewWriter(opts.Streams.Out)
 	defer func() { _ = lines.Close() }()
 	handler := logline.NewHandler(lines, level(settings))
@@ -157,13 +154,9 @@
 	log.Info("settings reloaded", "unknown", unknown, "kept_until_restart", kept)
 }
 
-// economize fits the runtime to a VM that has that share of a core.
-func economize(power unit.Cores) {
-	percent := collectAt
-	if power < smallPower {
-		percent = collectAtSmall
-	}
-	debug.SetGCPercent(percent)
+// economize fits the runtime to a small VM.
+func economize() {
+	debug.SetGCPercent(collectAt)
 	runtime.GOMAXPROCS(threads)
 	hlog.SetOutput(io.Discard)
 	// A failure leaves the library's default, which costs memory only.
