--- a/internal/core/dispatch/divided.go
+++ b/internal/core/dispatch/divided.go
@@ -81,7 +81,7 @@
 		shards = append(shards, i)
 	}
 	if p.Self {
-		v.beginHere(ctx, shards, v.terms)
+		v.beginHere(ctx, shards)
 		return
 	}
 	v.mark(shards, true)
@@ -111,7 +111,8 @@
 
 // beginHere starts a portion at this VM, which gives what has come by the cut. Its shards may have been sent to before; one
 // that was sent to as many endpoints as the route allows is left out.
-func (v *divided) beginHere(ctx context.Context, shards []int, terms gather.Terms) {
+func (v *divided) beginHere(ctx context.Context, shards []int) {
+	terms := v.terms
 	terms.Least = 0
 	v.serveHere(ctx, shards, terms)
 }
@@ -139,6 +140,7 @@
 	if len(open) == 0 {
 		return
 	}
+	// As many shards are needed, of fewer.
 	terms.Least *= unit.Share(len(shards)) / unit.Share(len(open))
 	v.mark(open, true)
 	v.union.Begin()
@@ -218,7 +220,7 @@
 	v.record.Details = append(v.record.Details, e.part.details...)
 	if len(unsent) > 0 && !e.here && v.union.Redo(v.dispatcher.Now()) {
 		v.dispatcher.Metrics.Add("portion.unsent", 1)
-		v.beginHere(ctx, unsent, v.terms)
+		v.beginHere(ctx, unsent)
 	}
 }
 
@@ -233,7 +235,7 @@
 		v.sent[s] += sent
 	}
 	if v.union.Redo(now) {
-		v.beginHere(ctx, e.shards, v.terms)
+		v.beginHere(ctx, e.shards)
 	}
 }
 
--- a/internal/policy/directory/directory.go
+++ b/internal/policy/directory/directory.go
@@ -140,10 +140,10 @@
 // graceEnd gives when a vanished endpoint is gone for good. The registry may have been there again soon after it was last
 // found away, so the grace of an outage does not outlast the calm time from then.
 func (d *Directory) graceEnd(e *entry) time.Time {
+	end := e.vanished.Add(lapseGrace)
 	if !e.excused {
-		return e.vanished.Add(lapseGrace)
+		return end
 	}
-	end := e.vanished.Add(lapseGrace)
 	if !d.back.Before(e.vanished) {
 		end = d.back.Add(lapseGrace)
 	}
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -38,6 +38,10 @@
 	{1010, "a restarted VM had its whole part of the slack again"},
 	{1016, "an endpoint that came back at an address that another one had in between was not used again"},
 	{1028, "a request that was read while its connection closed was refused without a log line, as was an endpoint's failure"},
+	{1020, "a failure of an endpoint that was passed on had no log line"},
+	{2000, "lines that were left out in the last second before a stop were not counted"},
+	{2043, "lines that were left out in the last second before a stop were not counted"},
+	{3020, "a further SIGTERM in the last moments of a stop ended the process by the signal"},
 	{2041, "lines that were left out in the last second before a stop were not counted"},
 	{1029, "a registry that had gone silent was noticed after the calm time"},
 }
