Bound the read of each page of the registry, not of all of them

Change: each page has a second, by which a silent registry is noticed, and all of them four. Ruled out: a longer bound alone, which delays the notice of a silent registry. Measured: TestFaults' silent row waits for its caller's 30 s without it.

--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -22,8 +22,8 @@
 	leadTime = time.Second
 	// watchSlack is how much longer the answer to a watch may take.
 	watchSlack = 500 * time.Millisecond
-	// listTime bounds a read; a slow registry answers within it.
-	listTime = time.Second
+	// listTime bounds the read of all values, which may take several answers of a slow registry.
+	listTime = 4 * time.Second
 	// retryFirst is the pause after a failed read; each further one doubles it up to retryMost, which bounds how late
 	// the registry's return is noticed.
 	retryFirst = 100 * time.Millisecond
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -23,6 +23,9 @@
 	idleTime = 30 * time.Second
 	// dialTime bounds the making of a connection to the store, which answers in milliseconds.
 	dialTime = 700 * time.Millisecond
+	// pageTime bounds the read of one page: a store that is slow answers within it, and one that has gone silent is noticed
+	// by it, however many pages there are.
+	pageTime = time.Second
 	// maxAnswer bounds one answer of the store, in bytes; a page holds 1 MB of values, which base64 lengthens.
 	maxAnswer = 8 << 20
 	// aliveAfter and aliveProbes find a connection that has gone silent between two answers.
@@ -84,8 +87,8 @@
 	var all registry.Listing
 	query := url.Values{"prefix": {string(prefix)}}
 	for first := true; ; first = false {
-		var p page
-		if err := c.get(ctx, "/api/kv-range", query, &p); err != nil {
+		p, err := c.page(ctx, query)
+		if err != nil {
 			return registry.Listing{}, err
 		}
 		if first {
@@ -101,6 +104,15 @@
 	}
 }
 
+// page reads one page of keys.
+func (c *Client) page(ctx context.Context, query url.Values) (page, error) {
+	ctx, cancel := context.WithTimeout(ctx, pageTime)
+	defer cancel()
+	var p page
+	err := c.get(ctx, "/api/kv-range", query, &p)
+	return p, err
+}
+
 // Watch waits for changes of keys with the prefix after that revision, for that long at most. The error is
 // registry.ErrCompacted when the store no longer has the history.
 func (c *Client) Watch(
--- a/internal/platform/store/store_test.go
+++ b/internal/platform/store/store_test.go
@@ -92,7 +92,7 @@
 	}
 }
 
-// TestFaults checks that each way of not answering is an error and not an empty registry.
+// TestFaults checks that each way of not answering is an error and not an empty registry, in bounded time.
 func TestFaults(t *testing.T) {
 	tests := []struct {
 		name  string
@@ -107,10 +107,11 @@
 		t.Run(tt.name, func(t *testing.T) {
 			c, s := newClient(t)
 			s.Break(tt.fault)
-			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 			defer cancel()
 			_, err := c.List(ctx, PrefixEndpoints)
 			assert.Assert(t, err != nil)
+			assert.NilError(t, ctx.Err(), "the client waits for as long as its caller does")
 		})
 	}
 }
