Have the soak hold planned stops to their grace time

Cause: found reading the diff: the planned stop itself counted as a disturbance, so that the check of its length could not fail in a real run, though TestPromises passed without that span. Change: only other disturbances excuse a stop that takes too long, as for requests that it cuts off; TestPromises' row has the span of a real run, and a further row is excused by a freeze. Measured: TestPromises' row fails with the check as it was.

--- a/internal/standin/soak/check_test.go
+++ b/internal/standin/soak/check_test.go
@@ -149,7 +149,12 @@
 		}, promises[12].name},
 		{"a planned stop that takes too long", func(h *History) {
 			h.Lives[0].Stopped, h.Lives[0].Ended = at(25*second), at(30*second)
+			h.Disturbed[0] = []Span{{From: h.Lives[0].Stopped, To: at(29 * second)}, {From: h.Lives[0].Ended}}
 		}, promises[12].name},
+		{"a planned stop that takes longer as the VM was frozen", func(h *History) {
+			h.Lives[0].Stopped, h.Lives[0].Ended = at(25*second), at(30*second)
+			h.Disturbed[0] = []Span{{From: h.Lives[0].Stopped, To: at(29 * second)}, {From: at(26 * second), To: at(28 * second)}}
+		}, ""},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/standin/soak/lives.go
+++ b/internal/standin/soak/lives.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 )
 
 // checkStop looks at the requests that a VM which was asked to stop must have read, and that ended without an answer.
@@ -15,23 +16,21 @@
 			continue
 		}
 		read := len(runs[a.ID]) > 0 || a.Ended.Sub(a.Sent) > readSlack
-		if read && a.Ended.After(life.Stopped) && h.calmBut(a, life) && a.Ended.Sub(a.Sent) < h.Terms.Timeout {
+		calm := h.calmBut(life, a.Sent, a.Ended) && h.sound(a.Sent, a.Ended)
+		if read && calm && a.Ended.After(life.Stopped) && a.Ended.Sub(a.Sent) < h.Terms.Timeout {
 			report("%s: cut off %v after the stop of VM %d: %v", a.ID, a.Ended.Sub(life.Stopped), a.VM, a.Err)
 		}
 	}
 }
 
-// calmBut says whether nothing but the planned stop, and the end of the process that it leads to, disturbs the request.
-func (h *History) calmBut(a Ask, life *Life) bool {
-	from := a.Sent.Add(-h.Terms.Calm)
-	for _, s := range h.Disturbed[a.VM] {
-		planned := s.From.Equal(life.Stopped) || s.From.Equal(life.Ended)
-		if s.overlaps(from, a.Ended) && !planned {
-			return false
-		}
-	}
-	return !slices.ContainsFunc(h.Troubled, func(s Span) bool { return s.overlaps(from, a.Ended) }) &&
-		h.sound(a.Sent, a.Ended)
+// calmBut says whether nothing but the planned stop of a process, and its end, has disturbed its VM from the calm time
+// before from until to.
+func (h *History) calmBut(life *Life, from, to time.Time) bool {
+	from = from.Add(-h.Terms.Calm)
+	hit := func(s Span) bool { return s.overlaps(from, to) }
+	planned := func(s Span) bool { return s.From.Equal(life.Stopped) || s.From.Equal(life.Ended) }
+	disturbs := func(s Span) bool { return hit(s) && !planned(s) }
+	return !slices.ContainsFunc(h.Disturbed[life.VM], disturbs) && !slices.ContainsFunc(h.Troubled, hit)
 }
 
 // checkExplained looks for failures whose id stands in no line of the process that answered, beyond those lines that the
@@ -71,14 +70,15 @@
 }
 
 func checkExits(h *History, report func(string, ...any)) {
-	for _, l := range h.Lives {
+	for i := range h.Lives {
+		l := &h.Lives[i]
 		switch {
 		case l.Ended.IsZero() || !l.Killed.IsZero():
 		case l.Stopped.IsZero():
 			report("VM %d: ended by itself with exit code %d", l.VM, l.Exit)
 		case l.Exit != 0:
 			report("VM %d: a planned stop ended with exit code %d", l.VM, l.Exit)
-		case l.Ended.Sub(l.Stopped) > h.Terms.Grace && h.calm(l.VM, l.Ended, l.Ended):
+		case l.Ended.Sub(l.Stopped) > h.Terms.Grace && h.calmBut(l, l.Stopped, l.Ended):
 			report("VM %d: a planned stop took %v", l.VM, l.Ended.Sub(l.Stopped))
 		}
 	}
