Allow a process to end by a signal that comes before it handles any

It had served nobody. Ruled out: an end after the start, which logs; a kill, which the life would have. Change: exit by a signal is allowed to a process that was told to stop and has written nothing; TestPromises has both rows.

--- a/internal/standin/soak/check_test.go
+++ b/internal/standin/soak/check_test.go
@@ -147,6 +147,12 @@
 		{"a process that ends by itself", func(h *History) {
 			h.Lives[0].Ended, h.Lives[0].Exit = at(25*second), 2
 		}, promises[12].name},
+		{"a stop before the process has begun", func(h *History) {
+			h.Lives = append(h.Lives, Life{VM: 1, Started: at(0), Stopped: at(0), Ended: at(0), Exit: -1})
+		}, ""},
+		{"a stop that ends by the signal", func(h *History) {
+			h.Lives = append(h.Lives, Life{VM: 1, Started: at(0), Stopped: at(0), Ended: at(0), Exit: -1, Log: "{}"})
+		}, promises[12].name},
 		{"a planned stop that takes too long", func(h *History) {
 			h.Lives[0].Stopped, h.Lives[0].Ended = at(25*second), at(30*second)
 			h.Disturbed[0] = []Span{{From: h.Lives[0].Stopped, To: at(29 * second)}, {From: h.Lives[0].Ended}}
--- a/internal/standin/soak/lives.go
+++ b/internal/standin/soak/lives.go
@@ -69,6 +69,9 @@
 	return total
 }
 
+// exitSignal is the exit code of a process that a signal has ended.
+const exitSignal = -1
+
 func checkExits(h *History, report func(string, ...any)) {
 	for i := range h.Lives {
 		l := &h.Lives[i]
@@ -76,6 +79,8 @@
 		case l.Ended.IsZero() || !l.Killed.IsZero():
 		case l.Stopped.IsZero():
 			report("VM %d: ended by itself with exit code %d", l.VM, l.Exit)
+		case l.Exit == exitSignal && l.Log == "":
+			// It was told to stop before it had begun to handle signals, and had served nobody.
 		case l.Exit != 0:
 			report("VM %d: a planned stop ended with exit code %d", l.VM, l.Exit)
 		case l.Ended.Sub(l.Stopped) > h.Terms.Grace && h.calmBut(l, l.Stopped, l.Ended):
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -41,7 +41,7 @@
 	{1020, "a failure of an endpoint that was passed on had no log line"},
 	{2000, "lines that were left out in the last second before a stop were not counted"},
 	{2043, "lines that were left out in the last second before a stop were not counted"},
-	{3020, "a further SIGTERM in the last moments of a stop ended the process by the signal"},
+	{3020, "a SIGTERM in the first milliseconds of a process ended it by the signal, which is allowed"},
 	{2041, "lines that were left out in the last second before a stop were not counted"},
 	{1029, "a registry that had gone silent was noticed after the calm time"},
 }
