Have one piece of code say when a VM of the soak is calm

Change: one function with the excused disturbances as its argument; the unused field is gone. Behaviour and tests stay as they were.

--- a/internal/standin/soak/history.go
+++ b/internal/standin/soak/history.go
@@ -150,9 +150,15 @@
 
 // calm says whether nothing has disturbed a VM from the calm time before from until to.
 func (h *History) calm(vm int, from, to time.Time) bool {
+	return h.calmBut(vm, from, to, func(Span) bool { return false })
+}
+
+// calmBut says the same of all disturbances of the VM but the excused ones.
+func (h *History) calmBut(vm int, from, to time.Time, excused func(s Span) bool) bool {
 	from = from.Add(-h.Terms.Calm)
 	hit := func(s Span) bool { return s.overlaps(from, to) }
-	return !slices.ContainsFunc(h.Disturbed[vm], hit) && !slices.ContainsFunc(h.Troubled, hit)
+	disturbs := func(s Span) bool { return hit(s) && !excused(s) }
+	return !slices.ContainsFunc(h.Disturbed[vm], disturbs) && !slices.ContainsFunc(h.Troubled, hit)
 }
 
 // sound says whether no endpoint misbehaved between two times.
--- a/internal/standin/soak/lives.go
+++ b/internal/standin/soak/lives.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
-	"time"
 )
 
 // checkStop looks at the requests that a VM which was asked to stop must have read, and that ended without an answer.
@@ -16,21 +14,16 @@
 			continue
 		}
 		read := len(runs[a.ID]) > 0 || a.Ended.Sub(a.Sent) > readSlack
-		calm := h.calmBut(life, a.Sent, a.Ended) && h.sound(a.Sent, a.Ended)
+		calm := h.calmBut(a.VM, a.Sent, a.Ended, life.planned) && h.sound(a.Sent, a.Ended)
 		if read && calm && a.Ended.After(life.Stopped) && a.Ended.Sub(a.Sent) < h.Terms.Timeout {
 			report("%s: cut off %v after the stop of VM %d: %v", a.ID, a.Ended.Sub(life.Stopped), a.VM, a.Err)
 		}
 	}
 }
 
-// calmBut says whether nothing but the planned stop of a process, and its end, has disturbed its VM from the calm time
-// before from until to.
-func (h *History) calmBut(life *Life, from, to time.Time) bool {
-	from = from.Add(-h.Terms.Calm)
-	hit := func(s Span) bool { return s.overlaps(from, to) }
-	planned := func(s Span) bool { return s.From.Equal(life.Stopped) || s.From.Equal(life.Ended) }
-	disturbs := func(s Span) bool { return hit(s) && !planned(s) }
-	return !slices.ContainsFunc(h.Disturbed[life.VM], disturbs) && !slices.ContainsFunc(h.Troubled, hit)
+// planned says whether a disturbance is the planned stop of the process or its end.
+func (l *Life) planned(s Span) bool {
+	return s.From.Equal(l.Stopped) || s.From.Equal(l.Ended)
 }
 
 // checkExplained looks for failures whose id stands in no line of the process that answered, beyond those lines that the
@@ -83,7 +76,7 @@
 			// It was told to stop before it had begun to handle signals, and had served nobody.
 		case l.Exit != 0:
 			report("VM %d: a planned stop ended with exit code %d", l.VM, l.Exit)
-		case l.Ended.Sub(l.Stopped) > h.Terms.Grace && h.calmBut(l, l.Stopped, l.Ended):
+		case l.Ended.Sub(l.Stopped) > h.Terms.Grace && h.calmBut(l.VM, l.Stopped, l.Ended, l.planned):
 			report("VM %d: a planned stop took %v", l.VM, l.Ended.Sub(l.Stopped))
 		}
 	}
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -70,7 +70,7 @@
 
 // run plays the faults of one seed and checks all that was seen.
 func run(t *testing.T, seed uint64, plan []Fault) {
-	w := newWorld(t, seed, *vms)
+	w := newWorld(t, *vms)
 	w.wg.Add(1)
 	go w.watchStalls()
 	w.balance()
--- a/internal/standin/soak/world.go
+++ b/internal/standin/soak/world.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -46,7 +45,6 @@
 // world is a deployment under test.
 type world struct {
 	t     *testing.T
-	rand  *rand.Rand
 	store *registry.Store
 	// endpoints and links are in the same order.
 	endpoints []*shard.Endpoint
@@ -100,10 +98,10 @@
 }
 
 // newWorld starts the stand-ins and that many entry VMs, and waits until all are ready.
-func newWorld(t *testing.T, seed uint64, vms int) *world {
+func newWorld(t *testing.T, vms int) *world {
 	t.Helper()
 	w := &world{
-		t: t, rand: rand.New(rand.NewPCG(seed, 1)), store: registry.New(), burst: 1, away: make(map[int]bool), quit: make(chan struct{}),
+		t: t, store: registry.New(), burst: 1, away: make(map[int]bool), quit: make(chan struct{}),
 		history: &History{
 			Terms: terms, Records: make(map[unit.ServiceName]string), Services: make(map[unit.EndpointID]unit.ServiceName),
 			Disturbed: make(map[int][]Span),
