Serve connections in the poller of the Go runtime

What callers saw: most searches came late or in part.

Cause: hertz's default transport waits for events in an epoll_pwait of its own, through syscall.Syscall6. That goroutine keeps its processor (P) until the runtime's monitor takes it back. With GOMAXPROCS=1 it is the only one, and every timer that is due meanwhile fires late. The class is a goroutine that waits in a system call that the scheduler does not know to be a wait.

Fix: all ports use hertz's standard transport, which waits in the runtime's poller, so that no timer depends on the monitor; a second thread would only have outnumbered the blocked one. What the other transport gave is kept by serve/port: the context of a connection ends when either side closes it, also while a request is handled; the timeouts for the first byte, for each further byte and for writes; the kernel's round-trip time; a response survives a close with unread input; failed accepts are repeated. Close waits for connections itself, since hertz's Shutdown gives up after 30 s with this transport.

--- a/internal/cmd/gateway/gateway.go
+++ b/internal/cmd/gateway/gateway.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/hlog"
-	"github.com/cloudwego/netpoll"
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
@@ -162,8 +161,6 @@
 	debug.SetGCPercent(gcPercent)
 	runtime.GOMAXPROCS(maxThreads)
 	hlog.SetOutput(io.Discard)
-	// A failure leaves the library's default, which only costs memory.
-	_ = netpoll.Configure(netpoll.Config{PollerNum: maxThreads})
 }
 
 // loadSettings reads and checks the settings file. It also returns the unknown keys.
--- a/internal/platform/ingress/connection.go
+++ b/internal/platform/ingress/connection.go
@@ -22,8 +22,8 @@
 }
 
 // onConnect adds the state of a new connection to its context.
-func onConnect(ctx context.Context, conn network.Conn) context.Context {
-	roundTrip, _ := port.RoundTrip(conn)
+func onConnect(ctx context.Context, _ network.Conn) context.Context {
+	roundTrip, _ := port.FromContext(ctx).RoundTrip()
 	return context.WithValue(ctx, connectionKey{}, &callerConnection{roundTrip: roundTrip})
 }
 
--- a/internal/serve/caller/guard.go
+++ b/internal/serve/caller/guard.go
@@ -46,18 +46,19 @@
 
 // onConnect counts a new connection and starts its read timer, or closes the connection if there are too many. Hertz
 // calls it when a connection is opened.
-func (g *guard) onConnect(ctx context.Context, conn network.Conn) context.Context {
+func (g *guard) onConnect(ctx context.Context, _ network.Conn) context.Context {
+	accepted := port.FromContext(ctx)
 	if g.open.Add(1) > g.limit {
 		g.open.Add(-1)
 		g.metrics.Add(counterRefused, 1)
-		_ = conn.Close()
+		accepted.Disconnect()
 		return ctx
 	}
 	t := &readTimer{timer: time.AfterFunc(g.readTimeout, func() {
 		g.metrics.Add(counterReadTimeout, 1)
-		_ = conn.Close()
+		accepted.Disconnect()
 	})}
-	port.OnClose(conn, func() {
+	context.AfterFunc(ctx, func() {
 		t.timer.Stop()
 		g.open.Add(-1)
 	})
--- a/internal/serve/keepalive/keepalive.go
+++ b/internal/serve/keepalive/keepalive.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
@@ -16,31 +17,51 @@
 	"basilspan/internal/serve/port"
 )
 
+// lateFirstByteTimeout bounds the wait for the first byte of a connection that is accepted after CloseIdle.
+const lateFirstByteTimeout = 50 * time.Millisecond
+
 // Tracker records which connections of one server have a request in flight. It is registered with hertz as a tracer:
 // hertz calls Start before a request is read and Finish after its response has been sent.
+//
+// Hertz calls Start for the first request of a connection when it has accepted the connection, before a byte has come.
 type Tracker struct {
 	mu sync.Mutex
-	// busy has the open connections, and whether a request is in flight.
-	busy     map[network.Conn]bool
+	// conns has the open connections.
+	conns    map[network.Conn]*connection
 	draining bool
 	// closing reports whether CloseIdle has been called.
 	closing bool
-	// closed has the idle connections that CloseIdle has closed.
-	closed map[network.Conn]bool
+}
+
+// connection is the state of one open connection.
+type connection struct {
+	accepted *port.Conn
+	// busy reports whether a request is in flight.
+	busy bool
+	// closed reports whether CloseIdle has closed the connection.
+	closed bool
+}
+
+// idle reports whether no byte of a request has come that has not been responded to.
+func (c *connection) idle() bool {
+	return !c.busy || c.accepted != nil && !c.accepted.Received()
+}
+
+// disconnect closes the connection while hertz may still read from it.
+func (c *connection) disconnect() {
+	if c.accepted != nil {
+		c.accepted.Disconnect()
+	}
 }
 
 // New returns a tracker without connections.
 func New() *Tracker {
-	return &Tracker{busy: make(map[network.Conn]bool), closed: make(map[network.Conn]bool)}
+	return &Tracker{conns: make(map[network.Conn]*connection)}
 }
 
 // Options returns the server options that the tracker needs.
 func (t *Tracker) Options() []config.Option {
-	return []config.Option{
-		server.WithTracer(t),
-		// Cancels the context of a connection when the caller closes it, which removes the connection from the tracker.
-		server.WithSenseClientDisconnection(true),
-	}
+	return []config.Option{server.WithTracer(t)}
 }
 
 // Start marks the connection of a request as busy. On the first request of a connection, it also arranges that forget
@@ -48,11 +69,20 @@
 func (t *Tracker) Start(ctx context.Context, rc *app.RequestContext) context.Context {
 	conn := rc.GetConn()
 	t.mu.Lock()
-	_, known := t.busy[conn]
-	t.busy[conn] = true
+	c, known := t.conns[conn]
+	if !known {
+		c = &connection{accepted: port.FromContext(ctx)}
+		t.conns[conn] = c
+	}
+	c.busy = true
+	closing := t.closing
 	t.mu.Unlock()
-	if !known && !port.OnClose(conn, func() { t.forget(conn) }) {
-		context.AfterFunc(ctx, func() { t.forget(conn) })
+	if known {
+		return ctx
+	}
+	context.AfterFunc(ctx, func() { t.forget(conn) })
+	if closing {
+		_ = conn.SetReadTimeout(lateFirstByteTimeout)
 	}
 	return ctx
 }
@@ -62,8 +92,8 @@
 func (t *Tracker) Finish(_ context.Context, rc *app.RequestContext) {
 	conn := rc.GetConn()
 	t.mu.Lock()
-	if _, known := t.busy[conn]; known {
-		t.busy[conn] = false
+	if c, known := t.conns[conn]; known {
+		c.busy = false
 	}
 	closing := t.closing
 	t.mu.Unlock()
@@ -95,7 +125,8 @@
 func (t *Tracker) Answerable(rc *app.RequestContext) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.closed[rc.GetConn()]
+	c, known := t.conns[rc.GetConn()]
+	return !known || !c.closed
 }
 
 // CloseIdle closes the connections without a request in flight. Finish closes the others after their response. It is
@@ -104,23 +135,25 @@
 func (t *Tracker) CloseIdle() {
 	t.mu.Lock()
 	t.closing = true
-	var idle []network.Conn
-	for conn, busy := range t.busy {
-		if !busy {
-			idle = append(idle, conn)
-			t.closed[conn] = true
+	var idle []*connection
+	for _, c := range t.conns {
+		if c.idle() {
+			idle = append(idle, c)
+			c.closed = true
 		}
 	}
 	t.mu.Unlock()
-	for _, conn := range idle {
-		_ = conn.Close()
+	for _, c := range idle {
+		c.disconnect()
 	}
 }
 
-// forget removes a connection that has ended. Start arranges the call.
+// forget removes a connection that has ended, unless CloseIdle has closed it: a request that was read from it may still
+// be waiting for Answerable. Start arranges the call.
 func (t *Tracker) forget(conn network.Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.busy, conn)
-	delete(t.closed, conn)
+	if c, known := t.conns[conn]; known && !c.closed {
+		delete(t.conns, conn)
+	}
 }
--- a/internal/serve/keepalive/keepalive_test.go
+++ b/internal/serve/keepalive/keepalive_test.go
@@ -13,6 +13,7 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/common/test/mock"
+	"github.com/cloudwego/hertz/pkg/network/standard"
 	"gotest.tools/v3/assert"
 
 	"basilspan/internal/serve/port"
@@ -61,7 +62,7 @@
 			eventually(t, func() bool {
 				tr.mu.Lock()
 				defer tr.mu.Unlock()
-				return len(tr.busy) == 0
+				return len(tr.conns) == 0
 			})
 			stop()
 		})
@@ -110,9 +111,10 @@
 func startServer(t *testing.T, tr *Tracker, handle app.HandlerFunc) (address string, stop func()) {
 	t.Helper()
 	hlog.SetOutput(io.Discard)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := port.Listen("127.0.0.1:0", port.Timeouts{})
 	assert.NilError(t, err)
-	s := server.New(append(tr.Options(), server.WithListener(listener), server.WithDisablePrintRoute(true))...)
+	s := server.New(append(tr.Options(), server.WithListener(listener), server.WithDisablePrintRoute(true),
+		server.WithTransport(standard.NewTransporter), server.WithOnAccept(port.Context))...)
 	s.GET("/work", handle)
 	done := make(chan struct{})
 	go func() {
--- a/internal/serve/listen/listen.go
+++ b/internal/serve/listen/listen.go
@@ -3,10 +3,11 @@
 
 import (
 	"context"
-	"net"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cockroachdb/errors"
 
 	"basilspan/internal/core/unit"
@@ -19,9 +20,11 @@
 	// Tracker tracks the server's persistent connections.
 	Tracker *keepalive.Tracker
 
-	listener net.Listener
+	listener *port.Listener
 	server   *server.Hertz
-	// done is closed when the server has stopped.
+	// exitWait bounds the wait of Close.
+	exitWait time.Duration
+	// done is closed when the server accepts no more connections.
 	done chan struct{}
 }
 
@@ -30,12 +33,21 @@
 func Start(
 	ctx context.Context, address unit.Address, options []config.Option, routes func(*server.Hertz, *keepalive.Tracker),
 ) (*Server, error) {
-	listener, err := net.Listen("tcp", string(address))
+	timeouts := config.NewOptions(options)
+	listener, err := port.Listen(address, port.Timeouts{
+		Idle: timeouts.IdleTimeout, Read: timeouts.ReadTimeout, Write: timeouts.WriteTimeout,
+	})
 	if err != nil {
-		return nil, errors.Wrapf(err, "listen at %s", address)
+		return nil, err
 	}
-	s := &Server{Tracker: keepalive.New(), listener: listener, done: make(chan struct{})}
-	all := append(s.Tracker.Options(), server.WithListener(listener), server.WithDisablePrintRoute(true))
+	s := &Server{
+		Tracker: keepalive.New(), listener: listener, exitWait: timeouts.ExitWaitTimeout, done: make(chan struct{}),
+	}
+	all := append(s.Tracker.Options(), server.WithListener(listener), server.WithDisablePrintRoute(true),
+		// Hertz's default transport has a poller of its own, whose blocking system call delays the timers of a process
+		// with one thread for Go code.
+		server.WithTransport(standard.NewTransporter),
+		server.WithOnAccept(port.Context))
 	s.server = server.New(append(all, options...)...)
 	routes(s.server, s.Tracker)
 	go func() {
@@ -53,10 +65,13 @@
 // Close stops accepting connections, closes idle connections and waits for the requests in flight, at most for the exit
 // wait time in the options of Start. The servers for callers set it with server.WithExitWaitTime; for the others
 // hertz's default of 5 seconds applies. When it has passed, Close returns nil although requests are still in flight.
+//
+// It does without hertz's Shutdown, which waits for at most 30 seconds with this transport.
 func (s *Server) Close() error {
 	s.Tracker.BeginDrain()
 	s.Tracker.CloseIdle()
-	err := s.server.Shutdown(context.Background())
+	err := s.listener.Close()
 	<-s.done
+	s.listener.AwaitConns(s.exitWait)
 	return errors.Wrapf(err, "close the port at %s", s.Address())
 }
--- /dev/null
+++ b/internal/serve/port/conn.go
@@ -0,0 +1,245 @@
+package port
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// maxDiscards is how many reads discardInput makes at most.
+const maxDiscards = 64
+
+// Timeouts bound how long a connection may wait for its other side. Zero means no bound.
+type Timeouts struct {
+	// Idle bounds the wait for the first byte of a connection.
+	Idle time.Duration
+	// Read bounds the wait for each further byte of the first request. Hertz sets it for the later ones.
+	Read time.Duration
+	// Write bounds each write.
+	Write time.Duration
+}
+
+// Conn is an accepted TCP connection for hertz's standard transport, which waits in the poller of the Go runtime. Its
+// context ends with the connection, whichever side closes it.
+//
+// A goroutine waits for input in place of Read, so that a close by the caller is noticed while its request is handled.
+type Conn struct {
+	net.Conn
+
+	raw      syscall.RawConn
+	listener *Listener
+	timeouts Timeouts
+	// ctx ends when the caller has closed the connection or this side does.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// readable has an element while input waits to be read. It is closed when the connection has ended.
+	readable chan struct{}
+	// taken has an element when Read has taken input and the next is to be waited for.
+	taken chan struct{}
+	// watched is closed when the watch goroutine has returned.
+	watched chan struct{}
+	// received reports whether a byte has been read.
+	received atomic.Bool
+	// readTimeout bounds the wait of one Read.
+	readTimeout atomic.Int64
+	// timer is used by Read only.
+	timer     *time.Timer
+	closeOnce sync.Once
+}
+
+// connKey is the context key of a Conn.
+type connKey struct{}
+
+// FromContext returns the connection to which the context of a request belongs, or nil if there is none.
+func FromContext(ctx context.Context) *Conn {
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	return c
+}
+
+// Context returns the context of a connection that a Listener has accepted, for hertz's OnAccept.
+func Context(conn net.Conn) context.Context {
+	c, ok := conn.(*Conn)
+	if !ok {
+		return context.Background()
+	}
+	return c.ctx
+}
+
+// newConn returns a connection and starts to watch it.
+func newConn(tcp *net.TCPConn, l *Listener) (*Conn, error) {
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	c := &Conn{
+		Conn:     tcp,
+		raw:      raw,
+		listener: l,
+		timeouts: l.timeouts,
+		readable: make(chan struct{}, 1),
+		taken:    make(chan struct{}, 1),
+		watched:  make(chan struct{}),
+		timer:    time.NewTimer(time.Hour),
+	}
+	c.timer.Stop()
+	c.readTimeout.Store(int64(l.timeouts.Idle))
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.ctx = context.WithValue(c.ctx, connKey{}, c)
+	go c.watch()
+	return c, nil
+}
+
+// watch tells Read of input until the connection ends, and then ends its context.
+func (c *Conn) watch() {
+	defer close(c.watched)
+	defer c.cancel()
+	defer close(c.readable)
+	for c.awaitInput() {
+		c.readable <- struct{}{}
+		select {
+		case <-c.taken:
+		case <-c.ctx.Done():
+			return
+		}
+	}
+}
+
+// awaitInput waits for input and returns true, or false if the connection has ended. It leaves the input unread.
+func (c *Conn) awaitInput() bool {
+	var first [1]byte
+	var n int
+	var err error
+	waitErr := c.raw.Read(func(fd uintptr) bool {
+		n, _, err = unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK)
+		for err == unix.EINTR {
+			n, _, err = unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK)
+		}
+		return err != unix.EAGAIN
+	})
+	return waitErr == nil && err == nil && n > 0
+}
+
+// Read reads input. Only one goroutine may call it at a time. If the first byte does not come in time, it returns
+// io.EOF, at which hertz closes the connection without a response.
+func (c *Conn) Read(b []byte) (int, error) {
+	if !c.await() {
+		if !c.received.Load() {
+			return 0, io.EOF
+		}
+		return 0, os.ErrDeadlineExceeded
+	}
+	n, err := c.Conn.Read(b)
+	if n > 0 && !c.received.Swap(true) {
+		c.readTimeout.Store(int64(c.timeouts.Read))
+	}
+	select {
+	case c.taken <- struct{}{}:
+	default:
+	}
+	return n, err
+}
+
+// await waits for input or the end of the connection, and returns false if neither came within the read timeout.
+func (c *Conn) await() bool {
+	select {
+	case <-c.readable:
+		return true
+	default:
+	}
+	if timeout := time.Duration(c.readTimeout.Load()); timeout > 0 {
+		c.timer.Reset(timeout)
+		defer c.timer.Stop()
+	}
+	select {
+	case <-c.readable:
+		return true
+	case <-c.timer.C:
+		return false
+	}
+}
+
+// SetReadDeadline bounds the wait of each further Read by the time until t. It does not change that of a Read under
+// way. Hertz calls it with a timeout once for each request, and the timeout has to restart at each byte.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	if t.IsZero() {
+		c.readTimeout.Store(0)
+		return nil
+	}
+	c.readTimeout.Store(int64(max(time.Until(t), 1)))
+	return nil
+}
+
+// SetDeadline is SetReadDeadline and SetWriteDeadline.
+func (c *Conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
+}
+
+// Write writes b within the write timeout. Hertz's standard transport sets no write deadline itself.
+func (c *Conn) Write(b []byte) (int, error) {
+	if c.timeouts.Write > 0 {
+		if err := c.SetWriteDeadline(time.Now().Add(c.timeouts.Write)); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Write(b)
+}
+
+// Received reports whether a byte has been read from the connection.
+func (c *Conn) Received() bool {
+	return c.received.Load()
+}
+
+// Disconnect closes the connection while its server may still use it. The server has to call Close.
+func (c *Conn) Disconnect() {
+	c.cancel()
+	_ = c.Conn.Close()
+}
+
+// Close closes the connection and waits for the goroutine that watches it. The server calls it when it needs the
+// connection no more.
+func (c *Conn) Close() error {
+	c.closeOnce.Do(func() {
+		c.discardInput()
+		c.Disconnect()
+		<-c.watched
+		c.listener.open.Done()
+	})
+	return nil
+}
+
+// discardInput reads the input that has come. If some were left, closing the connection would reset it, and the caller
+// could lose the response.
+func (c *Conn) discardInput() {
+	var discarded [4 << 10]byte
+	_ = c.raw.Control(func(fd uintptr) {
+		for range maxDiscards {
+			n, _, err := unix.Recvfrom(int(fd), discarded[:], unix.MSG_DONTWAIT)
+			if n <= 0 || err != nil {
+				return
+			}
+		}
+	})
+}
+
+// RoundTrip returns the round-trip time as estimated by the kernel. ok is false if it is not available.
+func (c *Conn) RoundTrip() (rtt time.Duration, ok bool) {
+	var info *unix.TCPInfo
+	var err error
+	controlErr := c.raw.Control(func(fd uintptr) {
+		info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if controlErr != nil || err != nil {
+		return 0, false
+	}
+	return time.Duration(info.Rtt) * time.Microsecond, true
+}
--- /dev/null
+++ b/internal/serve/port/conn_test.go
@@ -0,0 +1,158 @@
+package port
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// waitTimeout bounds the wait for an expected event.
+const waitTimeout = 20 * time.Second
+
+// pair returns both ends of a connection that a listener with these timeouts has accepted.
+func pair(t *testing.T, timeouts Timeouts) (accepted *Conn, caller *net.TCPConn) {
+	t.Helper()
+	l, err := Listen("127.0.0.1:0", timeouts)
+	assert.NilError(t, err)
+	dialed, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	conn, err := l.Accept()
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+	accepted, caller = conn.(*Conn), dialed.(*net.TCPConn)
+	t.Cleanup(func() {
+		assert.NilError(t, accepted.Close())
+		_ = caller.Close()
+		l.AwaitConns(waitTimeout)
+	})
+	return accepted, caller
+}
+
+// TestContextEndsWithConnection guards against requests that go on for callers that have left: nobody reads from the
+// connection while a request is handled.
+func TestContextEndsWithConnection(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(accepted *Conn, caller *net.TCPConn) error
+	}{
+		{"the caller closes", func(_ *Conn, caller *net.TCPConn) error { return caller.Close() }},
+		{"the caller resets", func(_ *Conn, caller *net.TCPConn) error {
+			if err := caller.SetLinger(0); err != nil {
+				return err
+			}
+			return caller.Close()
+		}},
+		{"the caller sends no more", func(_ *Conn, caller *net.TCPConn) error { return caller.CloseWrite() }},
+		{"the server disconnects", func(accepted *Conn, _ *net.TCPConn) error {
+			accepted.Disconnect()
+			return nil
+		}},
+		{"the server closes", func(accepted *Conn, _ *net.TCPConn) error { return accepted.Close() }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			accepted, caller := pair(t, Timeouts{})
+			_, err := io.WriteString(caller, "request")
+			assert.NilError(t, err)
+			b := make([]byte, 100)
+			n, err := accepted.Read(b)
+			assert.NilError(t, err)
+			assert.Equal(t, string(b[:n]), "request")
+			assert.NilError(t, accepted.ctx.Err())
+			assert.NilError(t, tt.end(accepted, caller))
+			select {
+			case <-accepted.ctx.Done():
+			case <-time.After(waitTimeout):
+				t.Fatal("the context did not end")
+			}
+			_, err = accepted.Read(b)
+			assert.Assert(t, err != nil)
+			_, err = accepted.Read(b)
+			assert.Assert(t, err != nil)
+		})
+	}
+}
+
+// TestReadTimeout checks what Read returns when nothing comes, and that input that has come is read however late.
+func TestReadTimeout(t *testing.T) {
+	tests := []struct {
+		name     string
+		timeouts Timeouts
+		// sent is what the caller has sent and is read before.
+		sent string
+		// deadline is set after that, if it is not 0.
+		deadline time.Duration
+		want     error
+	}{
+		{"no first byte", Timeouts{Idle: 20 * time.Millisecond, Read: time.Hour}, "", 0, io.EOF},
+		{"no further byte of the first request", Timeouts{Idle: time.Hour, Read: 20 * time.Millisecond}, "a", 0, os.ErrDeadlineExceeded},
+		{"no byte of a later request", Timeouts{Idle: time.Hour, Read: time.Hour}, "a", 20 * time.Millisecond, os.ErrDeadlineExceeded},
+		{"a deadline that has passed", Timeouts{}, "a", -time.Second, os.ErrDeadlineExceeded},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			accepted, caller := pair(t, tt.timeouts)
+			b := make([]byte, 100)
+			if tt.sent != "" {
+				_, err := io.WriteString(caller, tt.sent)
+				assert.NilError(t, err)
+				_, err = accepted.Read(b)
+				assert.NilError(t, err)
+			}
+			if tt.deadline != 0 {
+				assert.NilError(t, accepted.SetReadDeadline(time.Now().Add(tt.deadline)))
+			}
+			_, err := accepted.Read(b)
+			assert.Assert(t, errors.Is(err, tt.want), "%v", err)
+			assert.NilError(t, accepted.SetReadDeadline(time.Time{}))
+			_, err = io.WriteString(caller, "late")
+			assert.NilError(t, err)
+			n, err := accepted.Read(b)
+			assert.NilError(t, err)
+			assert.Equal(t, string(b[:n]), "late")
+		})
+	}
+}
+
+// TestWriteTimeout guards against a caller that does not read its response and holds the connection for ever.
+func TestWriteTimeout(t *testing.T) {
+	accepted, _ := pair(t, Timeouts{Write: 20 * time.Millisecond})
+	block := make([]byte, 1<<20)
+	var err error
+	for range 100 {
+		if _, err = accepted.Write(block); err != nil {
+			break
+		}
+	}
+	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+}
+
+// TestCloseKeepsResponse guards against a response that is lost since the request was not read to its end.
+func TestCloseKeepsResponse(t *testing.T) {
+	accepted, caller := pair(t, Timeouts{})
+	_, err := io.WriteString(caller, "a request that is not read")
+	assert.NilError(t, err)
+	_, err = accepted.Read(make([]byte, 1))
+	assert.NilError(t, err)
+	_, err = io.WriteString(accepted, "refused")
+	assert.NilError(t, err)
+	assert.NilError(t, accepted.Close())
+	got, err := io.ReadAll(caller)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), "refused")
+}
+
+// TestRoundTrip checks that the kernel's estimate is available through the context of a connection.
+func TestRoundTrip(t *testing.T) {
+	accepted, _ := pair(t, Timeouts{})
+	rtt, ok := FromContext(Context(accepted)).RoundTrip()
+	assert.Assert(t, ok)
+	assert.Assert(t, rtt > 0)
+	assert.Assert(t, FromContext(context.Background()) == nil)
+}
--- /dev/null
+++ b/internal/serve/port/listener.go
@@ -0,0 +1,78 @@
+package port
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"basilspan/internal/core/unit"
+)
+
+// acceptRetryDelay is the wait after a failed accept, such as one without a free file descriptor.
+const acceptRetryDelay = 50 * time.Millisecond
+
+// Listener accepts connections as Conn.
+type Listener struct {
+	tcp      *net.TCPListener
+	timeouts Timeouts
+	// open counts the connections that have not been closed.
+	open sync.WaitGroup
+}
+
+// Listen listens at a TCP address.
+func Listen(address unit.Address, timeouts Timeouts) (*Listener, error) {
+	listener, err := net.Listen("tcp", string(address))
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen at %s", address)
+	}
+	return &Listener{tcp: listener.(*net.TCPListener), timeouts: timeouts}, nil
+}
+
+// Accept returns the next connection, a *Conn. It returns an error only after Close; hertz stops serving at any error.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		tcp, err := l.tcp.AcceptTCP()
+		if errors.Is(err, net.ErrClosed) {
+			return nil, err
+		}
+		if err != nil {
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		conn, err := newConn(tcp, l)
+		if err != nil {
+			_ = tcp.Close()
+			continue
+		}
+		l.open.Add(1)
+		return conn, nil
+	}
+}
+
+// Addr returns the address that the listener listens at.
+func (l *Listener) Addr() net.Addr {
+	return l.tcp.Addr()
+}
+
+// Close stops accepting. Accepted connections stay open.
+func (l *Listener) Close() error {
+	return l.tcp.Close()
+}
+
+// AwaitConns waits until all accepted connections have been closed, at most for the timeout. It may be called only
+// when Accept is not called any more.
+func (l *Listener) AwaitConns(timeout time.Duration) {
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		l.open.Wait()
+	}()
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-closed:
+	case <-timer.C:
+	}
+}
