Log what a planned stop does to each request

Operators reported requests that were given up long after SIGTERM. No log line told such a request from one that its endpoint lost: it either had code 301 or, when the process exited first, no line at all.

A stopping gateway now logs the stages of its stop with the number of requests in flight, adds the time of reading, the deadline and the stop's limit to the line of each request, and logs and counts each request that is still unanswered when the port for callers has closed (request.abandoned). The times of the stop move to policy/shutdown; they are as before.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -18,6 +18,7 @@
 	"basilspan/internal/policy/replica"
 	"basilspan/internal/policy/retryafter"
 	"basilspan/internal/policy/routing"
+	"basilspan/internal/policy/shutdown"
 )
 
 // Dispatcher serves callers' requests. It is safe for concurrent use. The function fields are its seams and are set
@@ -49,6 +50,10 @@
 	// finishLag estimates the time from the partial deadline to the end of a request that is answered in part.
 	finishLag gather.Lag
 	lastSweep time.Time
+	// open holds the callers' requests that have no answer yet.
+	open map[*job]bool
+	// stop is the schedule of the planned stop.
+	stop shutdown.Schedule
 }
 
 // New returns the dispatcher of the entry VM node in a data centre. The caller sets its function fields, Views,
@@ -60,6 +65,7 @@
 		endpointTracker: replica.New(centre, rand),
 		allowance:       allowance.New(limits),
 		longestWaits:    make(map[unit.RouteName]time.Duration),
+		open:            make(map[*job]bool),
 	}
 }
 
@@ -94,6 +100,7 @@
 		return d.refuse(q, v, route, unit.CodeBadRequest)
 	}
 	j := d.newJob(v, route, q, message)
+	defer d.closeJob(j)
 	if plan := d.planPortions(j); len(plan) > 1 {
 		return d.serveDivided(ctx, j, plan)
 	}
@@ -117,7 +124,9 @@
 	if route != nil {
 		name = route.Name
 	}
-	d.OnRequestEnd(refusalRecord(q, v, name, code, d.Now()))
+	r := refusalRecord(q, v, name, code, d.Now())
+	r.stop = newStopTimes(d.schedule(), q.Arrived, time.Time{})
+	d.OnRequestEnd(r)
 	return Answer{Code: code, RetryAfter: d.retryAfter(code, route)}
 }
 
@@ -148,7 +157,7 @@
 }
 
 // newJob selects the services of a request and computes its bounds: all shards of the route if replies are merged,
-// otherwise one service, picked by weight.
+// otherwise one service, picked by weight. The request counts as open until closeJob.
 func (d *Dispatcher) newJob(v *discovery.View, route *routing.Route, q *Request, m *leaf.Message) *job {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -158,6 +167,7 @@
 		j.services = []unit.ServiceName{d.splitter.Pick(v.Table.Version, route)}
 	}
 	j.params = d.requestParams(route, q, len(j.services))
+	d.open[j] = true
 	return j
 }
 
--- a/internal/core/dispatch/divided.go
+++ b/internal/core/dispatch/divided.go
@@ -308,7 +308,7 @@
 
 // endRecord returns the record of the request for its log line and the metrics.
 func (v *dividedRequest) endRecord(a Answer) Record {
-	r := v.job.baseRecord(a, v.dispatcher.Now())
+	r := v.dispatcher.baseRecord(v.job, a)
 	r.Verdict = v.collector.Verdict(v.dispatcher.Now())
 	r.Shards, r.Answered = len(v.services), len(v.services)-v.collector.Missing()
 	r.Hedges, r.Retries, r.Denied = v.totals.Hedges, v.totals.Retries, v.totals.Denied
--- a/internal/core/dispatch/record.go
+++ b/internal/core/dispatch/record.go
@@ -45,6 +45,9 @@
 	Denied int
 	// Details describes the shards without a reply, at most maxDetailedShards of them.
 	Details []Detail
+
+	// stop is nil unless this VM was stopping when the request ended.
+	stop *stopTimes
 }
 
 // Detail describes the attempts at one shard.
@@ -63,9 +66,11 @@
 	Err   error
 }
 
-// baseRecord returns the record of the request without its shards and attempts.
-func (j *job) baseRecord(a Answer, now time.Time) Record {
+// baseRecord returns the record of a request without its shards and attempts.
+func (d *Dispatcher) baseRecord(j *job, a Answer) Record {
+	now := d.Now()
 	r := Record{
+		stop:      newStopTimes(d.schedule(), j.request.Arrived, j.params.Deadline),
 		ID:        j.request.ID,
 		Route:     j.route.Name,
 		Code:      a.Code,
@@ -84,7 +89,7 @@
 
 // endRecord returns the record of the request with its attempts.
 func (f *fanout) endRecord(a Answer) Record {
-	r := f.job.baseRecord(a, f.dispatcher.Now())
+	r := f.dispatcher.baseRecord(f.job, a)
 	r.Verdict = f.machine.Verdict()
 	r.Shards, r.Answered = len(f.services), f.machine.Answered()
 	r.Denied = f.denied
@@ -169,6 +174,7 @@
 		slog.Float64("took_ms", millis(r.Took)),
 		slog.Float64("left_ms", millis(r.Remaining)),
 	}
+	attrs = append(attrs, r.stop.logAttrs()...)
 	if r.Status != 0 {
 		attrs = append(attrs, slog.Int("status", r.Status))
 	}
--- a/internal/platform/ingress/ingress.go
+++ b/internal/platform/ingress/ingress.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -33,25 +34,31 @@
 	idleTimeout = 3 * time.Minute
 )
 
+// Options holds the dependencies and bounds of a server.
+type Options struct {
+	Now func() time.Time
+	Log *slog.Logger
+	// DrainTimeout bounds how long closing the server waits for requests in flight.
+	DrainTimeout time.Duration
+}
+
 // Server is the HTTP server for callers.
 type Server struct {
-	Now func() time.Time
+	Options
 	// Answer returns the response to a request.
 	Answer func(ctx context.Context, q *dispatch.Request) dispatch.Answer
 	// Refuse returns the response to a request that is not served for the reason given by the code.
 	Refuse func(q *dispatch.Request, code unit.Code) dispatch.Answer
+	// OpenRequests returns the number of requests that have no answer yet.
+	OpenRequests func() int
 
-	listen       unit.Address
-	drainTimeout time.Duration
-	server       *listen.Server
+	listen unit.Address
+	server *listen.Server
 }
 
-// Install registers the server with the kernel. It looks up the dispatcher when it starts. drainTimeout bounds how
-// long closing it waits for requests in flight.
-func Install(
-	k *kernel.Kernel, address unit.Address, now func() time.Time, drainTimeout time.Duration,
-) (*Server, error) {
-	s := &Server{Now: now, listen: address, drainTimeout: drainTimeout}
+// Install registers the server with the kernel. It looks up the dispatcher when it starts.
+func Install(k *kernel.Kernel, address unit.Address, options Options) (*Server, error) {
+	s := &Server{Options: options, listen: address}
 	return s, k.Register(kernel.Service{
 		Name:  kernel.ServiceCaller,
 		Value: s,
@@ -60,10 +67,10 @@
 			if err != nil {
 				return err
 			}
-			s.Answer, s.Refuse = d.Serve, d.Refuse
+			s.Answer, s.Refuse, s.OpenRequests = d.Serve, d.Refuse, d.OpenRequests
 			return s.start(ctx)
 		},
-		Close: func() error { return s.server.Close() },
+		Close: s.close,
 	})
 }
 
@@ -77,6 +84,15 @@
 	s.server.Tracker.BeginDrain()
 }
 
+// close stops accepting connections, and waits for the requests in flight for at most DrainTimeout.
+func (s *Server) close() error {
+	began := s.Now()
+	s.Log.Info("closing the port for callers", "open", s.OpenRequests())
+	err := s.server.Close()
+	s.Log.Info("port for callers closed", "open", s.OpenRequests(), "took_ms", s.Now().Sub(began).Milliseconds())
+	return err
+}
+
 // start starts listening.
 func (s *Server) start(ctx context.Context) (err error) {
 	options := []config.Option{
@@ -88,7 +104,7 @@
 		server.WithReadTimeout(readTimeout),
 		server.WithWriteTimeout(writeTimeout),
 		server.WithIdleTimeout(idleTimeout),
-		server.WithExitWaitTime(s.drainTimeout),
+		server.WithExitWaitTime(s.DrainTimeout),
 		server.WithDisableDefaultDate(true),
 		server.WithDisableDefaultContentType(true),
 		{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
--- /dev/null
+++ b/internal/policy/shutdown/shutdown.go
@@ -0,0 +1,45 @@
+// Package shutdown decides how a planned stop of an entry VM divides its grace time.
+package shutdown
+
+import "time"
+
+const (
+	// finishShare is the share of the grace time reserved for requests in flight after the VM stops accepting new ones.
+	finishShare = 0.3
+	// exitReserve is the part of the grace time reserved for the exit of the process itself.
+	exitReserve = 300 * time.Millisecond
+	// writeShare is the share of the finish time reserved for writing the last responses.
+	writeShare = 0.2
+)
+
+// Schedule holds the times of a planned stop. The zero value means that no stop has begun.
+type Schedule struct {
+	// Began is when the stop began.
+	Began time.Time
+	// AcceptUntil is when the port for callers stops accepting connections and closes those without a request. The load
+	// balancer may send callers until then.
+	AcceptUntil time.Time
+	// AnswerBy is when every request must have its final answer, so that the response is written before the port closes.
+	AnswerBy time.Time
+}
+
+// Plan returns the schedule of a stop that begins now.
+func Plan(now time.Time, grace time.Duration) Schedule {
+	finish := FinishTime(grace)
+	accept := now.Add(max(0, grace-finish-exitReserve))
+	return Schedule{
+		Began:       now,
+		AcceptUntil: accept,
+		AnswerBy:    accept.Add(finish - time.Duration(writeShare*float64(finish))),
+	}
+}
+
+// FinishTime returns how long the port for callers may take to close after it stops accepting connections.
+func FinishTime(grace time.Duration) time.Duration {
+	return time.Duration(finishShare * float64(grace))
+}
+
+// InProgress reports whether a stop has begun.
+func (s Schedule) InProgress() bool {
+	return !s.Began.IsZero()
+}
--- a/internal/serve/gateway/gateway.go
+++ b/internal/serve/gateway/gateway.go
@@ -15,16 +15,10 @@
 	"basilspan/internal/core/discovery"
 	"basilspan/internal/core/kernel"
 	"basilspan/internal/platform/ingress"
+	"basilspan/internal/policy/shutdown"
 	"basilspan/internal/serve/lifecycle"
 )
 
-const (
-	// finishShare is the share of the grace time reserved for requests in flight after the VM stops accepting new ones.
-	finishShare = 0.3
-	// exitReserve is the part of the grace time reserved for the exit of the process itself.
-	exitReserve = 300 * time.Millisecond
-)
-
 // Options holds the dependencies of a gateway that tests replace. A nil Rand means rand.Float64.
 type Options struct {
 	Now  func() time.Time
@@ -45,6 +39,8 @@
 	// announcing waits until the other VMs have been notified of the stop.
 	announcing sync.WaitGroup
 	drainOnce  sync.Once
+	// schedule is that of the planned stop. BeginDrain sets it.
+	schedule shutdown.Schedule
 }
 
 // New registers the services of an entry VM; nothing runs before Start. If it returns an error, the gateway must not be
@@ -85,24 +81,26 @@
 	return kept
 }
 
-// finishTime returns how much of the grace time is reserved for requests in flight after the VM stops accepting new
-// ones.
-func finishTime(grace time.Duration) time.Duration {
-	return time.Duration(finishShare * float64(grace))
-}
-
 // BeginDrain begins a planned stop: the readiness probe fails, so that the load balancer stops sending callers, each
 // response closes its connection, so that the caller opens a new one, and the other VMs are notified. Requests are
 // still served, since the load balancer may keep sending callers for some seconds. Calls after the first have no
 // effect.
 func (g *Gateway) BeginDrain() {
 	g.drainOnce.Do(func() {
+		g.mu.Lock()
+		g.schedule = shutdown.Plan(g.options.Now(), g.settings.Grace)
+		g.mu.Unlock()
+		s := g.schedule
+		g.options.Log.Info("drain begun", "accept_s", s.AcceptUntil.Sub(s.Began).Seconds(),
+			"answer_s", s.AnswerBy.Sub(s.Began).Seconds())
 		g.lifecycle.Fire(lifecycle.TriggerDrain)
+		g.drainDispatcher(s)
 		g.callers.BeginDrain()
 		g.announcing.Add(1)
 		go func() {
 			defer g.announcing.Done()
 			g.announceLeave()
+			g.options.Log.Info("other VMs notified of the stop", "since_drain_s", g.options.Now().Sub(s.Began).Seconds())
 		}()
 	})
 }
@@ -112,10 +110,7 @@
 // returns when all services have stopped.
 func (g *Gateway) Close() error {
 	g.BeginDrain()
-	g.mu.Lock()
-	drainTime := g.settings.Grace - finishTime(g.settings.Grace) - exitReserve
-	g.mu.Unlock()
-	timer := time.NewTimer(max(0, drainTime))
+	timer := time.NewTimer(max(0, g.schedule.AcceptUntil.Sub(g.options.Now())))
 	defer timer.Stop()
 	<-timer.C
 	g.announcing.Wait()
--- a/internal/serve/gateway/services.go
+++ b/internal/serve/gateway/services.go
@@ -18,6 +18,7 @@
 	platformleaf "basilspan/internal/platform/leaf"
 	"basilspan/internal/platform/store"
 	"basilspan/internal/policy/divide"
+	"basilspan/internal/policy/shutdown"
 	"basilspan/internal/policy/vmcount"
 )
 
@@ -173,7 +174,7 @@
 	d.Call = link.Call
 	d.OnRequestEnd = dispatch.Report(g.options.Log, metrics, g.options.Rand)
 	d.HandlePortions(link, g.Ready)
-	return g.register(kernel.Service{Name: kernel.ServiceDispatch, Value: d})
+	return g.register(kernel.Service{Name: kernel.ServiceDispatch, Value: d, Close: d.Close})
 }
 
 // applySettings passes the settings that can change at run time to the services that use them. Reload calls it. The
@@ -190,6 +191,16 @@
 	dispatcher.SetExtra(settings.Extra)
 }
 
+// drainDispatcher passes the schedule of the planned stop to the dispatcher.
+func (g *Gateway) drainDispatcher(s shutdown.Schedule) {
+	d, err := kernel.Find[*dispatch.Dispatcher](g.kernel, kernel.ServiceDispatch)
+	if err != nil {
+		g.options.Log.Error("requests not limited to the time of the stop", "error", err)
+		return
+	}
+	d.BeginDrain(s)
+}
+
 // announceLeave notifies the other entry VMs that this one is stopping. BeginDrain runs it in a goroutine of its own,
 // and Close waits for it.
 func (g *Gateway) announceLeave() {
@@ -202,10 +213,13 @@
 }
 
 // registerGauges adds the gauges of the discovery state: the ages of the routing table and of the last registry read in
-// seconds, or -1 if there is none yet, the version of the table, or 0, and the number of entry VMs.
+// seconds, or -1 if there is none yet, the version of the table, or 0, and the number of entry VMs. It also adds the
+// number of requests in flight.
 func (g *Gateway) registerGauges() error {
-	metrics, err := kernel.Find[*metric.Set](g.kernel, kernel.ServiceMetrics)
-	if err != nil {
+	f := kernel.NewFinder(g.kernel)
+	metrics := kernel.Lookup[*metric.Set](f, kernel.ServiceMetrics)
+	dispatcher := kernel.Lookup[*dispatch.Dispatcher](f, kernel.ServiceDispatch)
+	if err := f.Err(); err != nil {
 		return err
 	}
 	age := func(at func(v *discovery.View) time.Time) func() any {
@@ -225,6 +239,7 @@
 		}
 		return 0
 	})
+	metrics.RegisterGauge("requests.open", func() any { return dispatcher.OpenRequests() })
 	metrics.RegisterGauge("vms", func() any { return g.views.Load().VMs })
 	return nil
 }
@@ -241,7 +256,9 @@
 			return err
 		}
 	}
-	callers, err := ingress.Install(g.kernel, g.settings.Callers, g.options.Now, finishTime(g.settings.Grace))
+	callers, err := ingress.Install(g.kernel, g.settings.Callers, ingress.Options{
+		Now: g.options.Now, Log: g.options.Log, DrainTimeout: shutdown.FinishTime(g.settings.Grace),
+	})
 	g.callers = callers
 	return err
 }
