End every request before the process of a stopping gateway ends

Callers saw connections that ended without an answer although an endpoint was at work on their request, when the request had been sent on an open connection late in a planned stop.

The stop bounded how long it waits for requests in flight, but the requests kept their own deadlines. With a grace of 6 s, a request read 3.8 s after SIGTERM that may take 2 s ends at 5.8 s; the port closes at 5.7 s and the process exits.

TestStopAnswersEveryRequestItHasForwarded sends a request each 35 ms of a stop on connections that were open before, while endpoints hang or take 1.2 s.

Now the schedule of a stop has a time by which every answer is final, which leaves time to write it. It bounds requests in flight, requests read later, portions for other VMs and the deadline that endpoints are told. A request that would probably not be answered by then is refused as not run, and its caller asks another VM. A request that must not be repeated is served only if its whole deadline fits. A request that the stop ends has the new code 308.

--- a/internal/core/dispatch/answer.go
+++ b/internal/core/dispatch/answer.go
@@ -24,6 +24,8 @@
 		return Answer{Code: code, RetryAfter: f.dispatcher.retryAfter(code, f.route)}
 	case f.machine.Verdict() == gather.VerdictTimedOut:
 		return Answer{Code: unit.CodeDeadline}
+	case f.machine.Verdict() == gather.VerdictStopped:
+		return Answer{Code: unit.CodeStopped}
 	default:
 		return f.failureAnswer()
 	}
@@ -54,13 +56,17 @@
 	return Answer{Code: code, Status: r.Status, Fields: r.Fields, Body: r.Body}
 }
 
-// refusalCode returns the result code of a request that no endpoint has run: CodeTooLate at the deadline, CodeRefused
+// refusalCode returns the result code of a request that no endpoint has run: CodeTooLate at the deadline, CodeStopping
+// at the stop of this VM, CodeRefused
 // if the last attempt at any shard was rejected, CodeNotConnected if one could not be sent, and otherwise
 // CodeNoEndpoint.
 func (f *fanout) refusalCode() unit.Code {
 	if f.machine.Verdict() == gather.VerdictTimedOut {
 		return unit.CodeTooLate
 	}
+	if f.machine.Verdict() == gather.VerdictStopped {
+		return unit.CodeStopping
+	}
 	code := unit.CodeNoEndpoint
 	for shard := range f.services {
 		switch f.machine.LastOutcome(shard) {
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -52,8 +52,9 @@
 	lastSweep time.Time
 	// open holds the callers' requests that have no answer yet.
 	open map[*job]bool
-	// stop is the schedule of the planned stop.
-	stop shutdown.Schedule
+	// stop is the schedule of the planned stop. stopping is closed once it is set.
+	stop     shutdown.Schedule
+	stopping chan struct{}
 }
 
 // New returns the dispatcher of the entry VM node in a data centre. The caller sets its function fields, Views,
@@ -66,6 +67,7 @@
 		allowance:       allowance.New(limits),
 		longestWaits:    make(map[unit.RouteName]time.Duration),
 		open:            make(map[*job]bool),
+		stopping:        make(chan struct{}),
 	}
 }
 
@@ -101,6 +103,9 @@
 	}
 	j := d.newJob(v, route, q, message)
 	defer d.closeJob(j)
+	if !d.admits(j) {
+		return d.refuse(q, v, route, unit.CodeStopping)
+	}
 	if plan := d.planPortions(j); len(plan) > 1 {
 		return d.serveDivided(ctx, j, plan)
 	}
--- a/internal/core/dispatch/divided.go
+++ b/internal/core/dispatch/divided.go
@@ -180,12 +180,17 @@
 func (v *dividedRequest) awaitVerdict(ctx context.Context) {
 	timer := time.NewTimer(v.untilNextCheck())
 	defer timer.Stop()
+	stopping := v.dispatcher.stopping
 	for v.collector.Verdict(v.dispatcher.Now()) == gather.VerdictNone {
 		select {
 		case e := <-v.ends:
 			v.handleEnd(ctx, e)
 		case <-timer.C:
 			timer.Reset(v.untilNextCheck())
+		case <-stopping:
+			stopping = nil
+			v.collector.AnswerBy = v.dispatcher.schedule().AnswerBy
+			timer.Reset(v.untilNextCheck())
 		case <-ctx.Done():
 			v.collector.Cancel()
 		}
@@ -284,6 +289,8 @@
 		return Answer{Code: unit.CodeCallerGone}
 	case gather.VerdictTimedOut:
 		return Answer{Code: unit.CodeDeadline}
+	case gather.VerdictStopped:
+		return Answer{Code: unit.CodeStopped}
 	}
 	if !v.mayHaveRun {
 		return Answer{Code: unit.CodeNoEndpoint, RetryAfter: v.dispatcher.retryAfter(unit.CodeNoEndpoint, v.route)}
--- a/internal/core/dispatch/fanout.go
+++ b/internal/core/dispatch/fanout.go
@@ -28,6 +28,8 @@
 	replies []*leaf.Result
 	// denied counts the extra attempts that the allowance did not permit.
 	denied int
+	// returnTime is how long before the end of a planned stop's time for answers the fan-out ends.
+	returnTime time.Duration
 }
 
 // attemptEnd carries the result of an attempt.
@@ -37,17 +39,20 @@
 }
 
 // run starts the first attempts and handles results and timeouts until the machine has decided how the request ended.
-// If ctx ends, the caller has disconnected and the request is cancelled.
+// If ctx ends, the caller has disconnected and the request is cancelled. If a planned stop of this VM begins, the request
+// ends in time for it.
 func (f *fanout) run(ctx context.Context) {
 	f.ends = make(chan attemptEnd, f.machine.Params.MaxAttempts())
 	f.flights = make([]*leaf.Flight, 0, len(f.services))
 	f.replies = make([]*leaf.Result, 0, len(f.services))
+	f.limitToStop()
 	f.execute(f.runMachine(func(now time.Time) []gather.Action { return f.machine.Start(now) }))
 	if f.machine.Verdict() != gather.VerdictNone {
 		return
 	}
 	timer := time.NewTimer(f.untilNextTick())
 	defer timer.Stop()
+	stopping := f.dispatcher.stopping
 	for f.machine.Verdict() == gather.VerdictNone {
 		select {
 		case e := <-f.ends:
@@ -56,12 +61,23 @@
 		case <-timer.C:
 			f.execute(f.runMachine(f.machine.Tick))
 			timer.Reset(f.untilNextTick())
+		case <-stopping:
+			stopping = nil
+			f.limitToStop()
+			timer.Reset(f.untilNextTick())
 		case <-ctx.Done():
 			f.execute(f.runMachine(func(time.Time) []gather.Action { return f.machine.Cancel() }))
 		}
 	}
 }
 
+// limitToStop has the fan-out end in time for the planned stop, if one has begun.
+func (f *fanout) limitToStop() {
+	if s := f.dispatcher.schedule(); s.InProgress() {
+		f.machine.Limit(s.AnswerBy.Add(-f.returnTime))
+	}
+}
+
 // drainEnds handles the results that are already queued, without waiting, before the loop looks at the timer again.
 func (f *fanout) drainEnds() {
 	for f.machine.Verdict() == gather.VerdictNone {
@@ -135,7 +151,7 @@
 		Address:        endpoint.Address,
 		MaxConnections: f.view.ConnectionBudget(service).PerVM(endpoint.Slots),
 		MaxWait:        f.machine.Params.ConnectWait(),
-		Deadline:       f.machine.Params.Deadline,
+		Deadline:       f.machine.Params.End(),
 	}
 	f.flights[id] = f.dispatcher.Send(f.dispatcher.Now(), call, func(e leaf.Result) {
 		f.dispatcher.recordResult(f.route, endpoint, attempt.Sent, e)
--- a/internal/core/dispatch/portion.go
+++ b/internal/core/dispatch/portion.go
@@ -20,6 +20,8 @@
 	// portionReturnTime is how long before a request's partial deadline the VMs that serve its portions respond. It
 	// covers the network and the merge.
 	portionReturnTime = 4 * time.Millisecond
+	// stopReturnTime is how long before the end of a planned stop's time for answers portions return.
+	stopReturnTime = 20 * time.Millisecond
 )
 
 // errStopping is returned to a VM that sends a portion to a VM which is stopping.
@@ -66,6 +68,10 @@
 	ctx context.Context, j *job, services []unit.ServiceName, to unit.Address,
 ) (wirePortionResult, error) {
 	now := d.Now()
+	params := j.params
+	if s := d.schedule(); s.InProgress() {
+		params.AnswerBy = s.AnswerBy.Add(-stopReturnTime)
+	}
 	call := wirePortion{
 		ID:              string(j.message.ID),
 		Method:          j.message.Method,
@@ -77,7 +83,7 @@
 		Attempts:        j.route.Attempts,
 		Target:          j.route.TargetLatency.Microseconds(),
 		PartialDeadline: j.params.PartialDeadline.Sub(now).Microseconds(),
-		Deadline:        j.params.Deadline.Sub(now).Microseconds(),
+		Deadline:        params.End().Sub(now).Microseconds(),
 	}
 	var result wirePortionResult
 	if err := d.Call(ctx, to, methodPortion, call, &result); err != nil {
@@ -141,6 +147,7 @@
 	ctx context.Context, j *job, services []unit.ServiceName, params gather.Params, sentBefore []bool,
 ) portionResult {
 	f := d.newFanout(j, services, params, sentBefore)
+	f.returnTime = stopReturnTime
 	f.run(ctx)
 	p := portionResult{mayHaveRun: f.machine.MayHaveRun()}
 	p.Seals = make([]string, len(services))
--- a/internal/core/dispatch/stop.go
+++ b/internal/core/dispatch/stop.go
@@ -7,11 +7,26 @@
 	"basilspan/internal/policy/shutdown"
 )
 
-// BeginDrain sets the schedule of a planned stop. It is called at most once.
+// BeginDrain begins a planned stop: all requests, also those in flight and the portions of other VMs' requests, end by
+// the schedule's AnswerBy, and a request that probably can't is refused. It is called at most once.
 func (d *Dispatcher) BeginDrain(s shutdown.Schedule) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.stop = s
+	close(d.stopping)
+}
+
+// admits reports whether a request that has been read is served; it is not if this VM stops too soon.
+func (d *Dispatcher) admits(j *job) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stop.Admits(shutdown.Request{
+		Arrived:        j.request.Arrived,
+		Deadline:       j.params.Deadline,
+		Idempotent:     j.params.Idempotent,
+		Target:         j.route.TargetLatency,
+		TypicalLatency: d.endpointTracker.TypicalLatency(j.route.Name),
+	})
 }
 
 // schedule returns the schedule of the planned stop; it is zero if none has begun.
--- a/internal/core/unit/code.go
+++ b/internal/core/unit/code.go
@@ -50,6 +50,7 @@
 	CodeOwnerLost     Code = 305
 	CodeBelowMinimum  Code = 306
 	CodeCallerGone    Code = 307
+	CodeStopped       Code = 308
 )
 
 // codeText holds the short text of each code. Callers receive these texts.
@@ -81,6 +82,7 @@
 	CodeEndpointError:  "the endpoint failed while it ran the request",
 	CodeBelowMinimum:   "the coverage is below the minimum of the search, so its parts are withheld",
 	CodeCallerGone:     "the caller left before its answer",
+	CodeStopped:        "this entry VM stopped before the request could end",
 	CodeOwnerLost:      "the entry VM that owns the endpoint was lost after the request was sent",
 }
 
--- a/internal/policy/divide/collector.go
+++ b/internal/policy/divide/collector.go
@@ -11,6 +11,10 @@
 // A later reply would miss the partial deadline.
 const retryShare = 0.6
 
+// minRetryTime is the minimum time before AnswerBy at which missing shards are retried. Later, no portion could return
+// in time.
+const minRetryTime = 50 * time.Millisecond
+
 // Collector counts the shards answered by the portions of one request and decides when they make an answer. It is not
 // safe for concurrent use.
 type Collector struct {
@@ -22,6 +26,8 @@
 	// Deadline is when the request ends in any case.
 	PartialDeadline time.Time
 	Deadline        time.Time
+	// AnswerBy is when the request must end because this VM stops; the zero time means that it does not stop.
+	AnswerBy time.Time
 
 	pending  int
 	answered int
@@ -49,9 +55,10 @@
 }
 
 // AllowRetryMissing reports whether all missing shards should be retried: all portions have ended with too few shards
-// for an answer, and the deadline has not passed. It returns true at most once.
+// for an answer, the deadline has not passed and AnswerBy is not near. It returns true at most once.
 func (c *Collector) AllowRetryMissing(now time.Time) bool {
-	short := c.answered < c.minShards() && !c.retriedMissing && now.Before(c.Deadline)
+	short := c.answered < c.minShards() && !c.retriedMissing && now.Before(c.Deadline) &&
+		!c.isStopping(now.Add(minRetryTime))
 	if !short || c.pending > 0 {
 		return false
 	}
@@ -67,16 +74,23 @@
 	}
 	enough := c.answered >= c.minShards()
 	switch {
-	case enough && (c.pending == 0 || !now.Before(c.PartialDeadline)):
+	case enough && (c.pending == 0 || !now.Before(c.PartialDeadline) || c.isStopping(now)):
 		c.verdict = gather.VerdictAnswered
 	case !now.Before(c.Deadline):
 		c.verdict = gather.VerdictTimedOut
+	case c.isStopping(now):
+		c.verdict = gather.VerdictStopped
 	case c.pending == 0 && c.retriedMissing:
 		c.verdict = gather.VerdictFailed
 	}
 	return c.verdict
 }
 
+// isStopping reports whether AnswerBy has passed.
+func (c *Collector) isStopping(now time.Time) bool {
+	return !c.AnswerBy.IsZero() && !now.Before(c.AnswerBy)
+}
+
 // Cancel ends the request with VerdictGone because the caller has disconnected, unless it has ended already.
 func (c *Collector) Cancel() {
 	if c.verdict == gather.VerdictNone {
@@ -85,12 +99,13 @@
 }
 
 // NextCheck returns the time at which Verdict must be called again if no portion ends before: the partial deadline, or
-// the deadline once that has passed.
+// the end of the request once that has passed.
 func (c *Collector) NextCheck(now time.Time) time.Time {
-	if now.Before(c.PartialDeadline) && c.PartialDeadline.Before(c.Deadline) {
+	end := gather.Params{Deadline: c.Deadline, AnswerBy: c.AnswerBy}.End()
+	if now.Before(c.PartialDeadline) && c.PartialDeadline.Before(end) {
 		return c.PartialDeadline
 	}
-	return c.Deadline
+	return end
 }
 
 // minShards returns how many shards must be answered for an answer.
--- a/internal/policy/divide/divide_test.go
+++ b/internal/policy/divide/divide_test.go
@@ -171,6 +171,18 @@
 		{"too few shards at the deadline", 2, func(c *Collector) {
 			c.RecordPortion(5)
 		}, at(392), gather.VerdictTimedOut, false, false},
+		{"too few shards when this VM stops", 2, func(c *Collector) {
+			c.AnswerBy = at(60)
+			c.RecordPortion(5)
+		}, at(60), gather.VerdictStopped, false, false},
+		{"enough shards when this VM stops, a portion pending", 2, func(c *Collector) {
+			c.AnswerBy = at(60)
+			c.RecordPortion(8)
+		}, at(60), gather.VerdictAnswered, false, false},
+		{"too few shards, no portion pending, when this VM stops", 1, func(c *Collector) {
+			c.AnswerBy = at(60)
+			c.RecordPortion(5)
+		}, at(60), gather.VerdictStopped, false, false},
 		{"the caller has disconnected", 2, func(c *Collector) { c.Cancel() }, at(10), gather.VerdictGone, false, false},
 	}
 	for _, tt := range tests {
@@ -182,6 +194,7 @@
 			tt.do(c)
 			assert.Equal(t, c.Verdict(tt.now), tt.verdict)
 			assert.Equal(t, c.ShouldRetry(tt.now), tt.retry)
+			assert.Assert(t, c.AnswerBy.IsZero() || !c.NextCheck(start).After(c.AnswerBy))
 			assert.Equal(t, c.AllowRetryMissing(tt.now) && tt.verdict == gather.VerdictNone, tt.missing)
 		})
 	}
--- a/internal/policy/gather/machine.go
+++ b/internal/policy/gather/machine.go
@@ -136,9 +136,16 @@
 	return m.actions
 }
 
-// NextTick returns the time at which Tick must be called next: the next hedge, the partial deadline or the deadline.
+// Limit sets Params.AnswerBy for a request that has begun before the stop of its VM. Tick must be called at the new
+// NextTick.
+func (m *Machine) Limit(answerBy time.Time) {
+	m.Params.AnswerBy = answerBy
+}
+
+// NextTick returns the time at which Tick must be called next: the next hedge, the partial deadline or the end of the
+// request.
 func (m *Machine) NextTick() time.Time {
-	next := m.Params.Deadline
+	next := m.Params.End()
 	if !m.pastPartialDeadline && !m.Params.PartialDeadline.IsZero() && m.Params.PartialDeadline.Before(next) {
 		next = m.Params.PartialDeadline
 	}
@@ -264,7 +271,7 @@
 		return false
 	case s.reached >= m.Params.AttemptsPerShard || s.unsent >= maxUnsentAttempts:
 		return false
-	case m.Params.Deadline.Sub(now) < minRetryTime:
+	case m.Params.End().Sub(now) < minRetryTime:
 		return false
 	case s.reached > 0 && !m.AllowExtra(now, shard):
 		return false
@@ -306,7 +313,7 @@
 	m.failed++
 }
 
-// updateVerdict ends the request if it can be answered, has failed or has reached its deadline.
+// updateVerdict ends the request if it can be answered, has failed, or has reached its deadline or the end of its VM.
 func (m *Machine) updateVerdict(now time.Time) {
 	if m.verdict != VerdictNone {
 		return
@@ -314,13 +321,16 @@
 	m.pastPartialDeadline = m.pastPartialDeadline ||
 		(!m.Params.PartialDeadline.IsZero() && !now.Before(m.Params.PartialDeadline))
 	enough := m.answered >= m.minShards()
+	stopping := !m.Params.AnswerBy.IsZero() && !now.Before(m.Params.AnswerBy)
 	switch {
-	case enough && (m.pastPartialDeadline || m.answered+m.failed == len(m.shards)):
+	case enough && (m.pastPartialDeadline || stopping || m.answered+m.failed == len(m.shards)):
 		m.finish(VerdictAnswered)
 	case len(m.shards)-m.failed < m.minShards():
 		m.finish(VerdictFailed)
 	case !now.Before(m.Params.Deadline):
 		m.finish(VerdictTimedOut)
+	case stopping:
+		m.finish(VerdictStopped)
 	}
 }
 
--- a/internal/policy/gather/machine_test.go
+++ b/internal/policy/gather/machine_test.go
@@ -27,10 +27,10 @@
 	}
 }
 
-// scenario runs a machine by a script. "T30" calls Tick at 30 ms, "=2" is the whole reply to attempt 2, and "x2",
-// "m2", "u2", "f2" and "l2" end attempt 2 as rejected, misdirected, unsent, failed and lost; "gone" cancels the
-// request. The machine's actions are recorded as "0>1 first" for an attempt of shard 0 at endpoint 1, and "drop 2"
-// for an abandoned attempt 2.
+// scenario runs a machine by a script. "T30" calls Tick at 30 ms, "L60" limits the request to 60 ms, "=2" is the whole
+// reply to attempt 2, and "x2", "m2", "u2", "f2" and "l2" end attempt 2 as rejected, misdirected, unsent, failed and
+// lost; "gone" cancels the request. The machine's actions are recorded as "0>1 first" for an attempt of shard 0 at
+// endpoint 1, and "drop 2" for an abandoned attempt 2.
 type scenario struct {
 	m     *Machine
 	now   time.Time
@@ -66,6 +66,11 @@
 		}
 		_, err := fmt.Sscanf(word[1:], "%d", &n)
 		assert.NilError(t, err)
+		if word[0] == 'L' {
+			s.m.Limit(at(n))
+			assert.Assert(t, !s.m.NextTick().After(at(n)))
+			continue
+		}
 		if word[0] == 'T' {
 			s.now = at(n)
 			s.record(s.m.Tick(s.now))
@@ -207,6 +212,24 @@
 			name: "the caller disconnects", shards: 2, replicas: 1, extra: 9, script: "T5 =0 gone =1",
 			want: "0>0 first, 1>0 first, drop 1", verdict: VerdictGone, ran: true,
 		},
+		{
+			name: "an incomplete request ends with the stop of its VM", shards: 2, replicas: 1, extra: 9, script: "T10 =0 L60 T60",
+			change: func(t *Params) { t.MinShare = 1 }, want: "0>0 first, 1>0 first, drop 1",
+			verdict: VerdictStopped, ran: true,
+		},
+		{
+			name: "a partial answer at the stop of the VM", shards: 2, replicas: 1, extra: 9, script: "L60 T10 =0 T60",
+			change: func(t *Params) { t.MinShare = 0.5 }, want: "0>0 first, 1>0 first, drop 1",
+			verdict: VerdictAnswered, ran: true,
+		},
+		{
+			name: "the deadline comes before the stop of the VM", shards: 1, replicas: 1, extra: 9, script: "L500 T392",
+			want: "0>0 first, drop 0", verdict: VerdictTimedOut, ran: true,
+		},
+		{
+			name: "no retry when no reply could arrive before the stop of the VM", shards: 1, replicas: 2, extra: 9,
+			script: "L60 T59 x0", change: func(t *Params) { t.HedgeAfter = 0 }, want: "0>0 first", verdict: VerdictFailed,
+		},
 		{
 			name: "no retry when no reply could arrive in time", shards: 1, replicas: 2, extra: 9, script: "T391 x0",
 			change: func(t *Params) { t.HedgeAfter = 0 }, want: "0>0 first", verdict: VerdictFailed,
--- a/internal/policy/gather/params.go
+++ b/internal/policy/gather/params.go
@@ -25,6 +25,17 @@
 	PartialDeadline time.Time
 	// Deadline is when the request must have its final answer, whatever is open.
 	Deadline time.Time
+	// AnswerBy is when the VM that serves the request must have its final answer because the VM stops; the zero time
+	// means that it does not stop. An answer with MinShare of the shards is final then.
+	AnswerBy time.Time
+}
+
+// End returns when the request ends in any case: at its deadline, or before if the VM stops.
+func (p Params) End() time.Time {
+	if !p.AnswerBy.IsZero() && p.AnswerBy.Before(p.Deadline) {
+		return p.AnswerBy
+	}
+	return p.Deadline
 }
 
 // connectWaitShare is the share of the hedge delay that an attempt may wait for a connection. An attempt that has not
@@ -136,9 +147,11 @@
 	VerdictFailed
 	// VerdictGone means that the caller has disconnected.
 	VerdictGone
+	// VerdictStopped means that the VM stops before the request could get its answer.
+	VerdictStopped
 )
 
 // String returns the verdict as it is written to logs and counters.
 func (v Verdict) String() string {
-	return [...]string{"none", "answered", "timeout", "failed", "gone"}[v]
+	return [...]string{"none", "answered", "timeout", "failed", "gone", "stopped"}[v]
 }
--- a/internal/policy/shutdown/shutdown.go
+++ b/internal/policy/shutdown/shutdown.go
@@ -1,4 +1,4 @@
-// Package shutdown decides how a planned stop of an entry VM divides its grace time.
+// Package shutdown decides how a planned stop of an entry VM divides its grace time, and which requests it still serves.
 package shutdown
 
 import "time"
@@ -10,6 +10,8 @@
 	exitReserve = 300 * time.Millisecond
 	// writeShare is the share of the finish time reserved for writing the last responses.
 	writeShare = 0.2
+	// typicalLatencyFactor is the multiple of the typical latency within which nearly all requests are answered.
+	typicalLatencyFactor = 2
 )
 
 // Schedule holds the times of a planned stop. The zero value means that no stop has begun.
@@ -39,6 +41,27 @@
 	return time.Duration(finishShare * float64(grace))
 }
 
+// Request describes a request for the decision whether a stopping VM serves it.
+type Request struct {
+	Arrived time.Time
+	// Deadline is when the request must have its final answer if the VM does not stop.
+	Deadline   time.Time
+	Idempotent bool
+	// Target is the route's target latency and TypicalLatency the usual one, 0 if unknown.
+	Target         time.Duration
+	TypicalLatency time.Duration
+}
+
+// Admits reports whether the VM serves a request that it has read. It rejects one that would probably not be answered
+// before AnswerBy, since another VM can serve it in full. A request that must not be repeated has to fit in with its
+// whole deadline, because its caller could not send it again after it was cut short.
+func (s Schedule) Admits(r Request) bool {
+	if !s.InProgress() || !r.Deadline.After(s.AnswerBy) {
+		return true
+	}
+	return r.Idempotent && s.AnswerBy.Sub(r.Arrived) >= max(r.Target, typicalLatencyFactor*r.TypicalLatency)
+}
+
 // InProgress reports whether a stop has begun.
 func (s Schedule) InProgress() bool {
 	return !s.Began.IsZero()
--- a/internal/policy/shutdown/shutdown_test.go
+++ b/internal/policy/shutdown/shutdown_test.go
@@ -34,3 +34,34 @@
 	}
 	assert.Assert(t, !Schedule{}.InProgress())
 }
+
+// TestAdmits checks which requests a VM serves whose answers must be final 1,440 ms after the start.
+func TestAdmits(t *testing.T) {
+	tests := []struct {
+		name       string
+		arrived    time.Duration
+		wait       time.Duration
+		idempotent bool
+		typical    time.Duration
+		want       bool
+	}{
+		{"ends before the stop", 0, 1440 * ms, false, 0, true},
+		{"may outlast the stop, time for its target", 640 * ms, 2000 * ms, true, 90 * ms, true},
+		{"may outlast the stop, no time for its target", 641 * ms, 2000 * ms, true, 90 * ms, false},
+		{"may outlast the stop, not idempotent", 0, 1441 * ms, false, 90 * ms, false},
+		{"usually slower than its target", 500 * ms, 2000 * ms, true, 500 * ms, false},
+		{"just in time though usually slow", 440 * ms, 2000 * ms, true, 500 * ms, true},
+		{"read after the limit", 1441 * ms, 10 * ms, true, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := Schedule{Began: start.Add(-time.Second), AnswerBy: start.Add(1440 * ms)}
+			r := Request{
+				Arrived: start.Add(tt.arrived), Deadline: start.Add(tt.arrived + tt.wait), Idempotent: tt.idempotent,
+				Target: 800 * ms, TypicalLatency: tt.typical,
+			}
+			assert.Equal(t, s.Admits(r), tt.want)
+			assert.Assert(t, Schedule{}.Admits(r))
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/soak/stop_test.go
@@ -0,0 +1,120 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilspan/internal/core/unit"
+	"basilspan/internal/standin/shard"
+)
+
+const (
+	// stopConnections is the number of connections that are open when the stop begins, and stopSendPeriod is the time
+	// between the requests that are sent on them. Together they cover the grace time.
+	stopConnections = 120
+	stopSendPeriod  = 35 * time.Millisecond
+	// unboundedTimeout is what a caller states that waits longer than a stop takes.
+	unboundedTimeout = time.Minute
+)
+
+// TestStopAnswersEveryRequestItHasForwarded guards against requests that are read during a planned stop and lost when
+// the process exits.
+func TestStopAnswersEveryRequestItHasForwarded(t *testing.T) {
+	tests := []struct {
+		name      string
+		mode      shard.Mode
+		delay     time.Duration
+		path      Path
+		remaining time.Duration
+	}{
+		{"hanging endpoints", shard.ModeHang, 0, PathOne, callerTimeout},
+		{"hanging endpoints, not idempotent", shard.ModeHang, 0, PathOnce, callerTimeout},
+		{"hanging shards", shard.ModeHang, 0, PathAll, callerTimeout},
+		{"hanging endpoints, patient callers", shard.ModeHang, 0, PathOne, unboundedTimeout},
+		{"slow endpoints", shard.ModeServe, 1200 * time.Millisecond, PathOne, callerTimeout},
+		{"slow endpoints, not idempotent", shard.ModeServe, 1200 * time.Millisecond, PathOnce, callerTimeout},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			dep := newDeployment(t, 1)
+			conns := dep.openConnections(stopConnections)
+			for _, e := range dep.endpoints {
+				e.SetMode(tt.mode)
+				e.Delay = tt.delay
+			}
+			var wg sync.WaitGroup
+			for i, c := range conns {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					time.Sleep(time.Duration(i) * stopSendPeriod)
+					dep.sendDuringStop(c, tt.path, tt.remaining)
+				}()
+			}
+			h := dep.finish()
+			wg.Wait()
+			runs := h.runsByRequest()
+			forwarded := 0
+			for _, req := range h.Requests {
+				if len(runs[req.ID]) == 0 {
+					continue
+				}
+				forwarded++
+				if req.Status == 0 {
+					t.Errorf("%s was forwarded and got no answer after %v: %v", req.ID, req.Ended.Sub(req.Sent), req.Err)
+				}
+			}
+			checkNotRun(h, t.Errorf)
+			checkRunOnce(h, t.Errorf)
+			assert.Equal(t, h.Lifetimes[0].ExitCode, 0, h.Lifetimes[0].Log)
+			assert.Assert(t, forwarded > 0)
+			if t.Failed() {
+				t.Log(h.Lifetimes[0].Log)
+			}
+		})
+	}
+}
+
+// openConnections opens connections to the first VM and sends one request on each, so that the VM tracks them as kept
+// connections.
+func (dep *deployment) openConnections(n int) []net.Conn {
+	dep.t.Helper()
+	conns := make([]net.Conn, 0, n)
+	for i := range n {
+		c, err := net.Dial("tcp", string(dep.vms[0].callersAddress))
+		assert.NilError(dep.t, err)
+		dep.t.Cleanup(func() { _ = c.Close() })
+		req := Request{ID: unit.RequestID(fmt.Sprint("open", i)), Path: PathOne, Method: http.MethodGet, Remaining: callerTimeout}
+		_, err = c.Write([]byte(req.encode()))
+		assert.NilError(dep.t, err)
+		more, err := req.readResponse(bufio.NewReader(c))
+		assert.NilError(dep.t, err)
+		assert.Assert(dep.t, more)
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// sendDuringStop sends a request on an open connection, waits for its response or the end of the connection, and
+// records both.
+func (dep *deployment) sendDuringStop(c net.Conn, path Path, remaining time.Duration) {
+	req := Request{
+		ID:   unit.RequestID("s" + strings.ReplaceAll(c.LocalAddr().String(), ":", "-")),
+		Path: path, Method: http.MethodGet, Remaining: remaining, Sent: time.Now(),
+	}
+	_, req.Err = c.Write([]byte(req.encode()))
+	if req.Err == nil {
+		_, req.Err = req.readResponse(bufio.NewReader(c))
+	}
+	req.Ended = time.Now()
+	dep.history.update(func(h *History) { h.Requests = append(h.Requests, req) })
+}
