Send nothing for a request whose caller has left before it begins

A busy VM reads a portion and its cancellation together. The cancellation was noted, but the goroutine of the portion sent all first attempts before it looked at its context, and so did a request of its own and a call to another VM.

Now a fan-out, a divided request and a call to a peer check the context before they send.

--- a/internal/core/dispatch/divided.go
+++ b/internal/core/dispatch/divided.go
@@ -70,6 +70,10 @@
 		ends: make(chan portionEnd, 2*len(plan)+1),
 	}
 	d.Metrics.Add("request.divided", 1)
+	if ctx.Err() != nil {
+		v.collector.Cancel()
+		plan = nil
+	}
 	for _, p := range plan {
 		v.startPortion(ctx, p)
 	}
--- a/internal/link/peer/peer.go
+++ b/internal/link/peer/peer.go
@@ -131,6 +131,9 @@
 	if err != nil {
 		return errors.Mark(err, ErrNotSent)
 	}
+	if ctx.Err() != nil {
+		return errors.Mark(errors.Wrapf(ctx.Err(), "send %s to peer %s", method, to), ErrNotSent)
+	}
 	id := jsonrpc2.ID{Num: l.lastCallID.Add(1)}
 	// A failed write may have sent some bytes, so from here on only a rejection by the peer counts as ErrNotSent.
 	waiter, err := conn.DispatchCall(ctx, string(method), params, jsonrpc2.PickID(id), jsonrpc2.Meta(l.newStamp()))
--- a/internal/policy/gather/machine.go
+++ b/internal/policy/gather/machine.go
@@ -60,10 +60,9 @@
 // answer is impossible, it sends nothing and the verdict is VerdictFailed.
 func (m *Machine) Start(now time.Time) []Action {
 	m.actions = m.actions[:0]
-	m.shards = make([]shardState, m.Params.Shards)
+	m.initShards()
 	m.attempts = make([]Attempt, 0, m.Params.Shards+m.Params.Shards/4+1)
 	for i := range m.shards {
-		m.shards[i].reply = -1
 		m.send(now, i, ReasonFirst)
 	}
 	if len(m.attempts) < m.minShards() {
@@ -79,6 +78,14 @@
 	return m.actions
 }
 
+// initShards creates the states of the shards, which have no reply.
+func (m *Machine) initShards() {
+	m.shards = make([]shardState, m.Params.Shards)
+	for i := range m.shards {
+		m.shards[i].reply = -1
+	}
+}
+
 // failUnsent ends the request with VerdictFailed before any of its attempts has been sent. It drops the actions and
 // attempts that Start has prepared.
 func (m *Machine) failUnsent() {
@@ -127,9 +134,12 @@
 }
 
 // Cancel ends the request because the caller has disconnected, and returns the actions that abandon its open
-// attempts.
+// attempts. A request that is cancelled in place of Start sends nothing.
 func (m *Machine) Cancel() []Action {
 	m.actions = m.actions[:0]
+	if m.shards == nil {
+		m.initShards()
+	}
 	if m.verdict == VerdictNone {
 		m.finish(VerdictGone)
 	}
