Send nothing for a request that begins after its deadlines

Endpoints ran attempts that nobody waited for: the verdict of a request was first looked at after its first attempts had been sent, so that a portion that a busy VM began after its partial deadline was sent to all its shards and given up at once.

Now a request that has ended before it begins sends nothing, and says so: the VM that asked for the portion knows that no endpoint was reached.

--- a/internal/policy/gather/machine.go
+++ b/internal/policy/gather/machine.go
@@ -56,11 +56,15 @@
 	lastOutcome Outcome
 }
 
-// Start returns the actions that send the first attempt of every shard. If so many shards have no endpoint that an
-// answer is impossible, it sends nothing and the verdict is VerdictFailed.
+// Start returns the actions that send the first attempt of every shard. It sends nothing if the request has ended
+// already, because it begins after its deadlines, or if so many shards have no endpoint that an answer is impossible; the
+// verdict is VerdictFailed then.
 func (m *Machine) Start(now time.Time) []Action {
 	m.actions = m.actions[:0]
 	m.initShards()
+	if m.updateVerdict(now); m.verdict != VerdictNone {
+		return nil
+	}
 	m.attempts = make([]Attempt, 0, m.Params.Shards+m.Params.Shards/4+1)
 	for i := range m.shards {
 		m.send(now, i, ReasonFirst)
--- a/internal/policy/gather/machine_test.go
+++ b/internal/policy/gather/machine_test.go
@@ -251,6 +251,34 @@
 	}
 }
 
+// TestLateStartSendsNothing guards against attempts whose replies nobody waits for, since the request begins after its
+// deadlines.
+func TestLateStartSendsNothing(t *testing.T) {
+	tests := []struct {
+		name    string
+		change  func(p *Params)
+		now     time.Time
+		verdict Verdict
+		sent    int
+	}{
+		{"in time", func(*Params) {}, at(71), VerdictNone, 2},
+		{"after the partial deadline, replies needed", func(*Params) {}, at(72), VerdictNone, 2},
+		{"after the partial deadline, no replies needed", func(p *Params) { p.MinShare = 0 }, at(72), VerdictAnswered, 0},
+		{"after the deadline", func(*Params) {}, at(392), VerdictTimedOut, 0},
+		{"after the stop of the VM", func(p *Params) { p.AnswerBy = at(60) }, at(60), VerdictStopped, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			params := searchParams(2)
+			tt.change(&params)
+			m := newScenario(params, 2, 9).m
+			assert.Equal(t, len(m.Start(tt.now)), tt.sent)
+			assert.Equal(t, m.Verdict(), tt.verdict)
+			assert.Equal(t, m.MayHaveRun(), tt.sent > 0)
+		})
+	}
+}
+
 // TestHopelessAtStart checks that nothing is sent when too few shards have an endpoint for an answer. The refusal
 // tells the caller that the request was not run, so no endpoint may receive a part of it.
 func TestHopelessAtStart(t *testing.T) {
