Count a call's wait for the processor against its deadline

A busy VM began portions late, and told endpoints more time than was left. The time that a call had waited was measured when it was read, and its handler counted the deadlines from its own start, which on a VM with little processor time comes later.

TestQueueingDelayIncludesWaitForProcessor failed before. Now QueueingDelay also has the time since the call was read.

--- a/internal/link/peer/peer.go
+++ b/internal/link/peer/peer.go
@@ -2,8 +2,8 @@
 // call the methods of other VMs. docs/PROTOCOLS.md lists the methods.
 //
 // A call's context extends to the peer: callers send the remaining time with a call, which does not depend on either
-// VM's clock, and a call that is cancelled is cancelled at the peer. The time that a call waited to be read, because
-// the peer was paused, counts against the remaining time; QueueingDelay returns an estimate of it.
+// VM's clock, and a call that is cancelled is cancelled at the peer. The time that a call waited at the peer, because it
+// was paused or busy, counts against the remaining time; QueueingDelay returns an estimate of it.
 package peer
 
 import (
--- a/internal/link/peer/peer_test.go
+++ b/internal/link/peer/peer_test.go
@@ -159,6 +159,22 @@
 	assert.Assert(t, <-delays >= holdTime/2)
 }
 
+// TestQueueingDelayIncludesWaitForProcessor guards against a call that counts from the start of its handler, which on a
+// busy VM comes long after the call was read.
+func TestQueueingDelayIncludesWaitForProcessor(t *testing.T) {
+	const wait = 50 * time.Millisecond
+	delays := make(chan time.Duration, 1)
+	peer := startLink(t, func(l *Link) {
+		Handle(l, "delay", func(ctx context.Context, w wireEcho) (wireEcho, error) {
+			time.Sleep(wait)
+			delays <- QueueingDelay(ctx)
+			return w, nil
+		})
+	})
+	assert.NilError(t, startLink(t, noMethods).Call(context.Background(), peer.Address(), "delay", wireEcho{}, nil))
+	assert.Assert(t, <-delays >= wait)
+}
+
 // startRelay returns the address of a proxy to another address. For bytes sent to that address, it calls wait before
 // it forwards each chunk.
 func startRelay(t *testing.T, to unit.Address, wait func()) unit.Address {
--- a/internal/link/peer/session.go
+++ b/internal/link/peer/session.go
@@ -23,15 +23,24 @@
 	}
 )
 
-// queueingDelayKey is the context key of a call's queueing delay.
-type queueingDelayKey struct{}
+// arrivalKey is the context key of a call's arrival.
+type arrivalKey struct{}
 
-// QueueingDelay returns an estimate of how long the call that ctx belongs to waited to be read. It is measured relative
-// to the fastest call so far on the same connection, and is 0 outside a call. Handlers subtract it from the remaining
-// time that was sent with the call.
+// arrival is when a call was read, and how long it had waited to be read.
+type arrival struct {
+	read  time.Time
+	delay time.Duration
+}
+
+// QueueingDelay returns an estimate of how long the call that ctx belongs to has waited, until now: to be read, and since
+// then for its goroutine to run. The former is measured relative to the fastest call so far on the same connection. It
+// is 0 outside a call. Handlers subtract it from the remaining time that was sent with the call.
 func QueueingDelay(ctx context.Context) time.Duration {
-	delay, _ := ctx.Value(queueingDelayKey{}).(time.Duration)
-	return delay
+	a, ok := ctx.Value(arrivalKey{}).(arrival)
+	if !ok {
+		return 0
+	}
+	return a.delay + time.Since(a.read)
 }
 
 // session handles the calls that arrive on one connection.
@@ -64,8 +73,8 @@
 		s.handleCancel(req)
 		return
 	}
-	delay := s.queueingDelay(req)
-	ctx, cancel := context.WithCancel(context.WithValue(ctx, queueingDelayKey{}, delay))
+	a := arrival{read: time.Now(), delay: s.queueingDelay(req)}
+	ctx, cancel := context.WithCancel(context.WithValue(ctx, arrivalKey{}, a))
 	if !s.register(req.ID.Num, cancel) {
 		cancel()
 		refusal := &jsonrpc2.Error{Code: codeClosing, Message: "this entry VM is stopping"}
