--- a/internal/core/dispatch/divided.go
+++ b/internal/core/dispatch/divided.go
@@ -180,12 +180,17 @@
 func (v *dividedRequest) awaitVerdict(ctx context.Context) {
 	timer := time.NewTimer(v.untilNextCheck())
 	defer timer.Stop()
+	stopping := v.dispatcher.stopping
 	for v.collector.Verdict(v.dispatcher.Now()) == gather.VerdictNone {
 		select {
 		case e := <-v.ends:
 			v.handleEnd(ctx, e)
 		case <-timer.C:
 			timer.Reset(v.untilNextCheck())
+		case <-stopping:
+			stopping = nil
+			v.collector.AnswerBy = v.dispatcher.schedule().AnswerBy
+			timer.Reset(v.untilNextCheck())
 		case <-ctx.Done():
 			v.collector.Cancel()
 		}
@@ -284,6 +289,8 @@
 		return Answer{Code: unit.CodeCallerGone}
 	case gather.VerdictTimedOut:
 		return Answer{Code: unit.CodeDeadline}
+	case gather.VerdictStopped:
+		return Answer{Code: unit.CodeStopped}
 	}
 	if !v.mayHaveRun {
 		return Answer{Code: unit.CodeNoEndpoint, RetryAfter: v.dispatcher.retryAfter(unit.CodeNoEndpoint, v.route)}
@@ -308,7 +315,7 @@
 
 // endRecord returns the record of the request for its log line and the metrics.
 func (v *dividedRequest) endRecord(a Answer) Record {
-	r := v.job.baseRecord(a, v.dispatcher.Now())
+	r := v.dispatcher.baseRecord(v.job, a)
 	r.Verdict = v.collector.Verdict(v.dispatcher.Now())
 	r.Shards, r.Answered = len(v.services), len(v.services)-v.collector.Missing()
 	r.Hedges, r.Retries, r.Denied = v.totals.Hedges, v.totals.Retries, v.totals.Denied
