Read the registry's era, and report when the registry was restored

What callers saw: nothing yet. An entry VM could not tell a registry that was restored from a copy from one that only lost its history, and neither log nor counter showed it. Change: the adapter reads Store-Era from each response, and reads carry a position: the era and the revision in it. The discovery state logs 'registry restored from a copy' and counts registry.restored once an era, whichever prefix shows it first. Nothing decides by the era yet. The registry's stand-in can copy its contents and be restored from a copy. A response with an unreadable era is a failed read, since it cannot be placed in the history; the reason is logged. Test literals changed in form only, from a revision to a position.

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -49,6 +49,9 @@
 	endpointsListed bool
 	lostSince       map[registry.Prefix]time.Time
 	cache           *relayCache
+	// position is the latest position in the registry's history that is known; eraKnown is unset before the first one.
+	position unit.Position
+	eraKnown bool
 }
 
 // Install creates the discovery state and registers its event handlers with loop.
@@ -93,6 +96,7 @@
 	if !e.FromPeer {
 		s.recordRead(now, e.Prefix)
 	}
+	s.recordPosition(e.Prefix, e.Position)
 	s.cache.replace(now, e)
 	if e.Prefix == s.TablePrefix {
 		s.applyTables(now, e.Items)
@@ -113,6 +117,7 @@
 // onChanged handles the changes of a prefix; without items it only confirms that the registry can be read.
 func (s *State) onChanged(now time.Time, e registry.Changed) {
 	s.recordRead(now, e.Prefix)
+	s.recordPosition(e.Prefix, e.Position)
 	s.cache.applyChanges(now, e)
 	if e.Prefix == s.TablePrefix {
 		s.applyTables(now, e.Items)
@@ -216,6 +221,21 @@
 	}
 }
 
+// recordPosition records a position that was read. A new era means that the registry has been restored from a copy,
+// which is logged and counted once, whichever prefix shows it first.
+func (s *State) recordPosition(prefix registry.Prefix, p unit.Position) {
+	before := s.position
+	if !s.eraKnown || p.After(before) {
+		s.position = p
+	}
+	if s.eraKnown && p.Era > before.Era {
+		s.Metrics.Add("registry.restored", 1)
+		s.Log.Warn("registry restored from a copy", "prefix", prefix, "era", p.Era, "revision", p.Revision,
+			"era_before", before.Era, "revision_before", before.Revision)
+	}
+	s.eraKnown = true
+}
+
 // onTick publishes the view again when its RegistryReadAt has grown old or endpoints without a registration have
 // expired.
 func (s *State) onTick(now time.Time, _ kernel.Tick) {
--- a/internal/core/discovery/relay_cache.go
+++ b/internal/core/discovery/relay_cache.go
@@ -109,7 +109,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.getOrCreate(prefix)
-	return registry.Listing{Revision: p.revision, Items: slices.Collect(maps.Values(p.items))}
+	return registry.Listing{Position: unit.Position{Revision: p.revision}, Items: slices.Collect(maps.Values(p.items))}
 }
 
 // awaitChanges waits until there is something newer than a revision or ctx ends, and returns what is newer, which may
@@ -135,7 +135,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.getOrCreate(prefix)
-	update := registry.Update{Listing: registry.Listing{Revision: p.revision}, ConfirmedAt: p.confirmedAt}
+	update := registry.Update{ConfirmedAt: p.confirmedAt}
+	update.Revision = p.revision
 	switch {
 	case p.revision <= after:
 	case after < p.historyStart:
--- a/internal/core/discovery/relay_cache_test.go
+++ b/internal/core/discovery/relay_cache_test.go
@@ -15,18 +15,23 @@
 
 var start = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
 
+// at returns a position of the first era.
+func at(revision unit.Revision) unit.Position {
+	return unit.Position{Revision: revision}
+}
+
 func put(key registry.Key, revision unit.Revision) registry.Item {
-	return registry.Item{Key: key, Revision: revision}
+	return registry.Item{Position: at(revision), Key: key}
 }
 
 func deletion(key registry.Key, revision unit.Revision) registry.Item {
-	return registry.Item{Key: key, Revision: revision, Deleted: true}
+	return registry.Item{Position: at(revision), Key: key, Deleted: true}
 }
 
 // TestChangesSince checks the update that a peer gets: nothing, the changes after its revision, or a full listing if it
 // is older than the history.
 func TestChangesSince(t *testing.T) {
-	listed := registry.Listed{Prefix: "p/", Revision: 5, Items: []registry.Item{put("p/a", 3), put("p/b", 5)}}
+	listed := registry.Listed{Position: at(5), Prefix: "p/", Items: []registry.Item{put("p/a", 3), put("p/b", 5)}}
 	tests := []struct {
 		name     string
 		changes  []registry.Changed
@@ -38,21 +43,21 @@
 		{"peer without values", nil, 0, []string{"p/a 3", "p/b 5"}, true, 5},
 		{"peer up to date", nil, 5, nil, false, 5},
 		{"peer ahead", nil, 7, nil, false, 5},
-		{"one put", []registry.Changed{{Revision: 7, Items: []registry.Item{put("p/c", 7)}}}, 5, []string{"p/c 7"}, false, 7},
+		{"one put", []registry.Changed{{Position: at(7), Items: []registry.Item{put("p/c", 7)}}}, 5, []string{"p/c 7"}, false, 7},
 		{
 			"one deletion",
-			[]registry.Changed{{Revision: 7, Items: []registry.Item{deletion("p/a", 7)}}},
+			[]registry.Changed{{Position: at(7), Items: []registry.Item{deletion("p/a", 7)}}},
 			5,
 			[]string{"p/a 7 deleted"},
 			false, 7,
 		},
 		{"last of two changes", []registry.Changed{
-			{Revision: 7, Items: []registry.Item{put("p/c", 7)}}, {Revision: 8, Items: []registry.Item{deletion("p/c", 8)}},
+			{Position: at(7), Items: []registry.Item{put("p/c", 7)}}, {Position: at(8), Items: []registry.Item{deletion("p/c", 8)}},
 		}, 7, []string{"p/c 8 deleted"}, false, 8},
-		{"new revision without a change", []registry.Changed{{Revision: 9}}, 5, nil, false, 9},
+		{"new revision without a change", []registry.Changed{{Position: at(9)}}, 5, nil, false, 9},
 		{
 			"peer older than the history",
-			[]registry.Changed{{Revision: 7, Items: []registry.Item{put("p/c", 7)}}},
+			[]registry.Changed{{Position: at(7), Items: []registry.Item{put("p/c", 7)}}},
 			4,
 			[]string{"p/a 3", "p/b 5", "p/c 7"},
 			true, 7,
@@ -89,9 +94,9 @@
 // TestHistoryIsBounded checks that the history is bounded and that a peer older than it gets a full listing.
 func TestHistoryIsBounded(t *testing.T) {
 	cache := newRelayCache()
-	cache.replace(start, registry.Listed{Prefix: "p/", Revision: 1})
+	cache.replace(start, registry.Listed{Position: at(1), Prefix: "p/"})
 	for i := range unit.Revision(maxHistory + 10) {
-		cache.applyChanges(start, registry.Changed{Prefix: "p/", Revision: i + 2, Items: []registry.Item{put("p/a", i+2)}})
+		cache.applyChanges(start, registry.Changed{Position: at(i + 2), Prefix: "p/", Items: []registry.Item{put("p/a", i+2)}})
 	}
 	tests := []struct {
 		name  string
@@ -114,9 +119,9 @@
 // TestAwaitChanges checks that a change wakes a waiting peer.
 func TestAwaitChanges(t *testing.T) {
 	cache := newRelayCache()
-	cache.replace(start, registry.Listed{Prefix: "p/", Revision: 1})
+	cache.replace(start, registry.Listed{Position: at(1), Prefix: "p/"})
 	got := make(chan registry.Update)
 	go func() { got <- cache.awaitChanges(context.Background(), "p/", 1) }()
-	cache.applyChanges(start, registry.Changed{Prefix: "p/", Revision: 2, Items: []registry.Item{put("p/a", 2)}})
+	cache.applyChanges(start, registry.Changed{Position: at(2), Prefix: "p/", Items: []registry.Item{put("p/a", 2)}})
 	assert.Equal(t, len((<-got).Items), 1)
 }
--- a/internal/core/fleet/compress_test.go
+++ b/internal/core/fleet/compress_test.go
@@ -7,8 +7,14 @@
 	"gotest.tools/v3/assert"
 
 	"basilspan/internal/core/registry"
+	"basilspan/internal/core/unit"
 )
 
+// at returns a position of the first era.
+func at(revision unit.Revision) unit.Position {
+	return unit.Position{Revision: revision}
+}
+
 // TestListingRoundTrip checks that values reach a peer unchanged, whether small or compressed, and that a new revision
 // does not get the cached form of the last one.
 func TestListingRoundTrip(t *testing.T) {
@@ -18,20 +24,20 @@
 		items []registry.Item
 	}{
 		{"nothing", nil},
-		{"a small value", []registry.Item{{Key: "k", Value: []byte("v"), Revision: 3}}},
-		{"a deletion", []registry.Item{{Key: "k", Revision: 3, Deleted: true}}},
-		{"a large value", []registry.Item{{Key: "k", Value: []byte(large), Revision: 3}}},
+		{"a small value", []registry.Item{{Position: at(3), Key: "k", Value: []byte("v")}}},
+		{"a deletion", []registry.Item{{Position: at(3), Key: "k", Deleted: true}}},
+		{"a large value", []registry.Item{{Position: at(3), Key: "k", Value: []byte(large)}}},
 		{"a large value at its next revision", []registry.Item{
-			{Key: "k", Value: []byte(large), Revision: 3}, {Key: "k", Value: []byte(large + "x"), Revision: 4},
+			{Position: at(3), Key: "k", Value: []byte(large)}, {Position: at(4), Key: "k", Value: []byte(large + "x")},
 		}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			f := &Fleet{}
-			w := f.encodeListing(registry.Listing{Revision: 9, Items: tt.items})
+			w := f.encodeListing(registry.Listing{Position: at(9), Items: tt.items})
 			got, err := w.decode()
 			assert.NilError(t, err)
-			assert.DeepEqual(t, got, registry.Listing{Revision: 9, Items: tt.items})
+			assert.DeepEqual(t, got, registry.Listing{Position: at(9), Items: tt.items})
 			for _, i := range w.Items {
 				assert.Assert(t, len(i.Value) < compressMinBytes)
 			}
--- a/internal/core/fleet/listing.go
+++ b/internal/core/fleet/listing.go
@@ -167,9 +167,11 @@
 
 // decode returns the listing; a value that cannot be decompressed is an error.
 func (w wireListing) decode() (registry.Listing, error) {
-	all := registry.Listing{Revision: w.Revision}
+	all := registry.Listing{Position: unit.Position{Revision: w.Revision}}
 	for _, i := range w.Items {
-		item := registry.Item{Key: registry.Key(i.Key), Value: i.Value, Revision: i.Revision, Deleted: i.Deleted}
+		item := registry.Item{
+			Position: unit.Position{Revision: i.Revision}, Key: registry.Key(i.Key), Value: i.Value, Deleted: i.Deleted,
+		}
 		if i.Compressed {
 			var err error
 			if item.Value, err = decompress(i.Value); err != nil {
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -59,35 +59,36 @@
 // Prefix is the common start of the keys of several values.
 type Prefix string
 
-// Item is a published value, or its deletion, at a revision.
+// Item is a published value, or its deletion. Its position has the revision of its last change and the era in which it
+// was read.
 type Item struct {
-	Key      Key
-	Value    []byte
-	Revision unit.Revision
-	Deleted  bool
+	unit.Position
+	Key     Key
+	Value   []byte
+	Deleted bool
 }
 
 // Listing is the result of a read.
 type Listing struct {
+	// Position is the position from which a watch continues.
+	unit.Position
 	Items []Item
-	// Revision is the revision from which a watch continues.
-	Revision unit.Revision
 }
 
 // Listed is the event that all values of a prefix were read.
 type Listed struct {
-	Prefix   Prefix
-	Items    []Item
-	Revision unit.Revision
+	unit.Position
+	Prefix Prefix
+	Items  []Item
 	// FromPeer reports that a peer sent the values because this VM can't read the registry. They may be out of date.
 	FromPeer bool
 }
 
 // Changed is the event that values of a prefix have changed. Items is empty when a read found no change.
 type Changed struct {
-	Prefix   Prefix
-	Items    []Item
-	Revision unit.Revision
+	unit.Position
+	Prefix Prefix
+	Items  []Item
 	// Age is the time since the registry was known to hold nothing newer; 0 for a response of the registry itself.
 	Age time.Duration
 }
@@ -208,7 +209,7 @@
 		return
 	}
 	f.revision = listing.Revision
-	f.post(ctx, Listed{Prefix: f.Prefix, Items: listing.Items, Revision: listing.Revision, FromPeer: true})
+	f.post(ctx, Listed{Position: listing.Position, Prefix: f.Prefix, Items: listing.Items, FromPeer: true})
 }
 
 // readAll lists all values in the registry and posts them.
@@ -219,7 +220,7 @@
 	if err != nil {
 		return err
 	}
-	f.post(ctx, Listed{Prefix: f.Prefix, Items: listing.Items, Revision: listing.Revision})
+	f.post(ctx, Listed{Position: listing.Position, Prefix: f.Prefix, Items: listing.Items})
 	f.revision = listing.Revision
 	return nil
 }
@@ -231,7 +232,7 @@
 	if err != nil {
 		return err
 	}
-	f.post(ctx, Changed{Prefix: f.Prefix, Items: changes.Items, Revision: changes.Revision})
+	f.post(ctx, Changed{Position: changes.Position, Prefix: f.Prefix, Items: changes.Items})
 	f.revision = max(f.revision, changes.Revision)
 	if len(changes.Items) > 0 {
 		kernel.Wait(ctx, f.BatchDelay)
@@ -306,9 +307,9 @@
 		return errors.Newf("the peer's values are out of date: revision %d, confirmed %v ago", update.Revision, age)
 	}
 	if update.Full {
-		f.post(ctx, Listed{Prefix: f.Prefix, Items: update.Items, Revision: update.Revision})
+		f.post(ctx, Listed{Position: update.Position, Prefix: f.Prefix, Items: update.Items})
 	} else {
-		f.post(ctx, Changed{Prefix: f.Prefix, Items: update.Items, Revision: update.Revision, Age: age})
+		f.post(ctx, Changed{Position: update.Position, Prefix: f.Prefix, Items: update.Items, Age: age})
 	}
 	f.revision = max(f.revision, update.Revision)
 	return nil
--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -50,7 +50,7 @@
 		return Listing{}, err
 	}
 	if strings.HasSuffix(text, "+") {
-		l.Items = []Item{{Key: "p/1", Revision: l.Revision}}
+		l.Items = []Item{{Position: l.Position, Key: "p/1"}}
 	}
 	return l, nil
 }
--- a/internal/core/unit/unit.go
+++ b/internal/core/unit/unit.go
@@ -35,9 +35,27 @@
 type Incarnation uint64
 
 // Revision is the number of a configuration published by the platform, or of a change in the registry. The revisions of
-// one source only increase.
+// one source only increase, those of the registry within an era.
 type Revision uint64
 
+// Era is the number of times the registry has been restored from a copy. A restore takes back the changes since the
+// copy, whose revisions are then given out again.
+type Era uint64
+
+// Position is a point in the history of the registry.
+type Position struct {
+	Era      Era
+	Revision Revision
+}
+
+// After reports whether p is later than other. Revisions order the changes of one era only.
+func (p Position) After(other Position) bool {
+	if p.Era != other.Era {
+		return p.Era > other.Era
+	}
+	return p.Revision > other.Revision
+}
+
 // AttemptID is the number of an attempt of one query, from 1.
 type AttemptID uint32
 
--- a/internal/platform/store/decode_test.go
+++ b/internal/platform/store/decode_test.go
@@ -46,7 +46,9 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			got, err := DecodeEndpoint(now, registry.Item{Key: "servers/i-1", Value: []byte(tt.value), Revision: 7})
+			got, err := DecodeEndpoint(now, registry.Item{
+				Position: unit.Position{Revision: 7}, Key: "servers/i-1", Value: []byte(tt.value),
+			})
 			assert.Equal(t, err != nil, tt.fault, "%v", err)
 			assert.DeepEqual(t, got, tt.want)
 		})
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -32,6 +32,8 @@
 	// keepAliveInterval and keepAliveProbes detect a dead connection between two responses.
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 2
+	// headerEra is the header field with the registry's era. A store that was never restored may omit it.
+	headerEra = "Store-Era"
 )
 
 // Client reads one store. It is safe for concurrent use.
@@ -73,6 +75,7 @@
 
 // page is the response to a read of several keys.
 type page struct {
+	era       unit.Era
 	Items     []item        `json:"items"`
 	Truncated bool          `json:"truncated"`
 	Revision  unit.Revision `json:"at"`
@@ -80,6 +83,7 @@
 
 // changes is the response to a watch.
 type changes struct {
+	era      unit.Era
 	Events   []item        `json:"events"`
 	Revision unit.Revision `json:"at"`
 }
@@ -95,10 +99,10 @@
 			return registry.Listing{}, err
 		}
 		if first {
-			all.Revision = p.Revision
+			all.Position = unit.Position{Era: p.era, Revision: p.Revision}
 		}
 		for _, i := range p.Items {
-			all.Items = append(all.Items, i.decode())
+			all.Items = append(all.Items, i.decode(p.era))
 		}
 		if !p.Truncated || len(p.Items) == 0 {
 			return all, nil
@@ -112,7 +116,8 @@
 	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
 	defer cancel()
 	var p page
-	err := c.get(ctx, "/api/kv-range", query, &p)
+	var err error
+	p.era, err = c.get(ctx, "/api/kv-range", query, &p)
 	return p, err
 }
 
@@ -128,43 +133,62 @@
 		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
 	var w changes
-	if err := c.get(ctx, "/api/kv-watch", query, &w); err != nil {
+	var err error
+	if w.era, err = c.get(ctx, "/api/kv-watch", query, &w); err != nil {
 		return registry.Listing{}, err
 	}
-	all := registry.Listing{Revision: w.Revision}
+	all := registry.Listing{Position: unit.Position{Era: w.era, Revision: w.Revision}}
 	for _, e := range w.Events {
-		all.Items = append(all.Items, e.decode())
+		all.Items = append(all.Items, e.decode(w.era))
 	}
 	return all, nil
 }
 
-func (i item) decode() registry.Item {
-	return registry.Item{Key: registry.Key(i.Key), Value: i.Value, Revision: i.Revision, Deleted: i.Deleted}
+// decode returns the item as read in that era.
+func (i item) decode(era unit.Era) registry.Item {
+	return registry.Item{
+		Position: unit.Position{Era: era, Revision: i.Revision},
+		Key:      registry.Key(i.Key), Value: i.Value, Deleted: i.Deleted,
+	}
+}
+
+// decodeEra returns the era in the header of a response, 0 if it has none.
+func decodeEra(h http.Header) (unit.Era, error) {
+	text := h.Get(headerEra)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	return unit.Era(n), errors.Wrapf(err, "parse the header field %s", headerEra)
 }
 
-// get sends a GET request to the store and decodes the JSON response into the value that into points to. It returns
-// registry.ErrCompacted for status 410. Only ctx bounds how long it takes.
-func (c *Client) get(ctx context.Context, path string, query url.Values, into any) error {
+// get sends a GET request to the store, decodes the JSON response into the value that into points to and returns the
+// era of the response. It returns registry.ErrCompacted for status 410. Only ctx bounds how long it takes.
+func (c *Client) get(ctx context.Context, path string, query url.Values, into any) (unit.Era, error) {
 	target := "http://" + string(c.address) + path + "?" + query.Encode()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
-		return errors.Wrap(err, "build the request to the store")
+		return 0, errors.Wrap(err, "build the request to the store")
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return errors.Wrap(err, "send the request to the store")
+		return 0, errors.Wrap(err, "send the request to the store")
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	if err != nil {
-		return errors.Wrap(err, "read the store's response")
+		return 0, errors.Wrap(err, "read the store's response")
 	}
 	switch resp.StatusCode {
 	case http.StatusOK:
-		return errors.Wrap(json.Unmarshal(body, into), "decode the store's response")
+		era, err := decodeEra(resp.Header)
+		if err != nil {
+			return 0, err
+		}
+		return era, errors.Wrap(json.Unmarshal(body, into), "decode the store's response")
 	case http.StatusGone:
-		return registry.ErrCompacted
+		return 0, registry.ErrCompacted
 	default:
-		return errors.Newf("the store responded with status %d", resp.StatusCode)
+		return 0, errors.Newf("the store responded with status %d", resp.StatusCode)
 	}
 }
--- a/internal/platform/store/store_test.go
+++ b/internal/platform/store/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -93,6 +94,45 @@
 	}
 }
 
+// TestEra checks that lists and watches return the era of each response, and that a response whose era cannot be read is
+// an error.
+func TestEra(t *testing.T) {
+	copied := func(s *standin.Store) { s.Restore(s.Copy()) }
+	tests := []struct {
+		name   string
+		header string
+		do     func(s *standin.Store)
+		want   unit.Era
+		fault  bool
+	}{
+		{"no header", "", nil, 0, false},
+		{"never restored", "0", nil, 0, false},
+		{"restored", "", copied, 1, false},
+		{"not a number", "one", nil, 0, true},
+		{"negative", "-1", nil, 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c, s := newClient(t)
+			s.Put("servers/1", "a")
+			if tt.do != nil {
+				tt.do(s)
+			} else {
+				s.EraHeader = &tt.header
+			}
+			listing, err := c.List(t.Context(), PrefixEndpoints)
+			assert.Equal(t, err != nil, tt.fault, "%v", err)
+			assert.Equal(t, listing.Era, tt.want)
+			changes, err := c.Watch(t.Context(), PrefixEndpoints, 1, 50*time.Millisecond)
+			assert.Equal(t, err != nil, tt.fault, "%v", err)
+			assert.Equal(t, changes.Era, tt.want)
+			for _, i := range slices.Concat(listing.Items, changes.Items) {
+				assert.Equal(t, i.Era, tt.want)
+			}
+		})
+	}
+}
+
 // TestListFaults checks that each kind of failure of the store is returned as an error within a bounded time, and not
 // as an empty listing.
 func TestListFaults(t *testing.T) {
--- a/internal/standin/registry/registry.go
+++ b/internal/standin/registry/registry.go
@@ -1,9 +1,10 @@
 // Package registry simulates the platform's metadata store for tests: keys with revisions that can be listed in pages
-// and watched. The store can compact its history, fail its requests and shut down.
+// and watched. The store can compact its history, be restored from a copy, fail its requests and shut down.
 package registry
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -36,10 +37,13 @@
 type Store struct {
 	// PageSize is the maximum number of items of a page.
 	PageSize int
+	// EraHeader replaces the header field with the era in all responses; an empty string omits the field.
+	EraHeader *string
 
 	server *httptest.Server
 
 	mu       sync.Mutex
+	era      uint64
 	revision uint64
 	items    map[string]wireItem
 	// events holds the changes after compacted, in order.
@@ -68,6 +72,7 @@
 }
 
 type wireChanges struct {
+	era    uint64
 	Events []wireItem `json:"events"`
 	At     uint64     `json:"at"`
 }
@@ -126,6 +131,31 @@
 	s.events = nil
 }
 
+// Copy is a copy of a store's contents at one revision.
+type Copy struct {
+	revision uint64
+	items    map[string]wireItem
+}
+
+// Copy returns a copy of the current contents.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{revision: s.revision, items: maps.Clone(s.items)}
+}
+
+// Restore replaces the contents by a copy and starts the next era. The changes since the copy are lost, and later ones
+// get their revisions.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision = c.revision
+	s.items = maps.Clone(c.items)
+	s.events = slices.DeleteFunc(s.events, func(e wireItem) bool { return e.Revision > c.revision })
+	s.compacted = min(s.compacted, c.revision)
+}
+
 // SetFault makes all later requests fail this way. A fault also closes the open connections, and with them the waiting
 // watches; FaultNone ends the fault.
 func (s *Store) SetFault(f Fault) {
@@ -144,12 +174,14 @@
 	return s.reads
 }
 
-// withFaults counts each request and fails it as the current fault says, or passes it on to next.
+// withFaults counts each request, sets the header with the era, and fails the request as the current fault says or
+// passes it on to next.
 func (s *Store) withFaults(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.reads++
 		fault := s.fault
+		s.setEra(w, s.era)
 		s.mu.Unlock()
 		switch fault {
 		case FaultNone:
@@ -169,11 +201,23 @@
 	})
 }
 
+// setEra sets the header field with the era, which all responses have unless EraHeader omits it.
+func (s *Store) setEra(w http.ResponseWriter, era uint64) {
+	text := strconv.FormatUint(era, 10)
+	if s.EraHeader != nil {
+		text = *s.EraHeader
+	}
+	if text != "" {
+		w.Header().Set("Store-Era", text)
+	}
+}
+
 // list serves one page of the items with a key prefix, in the order of their keys and starting behind the key "after".
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w, s.era)
 	page := wirePage{Items: []wireItem{}, At: s.revision}
 	for key, item := range s.items {
 		if strings.HasPrefix(key, prefix) && key > after {
@@ -189,7 +233,7 @@
 }
 
 // watch serves a long poll: it responds as soon as there are changes after a revision, or with none after wait_ms. If
-// the changes were discarded, it responds with status 410.
+// the changes were discarded, or a restore has taken back the revision, it responds with status 410.
 func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
@@ -199,6 +243,7 @@
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	for end := time.Now().Add(time.Duration(wait) * time.Millisecond); ; time.Sleep(pollInterval) {
 		changes, compacted := s.changesSince(r.URL.Query().Get("prefix"), after)
+		s.setEra(w, changes.era)
 		switch {
 		case compacted:
 			w.WriteHeader(http.StatusGone)
@@ -210,15 +255,15 @@
 	}
 }
 
-// changesSince returns the changes after a revision to keys with the prefix; compacted reports that some of them were
-// discarded.
+// changesSince returns the changes after a revision to keys with the prefix; compacted reports that the store does not
+// have the history since then.
 func (s *Store) changesSince(prefix string, after uint64) (c wireChanges, compacted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.compacted {
-		return wireChanges{}, true
+	if after < s.compacted || after > s.revision {
+		return wireChanges{era: s.era}, true
 	}
-	c = wireChanges{Events: []wireItem{}, At: s.revision}
+	c = wireChanges{era: s.era, Events: []wireItem{}, At: s.revision}
 	for _, e := range s.events {
 		if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
 			c.Events = append(c.Events, e)
