List anew when a watch is answered from another era

What callers would see: after a restore of the registry, requests handled by a table and by endpoints that miss what was published between the copy and the revision that the VM had caught up with. Cause: a follower went on from its revision in whatever history the response came from. A restore gives revisions out again, so the watch is answered without a 410 and leaves out what lies below that revision. A follower also refused a peer with a lower revision although its era was later, and took values of an earlier era for newer ones because their revision was higher. Fix: a follower keeps a position, ordered by era first. Changes of a later era are dropped and followed by a listing; a listing, changes or a peer's update of an earlier era count as a failed read. A 410 still leads to a listing, in the era that the VM knows or a later one. AwaitChanges and the calls between VMs take a position, and still use its revision alone.

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -76,10 +76,10 @@
 	return s.cache.listing(prefix)
 }
 
-// AwaitChanges waits until this VM knows something under a prefix that is newer than a revision, or ctx ends, and
+// AwaitChanges waits until this VM knows something under a prefix that is newer than a position, or ctx ends, and
 // returns what is newer. Any goroutine may call it.
-func (s *State) AwaitChanges(ctx context.Context, prefix registry.Prefix, after unit.Revision) registry.Update {
-	return s.cache.awaitChanges(ctx, prefix, after)
+func (s *State) AwaitChanges(ctx context.Context, prefix registry.Prefix, after unit.Position) registry.Update {
+	return s.cache.awaitChanges(ctx, prefix, after.Revision)
 }
 
 // onCensusChanged handles a new estimate of the number of entry VMs or a new list of candidates.
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -65,9 +65,9 @@
 	Call func(ctx context.Context, to unit.Address, method peer.Method, params, result any) error
 	// KnownValues returns the values under a prefix that this VM knows.
 	KnownValues func(prefix registry.Prefix) registry.Listing
-	// AwaitChanges waits until this VM learns of values under a prefix that are newer than a revision, or until ctx
+	// AwaitChanges waits until this VM learns of values under a prefix that are newer than a position, or until ctx
 	// ends, and returns them.
-	AwaitChanges func(ctx context.Context, prefix registry.Prefix, after unit.Revision) registry.Update
+	AwaitChanges func(ctx context.Context, prefix registry.Prefix, after unit.Position) registry.Update
 
 	loop       *kernel.Loop
 	census     *vmcount.Census
--- a/internal/core/fleet/listing.go
+++ b/internal/core/fleet/listing.go
@@ -57,7 +57,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(w.Wait)*time.Millisecond)
 	defer cancel()
 	defer context.AfterFunc(f.leaving, cancel)()
-	changes := f.AwaitChanges(ctx, registry.Prefix(w.Prefix), w.After)
+	changes := f.AwaitChanges(ctx, registry.Prefix(w.Prefix), unit.Position{Revision: w.After})
 	if f.leaving.Err() != nil {
 		return wireChanges{}, peer.RefusalError(errLeaving)
 	}
@@ -72,7 +72,7 @@
 // which is selected at random at first, and fails over to the next one when the seed does not respond or has no data
 // from the registry.
 func (f *Fleet) AwaitSeedChanges(
-	ctx context.Context, prefix registry.Prefix, after unit.Revision, wait time.Duration,
+	ctx context.Context, prefix registry.Prefix, after unit.Position, wait time.Duration,
 ) (registry.Update, error) {
 	seeds := f.seeds()
 	if len(seeds) == 0 {
@@ -82,7 +82,7 @@
 	seed := seeds[int(offset)%len(seeds)]
 	var w wireChanges
 	query := wireChangesQuery{
-		wireListingQuery: wireListingQuery{Prefix: string(prefix), After: after}, Wait: wait.Milliseconds(),
+		wireListingQuery: wireListingQuery{Prefix: string(prefix), After: after.Revision}, Wait: wait.Milliseconds(),
 	}
 	if err := f.Call(ctx, seed, methodChanges, query, &w); err != nil {
 		f.seedOffset.CompareAndSwap(offset, offset+1)
@@ -137,19 +137,19 @@
 // ListingFromSeed returns what a seed knows under the prefix if it is newer than after. It tries the seeds one by
 // one, beginning with a random one.
 func (f *Fleet) ListingFromSeed(
-	ctx context.Context, prefix registry.Prefix, after unit.Revision,
+	ctx context.Context, prefix registry.Prefix, after unit.Position,
 ) (registry.Listing, error) {
 	seeds := f.seeds()
 	first := int(f.Rand() * float64(len(seeds)))
 	for i := range seeds {
 		seed := seeds[(first+i)%len(seeds)]
-		w, err := f.fetchListing(ctx, seed, wireListingQuery{Prefix: string(prefix), After: after})
+		w, err := f.fetchListing(ctx, seed, wireListingQuery{Prefix: string(prefix), After: after.Revision})
 		if err != nil {
 			f.Log.Debug("no values from seed", "seed", seed, "prefix", prefix, "error", err)
 			continue
 		}
-		if w.Revision > after {
-			f.Log.Info("values taken from a peer", "peer", seed, "prefix", prefix, "revision", w.Revision, "before", after)
+		if w.Revision > after.Revision {
+			f.Log.Info("values taken from a peer", "peer", seed, "prefix", prefix, "revision", w.Revision, "before", after.Revision)
 			return w.decode()
 		}
 	}
--- a/internal/core/fleet/listing_test.go
+++ b/internal/core/fleet/listing_test.go
@@ -38,7 +38,7 @@
 				Self: vmcount.Caller{Centre: "z"},
 				Now:  time.Now,
 				Rand: func() float64 { return 0 },
-				AwaitChanges: func(ctx context.Context, _ registry.Prefix, _ unit.Revision) registry.Update {
+				AwaitChanges: func(ctx context.Context, _ registry.Prefix, _ unit.Position) registry.Update {
 					close(waiting)
 					<-ctx.Done()
 					return registry.Update{ConfirmedAt: time.Now()}
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -50,7 +50,8 @@
 	directReadPeriod = 10 * time.Second
 )
 
-// ErrCompacted is returned by a watch when the registry no longer has the changes since the requested revision.
+// ErrCompacted is returned by a watch when the registry does not have the changes since the requested revision, because
+// its history was compacted or a restore has taken back the revision.
 var ErrCompacted = errors.New("the registry has compacted the changes since the requested revision")
 
 // Key names one published value.
@@ -132,11 +133,11 @@
 	// them, or ErrCompacted if the registry no longer has them.
 	List  func(ctx context.Context, prefix Prefix) (Listing, error)
 	Watch func(ctx context.Context, prefix Prefix, after unit.Revision, wait time.Duration) (Listing, error)
-	// PeerListing returns all that a peer knows under the prefix, if that is newer than a revision. It is called when
+	// PeerListing returns all that a peer knows under the prefix, if that is newer than a position. It is called when
 	// the registry can't be read.
-	PeerListing func(ctx context.Context, prefix Prefix, after unit.Revision) (Listing, error)
+	PeerListing func(ctx context.Context, prefix Prefix, after unit.Position) (Listing, error)
 	// Relay waits for the next update from a peer that reads the registry. Role determines whether to rely on it.
-	Relay func(ctx context.Context, prefix Prefix, after unit.Revision, wait time.Duration) (Update, error)
+	Relay func(ctx context.Context, prefix Prefix, after unit.Position, wait time.Duration) (Update, error)
 	Role  func() Role
 	// Rand returns a random number from 0 to 1, which spreads the retries of several VMs.
 	Rand func() float64
@@ -149,8 +150,8 @@
 	// each watch counts as a read.
 	BatchDelay time.Duration
 
-	// revision is the revision that this VM has caught up with; 0 before the first listing.
-	revision unit.Revision
+	// position is the position that this VM has caught up with. Its revision is 0 while a listing is needed.
+	position unit.Position
 	// directUntil is the end of the period in which this VM reads the registry itself, whatever its role.
 	directUntil time.Time
 	// failures is the number of failed reads in a row.
@@ -171,7 +172,7 @@
 			f.failures = 0
 		case errors.Is(err, ErrCompacted):
 			f.Log.Info("history compacted; listing anew", "prefix", f.Prefix)
-			f.revision = 0
+			f.position.Revision = 0
 		case ctx.Err() == nil:
 			f.post(ctx, ReadFailed{Prefix: f.Prefix, Began: began, Err: err})
 			f.takePeerListing(ctx)
@@ -195,7 +196,7 @@
 
 // read reads the registry once: a full listing at first, and then the changes since the last read.
 func (f *Follower) read(ctx context.Context) error {
-	if f.revision == 0 {
+	if f.position.Revision == 0 {
 		return f.readAll(ctx)
 	}
 	return f.readChanges(ctx, f.watchWait())
@@ -203,12 +204,12 @@
 
 // takePeerListing posts what a peer knows, which may be out of date. It is called when the registry can't be read.
 func (f *Follower) takePeerListing(ctx context.Context) {
-	listing, err := f.PeerListing(ctx, f.Prefix, f.revision)
+	listing, err := f.PeerListing(ctx, f.Prefix, f.position)
 	if err != nil {
 		f.Log.Debug("no newer values from peers", "prefix", f.Prefix, "error", err)
 		return
 	}
-	f.revision = listing.Revision
+	f.position = listing.Position
 	f.post(ctx, Listed{Position: listing.Position, Prefix: f.Prefix, Items: listing.Items, FromPeer: true})
 }
 
@@ -220,31 +221,47 @@
 	if err != nil {
 		return err
 	}
+	if listing.Era < f.position.Era {
+		return f.outdatedError(listing.Position)
+	}
 	f.post(ctx, Listed{Position: listing.Position, Prefix: f.Prefix, Items: listing.Items})
-	f.revision = listing.Revision
+	f.position = listing.Position
 	return nil
 }
 
 // readChanges watches the registry once, for that long at most, and posts the changes. After changes it waits for
-// BatchDelay.
+// BatchDelay. Changes of a later era do not follow on what this VM knows, since the revision that it has caught up with
+// was given out again. They are dropped, and the next read is a full listing.
 func (f *Follower) readChanges(ctx context.Context, wait time.Duration) error {
 	changes, err := f.watch(ctx, wait)
 	if err != nil {
 		return err
 	}
+	if changes.Era < f.position.Era {
+		return f.outdatedError(changes.Position)
+	}
+	if changes.Era > f.position.Era {
+		f.position = unit.Position{Era: changes.Era}
+		return nil
+	}
 	f.post(ctx, Changed{Position: changes.Position, Prefix: f.Prefix, Items: changes.Items})
-	f.revision = max(f.revision, changes.Revision)
+	f.position.Revision = max(f.position.Revision, changes.Revision)
 	if len(changes.Items) > 0 {
 		kernel.Wait(ctx, f.BatchDelay)
 	}
 	return nil
 }
 
+// outdatedError returns the error that a response is from before a restore that this VM knows of.
+func (f *Follower) outdatedError(p unit.Position) error {
+	return errors.Newf("the response is from era %d of the registry, before era %d", p.Era, f.position.Era)
+}
+
 // watch calls Watch for changes after the revision of the last read, with a timeout a little over its wait.
 func (f *Follower) watch(ctx context.Context, wait time.Duration) (Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+watchResponseMargin)
 	defer cancel()
-	return f.Watch(ctx, f.Prefix, f.revision, wait)
+	return f.Watch(ctx, f.Prefix, f.position.Revision, wait)
 }
 
 // watchWait returns how long one watch waits for a change. A silent connection is noticed only when the watch times
@@ -273,10 +290,10 @@
 		}
 		if failed++; failed == maxPeerFailures || f.failures > 0 {
 			f.directUntil = f.Now().Add(directReadPeriod)
-			f.Log.Info("reading the registry instead of a peer", "prefix", f.Prefix, "at", f.revision, "error", peerErr)
+			f.Log.Info("reading the registry instead of a peer", "prefix", f.Prefix, "era", f.position.Era, "at", f.position.Revision, "error", peerErr)
 			break
 		}
-		f.Log.Info("switching to another peer", "prefix", f.Prefix, "at", f.revision, "error", peerErr)
+		f.Log.Info("switching to another peer", "prefix", f.Prefix, "era", f.position.Era, "at", f.position.Revision, "error", peerErr)
 		began = f.Now()
 		if err := f.catchUp(ctx); err != nil {
 			return began, err
@@ -287,31 +304,35 @@
 
 // catchUp reads what the registry holds now, with a wait of at most catchUpWait for changes.
 func (f *Follower) catchUp(ctx context.Context) error {
-	if f.revision == 0 {
+	if f.position.Revision == 0 {
 		return f.readAll(ctx)
 	}
 	return f.readChanges(ctx, catchUpWait)
 }
 
-// takeUpdate waits for one update from a peer and posts it. It returns an error if the peer fails or its values are
-// older than maxRelayAge or than this VM's own.
+// takeUpdate waits for one update from a peer and posts it. It returns an error if the peer fails, its values are older
+// than maxRelayAge or than this VM's own, or it sends only changes although its era is another one.
 func (f *Follower) takeUpdate(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, relayWait+relayResponseMargin)
 	defer cancel()
-	update, err := f.Relay(ctx, f.Prefix, f.revision, relayWait)
+	update, err := f.Relay(ctx, f.Prefix, f.position, relayWait)
 	if err != nil {
 		return err
 	}
 	age := f.Now().Sub(update.ConfirmedAt)
-	if age > maxRelayAge || update.Revision < f.revision {
-		return errors.Newf("the peer's values are out of date: revision %d, confirmed %v ago", update.Revision, age)
+	if age > maxRelayAge || f.position.After(update.Position) {
+		return errors.Newf("the peer's values are out of date: era %d, revision %d, confirmed %v ago",
+			update.Era, update.Revision, age)
+	}
+	if !update.Full && update.Era != f.position.Era {
+		return errors.Newf("the peer's changes are of era %d, not %d", update.Era, f.position.Era)
 	}
 	if update.Full {
 		f.post(ctx, Listed{Position: update.Position, Prefix: f.Prefix, Items: update.Items})
 	} else {
 		f.post(ctx, Changed{Position: update.Position, Prefix: f.Prefix, Items: update.Items, Age: age})
 	}
-	f.revision = max(f.revision, update.Revision)
+	f.position = update.Position
 	return nil
 }
 
--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -18,9 +18,13 @@
 
 var errDown = errors.New("down")
 
+// fullPrefix marks the scripted response of a peer that is a full listing.
+const fullPrefix = "full "
+
 // script scripts the responses of a registry and its peers to each kind of call, in order: "" is an error, "410" is
-// ErrCompacted, "7" a response at revision 7 without changes and "7+" one with a change. After the last response a call
-// blocks until the end of the test. recorded holds the calls and events seen so far.
+// ErrCompacted, "7" a response at revision 7 without changes and "7+" one with a change. "1/7" is revision 7 of era 1;
+// "full 7+" is a full listing from a peer. After the last response a call blocks until the end of the test. recorded
+// holds the calls and events seen so far.
 type script struct {
 	list, watch, relay, peers []string
 
@@ -45,8 +49,12 @@
 	case "410":
 		return Listing{}, ErrCompacted
 	}
+	text = strings.TrimPrefix(text, fullPrefix)
 	var l Listing
-	if _, err := fmt.Sscanf(text, "%d", &l.Revision); err != nil {
+	if !strings.Contains(text, "/") {
+		text = "0/" + text
+	}
+	if _, err := fmt.Sscanf(text, "%d/%d", &l.Era, &l.Revision); err != nil {
 		return Listing{}, err
 	}
 	if strings.HasSuffix(text, "+") {
@@ -55,6 +63,14 @@
 	return l, nil
 }
 
+// text returns a position in the form of the scripts.
+func text(p unit.Position) string {
+	if p.Era == 0 {
+		return fmt.Sprint(p.Revision)
+	}
+	return fmt.Sprint(p.Era, "/", p.Revision)
+}
+
 func (s *script) record(format string, args ...any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -79,16 +95,17 @@
 			s.record("watch %d", after)
 			return s.next(ctx, &s.watch)
 		},
-		PeerListing: func(ctx context.Context, _ Prefix, _ unit.Revision) (Listing, error) {
+		PeerListing: func(ctx context.Context, _ Prefix, _ unit.Position) (Listing, error) {
 			if len(s.peers) == 0 {
 				return Listing{}, errDown
 			}
 			return s.next(ctx, &s.peers)
 		},
-		Relay: func(ctx context.Context, _ Prefix, after unit.Revision, _ time.Duration) (Update, error) {
-			s.record("relay %d", after)
+		Relay: func(ctx context.Context, _ Prefix, after unit.Position, _ time.Duration) (Update, error) {
+			s.record("relay %s", text(after))
+			full := after.Revision == 0 || len(s.relay) > 0 && strings.HasPrefix(s.relay[0], fullPrefix)
 			l, err := s.next(ctx, &s.relay)
-			return Update{Listing: l, Full: after == 0, ConfirmedAt: time.Now().Add(-age)}, err
+			return Update{Listing: l, Full: full, ConfirmedAt: time.Now().Add(-age)}, err
 		},
 		Role: func() Role { return role },
 		Post: func(_ context.Context, event any) error {
@@ -107,9 +124,9 @@
 		if e.FromPeer {
 			by = " by a peer"
 		}
-		s.record("listed %d%s", e.Revision, by)
+		s.record("listed %s%s", text(e.Position), by)
 	case Changed:
-		s.record("changed %d", e.Revision)
+		s.record("changed %s", text(e.Position))
 	case ReadFailed:
 		s.record("lost")
 	}
@@ -171,6 +188,51 @@
 			"peer and registry fail, peer recovers first", &script{relay: []string{"5+", "", "9+"}, watch: []string{""}},
 			RoleFollowing, 0, "relay 0, listed 5, relay 5, watch 5, lost, relay 5, changed 9, relay 9",
 		},
+		{
+			"watch answered after a restore, at a revision given out again",
+			&script{list: []string{"5+", "1/6+"}, watch: []string{"1/6+"}}, RoleStandalone, 0,
+			"listed 5, watch 5, listed 1/6, watch 6",
+		},
+		{
+			"watch answered after a restore, without changes",
+			&script{list: []string{"5+", "1/5+"}, watch: []string{"1/5"}}, RoleStandalone, 0,
+			"listed 5, watch 5, listed 1/5, watch 5",
+		},
+		{
+			"revision taken back by a restore", &script{list: []string{"5+", "1/3+"}, watch: []string{"410", "1/4+"}},
+			RoleStandalone, 0, "listed 5, watch 5, listed 1/3, watch 3, changed 1/4, watch 4",
+		},
+		{
+			"two restores in a row", &script{list: []string{"5+", "2/4+"}, watch: []string{"1/6+"}}, RoleStandalone, 0,
+			"listed 5, watch 5, listed 2/4, watch 4",
+		},
+		{
+			"watch answered from before the restore",
+			&script{list: []string{"1/5+"}, watch: []string{"9+", "1/6+"}}, RoleStandalone, 0,
+			"listed 1/5, watch 5, lost, watch 5, changed 1/6, watch 6",
+		},
+		{
+			"listing from before the restore",
+			&script{list: []string{"1/5+", "9+", "1/6+"}, watch: []string{"410"}}, RoleStandalone, 0,
+			"listed 1/5, watch 5, lost, listed 1/6, watch 6",
+		},
+		{
+			"peer knows of a restore", &script{relay: []string{"5+", "full 1/3+", "1/4+"}}, RoleFollowing, 0,
+			"relay 0, listed 5, relay 5, listed 1/3, relay 1/3, changed 1/4, relay 1/4",
+		},
+		{
+			"peer does not know of the restore",
+			&script{relay: []string{"full 1/5+", "9+"}, watch: []string{"1/6+"}}, RoleFollowing, 0,
+			"relay 0, listed 1/5, relay 1/5, watch 5, changed 1/6, relay 1/6",
+		},
+		{
+			"peer sends changes of a later era", &script{relay: []string{"5+", "1/7+"}, watch: []string{"1/6"}}, RoleFollowing, 0,
+			"relay 0, listed 5, relay 5, watch 5, relay 1/0",
+		},
+		{
+			"peer's listing after a restore", &script{list: []string{"5+"}, watch: []string{"", "1/4"}, peers: []string{"1/3+"}},
+			RoleStandalone, 0, "listed 5, watch 5, lost, listed 1/3 by a peer, watch 3, changed 1/4, watch 4",
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
