Start a listing again when the registry is restored between two pages

What callers would see: endpoints that are gone and endpoints that were restored side by side, until the next listing. Cause: List joins the pages that it reads and takes the position of the first one, whatever era the others are from. Evidence: TestListDuringRestore got the pages of both eras at position 0/5, where era 1, revision 3 with the two restored keys was right. Fix: a page of another era starts the listing again; the caller's timeout bounds it.

--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -89,7 +89,8 @@
 }
 
 // List reads all keys with the given prefix, page by page. The listing's revision is that of the first page, so that
-// a watch from there returns every change that a later page may not show.
+// a watch from there returns every change that a later page may not show. When the store is restored between two pages,
+// the listing starts again.
 func (c *Client) List(ctx context.Context, prefix registry.Prefix) (registry.Listing, error) {
 	var all registry.Listing
 	query := url.Values{"prefix": {string(prefix)}}
@@ -98,6 +99,9 @@
 		if err != nil {
 			return registry.Listing{}, err
 		}
+		if !first && p.era != all.Era {
+			return c.List(ctx, prefix)
+		}
 		if first {
 			all.Position = unit.Position{Era: p.era, Revision: p.Revision}
 		}
--- a/internal/platform/store/store_test.go
+++ b/internal/platform/store/store_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -133,6 +134,27 @@
 	}
 }
 
+// TestListDuringRestore checks that no listing mixes pages from before and after a restore.
+func TestListDuringRestore(t *testing.T) {
+	c, s := newClient(t)
+	s.PageSize = 2
+	s.Put("servers/1", "old")
+	s.Put("servers/3", "old")
+	restored := s.Copy()
+	s.Put("servers/2", "lost")
+	s.Put("servers/4", "lost")
+	restore := sync.OnceFunc(func() { s.Restore(restored) })
+	s.AfterPage = restore
+	got, err := c.List(t.Context(), PrefixEndpoints)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Position, unit.Position{Era: 1, Revision: 3})
+	var values []string
+	for _, i := range got.Items {
+		values = append(values, string(i.Key)+"="+string(i.Value))
+	}
+	assert.DeepEqual(t, values, []string{"servers/1=old", "servers/3=old"})
+}
+
 // TestListFaults checks that each kind of failure of the store is returned as an error within a bounded time, and not
 // as an empty listing.
 func TestListFaults(t *testing.T) {
--- a/internal/standin/registry/registry.go
+++ b/internal/standin/registry/registry.go
@@ -39,6 +39,8 @@
 	PageSize int
 	// EraHeader replaces the header field with the era in all responses; an empty string omits the field.
 	EraHeader *string
+	// AfterPage is called after each page of a listing; nil does nothing.
+	AfterPage func()
 
 	server *httptest.Server
 
@@ -215,6 +217,9 @@
 // list serves one page of the items with a key prefix, in the order of their keys and starting behind the key "after".
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
+	if s.AfterPage != nil {
+		defer s.AfterPage()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.setEra(w, s.era)
