Take endpoints' registrations of a later era for newer

What callers would see: requests to endpoints that are leaving or gone (DRAIN), and none to endpoints that registered again, after a restore of the registry. Cause: the directory ordered registrations by revision alone. After a restore, revisions are lower than before it: an endpoint's registration, its 'draining' and its removal were passed over until the revisions had caught up, and an address stayed with the endpoint that had it in the lost history. Fix: registrations and removals have positions, ordered by era first. Within an era the order is as before.

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -137,12 +137,12 @@
 	id := s.EndpointID(item.Key)
 	if item.Deleted {
 		s.Log.Info("endpoint unregistered", "endpoint", id, "revision", item.Revision)
-		s.directory.Remove(now, id, item.Revision, false)
+		s.directory.Remove(now, id, item.Position, false)
 		return
 	}
 	r, ok := s.decodeRegistration(now, item)
 	if !ok {
-		s.directory.Remove(now, id, item.Revision, true)
+		s.directory.Remove(now, id, item.Position, true)
 		return
 	}
 	s.Log.Info("endpoint registered", "endpoint", id, "service", r.Service, "address", r.Address,
--- a/internal/core/dispatch/result.go
+++ b/internal/core/dispatch/result.go
@@ -76,9 +76,10 @@
 		d.Metrics.RecordStage(unit.SearchName(route.Name), stageEndpoint, now.Sub(sent))
 		d.endpointTracker.RecordReply(now, id, route.Name, sent)
 	case gather.OutcomeMisdirected:
-		d.endpointTracker.RecordMisdirected(now, id, to.Revision, sent)
+		d.endpointTracker.RecordMisdirected(now, id, to.Position, sent)
 		d.Metrics.Add("endpoint.misdirected", 1)
-		d.Log.Info("endpoint gone, another has its address", "endpoint", id, "address", to.Address, "revision", to.Revision)
+		d.Log.Info("endpoint gone, another has its address", "endpoint", id, "address", to.Address,
+			"era", to.Era, "revision", to.Revision)
 	case gather.OutcomeRejected:
 		d.endpointTracker.RecordRejection(now, id, route.Name, sent)
 	case gather.OutcomeNotSent:
--- a/internal/platform/store/decode.go
+++ b/internal/platform/store/decode.go
@@ -51,12 +51,12 @@
 		return directory.Registration{}, errors.Newf("the endpoint ID %q cannot be sent in a header field", id)
 	}
 	return directory.Registration{
+		Position: i.Position,
 		ID:       id,
 		Service:  unit.ServiceName(*w.Service),
 		Address:  unit.Address(*w.Address),
 		Centre:   unit.CentreName(*w.Zone),
 		Slots:    unit.Slots(*w.Slots),
-		Revision: i.Revision,
 		Leaving:  *w.State == "draining",
 		WarmAt:   now.Add(time.Duration(*w.ColdRemaining * float64(time.Millisecond))),
 	}, nil
--- a/internal/platform/store/decode_test.go
+++ b/internal/platform/store/decode_test.go
@@ -20,7 +20,7 @@
 func TestDecodeEndpoint(t *testing.T) {
 	now := time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
 	whole := directory.Registration{
-		ID: "i-1", Service: "s", Address: "10.0.0.9:80", Centre: "z", Slots: 2, Revision: 7,
+		Position: unit.Position{Revision: 7}, ID: "i-1", Service: "s", Address: "10.0.0.9:80", Centre: "z", Slots: 2,
 		WarmAt: now.Add(1500 * time.Millisecond),
 	}
 	leaving := whole
--- a/internal/policy/directory/directory.go
+++ b/internal/policy/directory/directory.go
@@ -19,12 +19,13 @@
 
 // Registration is what one endpoint has published about itself.
 type Registration struct {
-	ID       unit.EndpointID
-	Service  unit.ServiceName
-	Address  unit.Address
-	Centre   unit.CentreName
-	Slots    unit.Slots
-	Revision unit.Revision
+	// Position is the position of the last change in the registry.
+	unit.Position
+	ID      unit.EndpointID
+	Service unit.ServiceName
+	Address unit.Address
+	Centre  unit.CentreName
+	Slots   unit.Slots
 	// Leaving endpoints get no new requests.
 	Leaving bool
 	// WarmAt is when the endpoint, which is slow after its start, reaches its normal speed.
@@ -69,17 +70,17 @@
 // Put adds or replaces a registration and so ends a grace period of the endpoint. It ignores a registration that is
 // older than the known one.
 func (d *Directory) Put(r Registration) {
-	if known := d.entries[r.ID]; known != nil && known.Revision > r.Revision {
+	if known := d.entries[r.ID]; known != nil && known.After(r.Position) {
 		return
 	}
 	d.entries[r.ID] = &entry{Registration: r}
 }
 
-// Remove handles the removal of a registration at a revision. unreadable means that the key now holds a value that
+// Remove handles the removal of a registration at a position. unreadable means that the key now holds a value that
 // describes no endpoint. Such an endpoint, or one that was leaving, is removed at once; any other gets a grace period.
-func (d *Directory) Remove(now time.Time, id unit.EndpointID, revision unit.Revision, unreadable bool) {
+func (d *Directory) Remove(now time.Time, id unit.EndpointID, at unit.Position, unreadable bool) {
 	known := d.entries[id]
-	if known == nil || known.Revision > revision {
+	if known == nil || known.After(at) {
 		return
 	}
 	if known.Leaving || unreadable {
@@ -186,7 +187,7 @@
 	newestByAddress := make(map[unit.Address]unit.EndpointID, len(d.entries))
 	for id, e := range d.entries {
 		other, taken := newestByAddress[e.Address]
-		if !taken || d.entries[other].Revision < e.Revision {
+		if !taken || e.After(d.entries[other].Position) {
 			newestByAddress[e.Address] = id
 		}
 	}
--- a/internal/policy/replica/replica.go
+++ b/internal/policy/replica/replica.go
@@ -69,10 +69,9 @@
 	// failures counts the failures in a row; because of them, the endpoint is demoted until demotedUntil.
 	failures     int
 	demotedUntil time.Time
-	// misdirected is set when another endpoint was found at the address of the registration with revision
-	// misdirectedRevision.
+	// misdirected is set when another endpoint was found at the address of the registration at misdirectedPosition.
 	misdirected         bool
-	misdirectedRevision unit.Revision
+	misdirectedPosition unit.Position
 }
 
 // Tracker holds the state of all endpoints. It is not safe for concurrent use.
@@ -127,13 +126,13 @@
 	return s.failures, demotion
 }
 
-// RecordMisdirected records that another endpoint has the address that was registered with this revision. Requests
-// sent there would reach the wrong service, so the endpoint is not chosen until it registers again.
-func (t *Tracker) RecordMisdirected(now time.Time, id unit.EndpointID, registered unit.Revision, sent time.Time) {
+// RecordMisdirected records that another endpoint has the address that was registered at this position. Requests sent
+// there would reach the wrong service, so the endpoint is not chosen until it registers again.
+func (t *Tracker) RecordMisdirected(now time.Time, id unit.EndpointID, registered unit.Position, sent time.Time) {
 	s := t.state(id)
 	s.closeRequest(sent)
 	s.lastUsed = now
-	s.misdirected, s.misdirectedRevision = true, registered
+	s.misdirected, s.misdirectedPosition = true, registered
 }
 
 // RecordRejection records that an endpoint was full and rejected a request. It counts as a latency of routeSampleCap
--- a/internal/policy/replica/replica_test.go
+++ b/internal/policy/replica/replica_test.go
@@ -136,13 +136,13 @@
 		},
 		{name: "never a misdirected one", all: []directory.Endpoint{a}, do: func(tr *Tracker) {
 			tr.RecordSent(at(0), "a")
-			tr.RecordMisdirected(at(1), "a", 7, at(0))
+			tr.RecordMisdirected(at(1), "a", unit.Position{Revision: 7}, at(0))
 		}, now: at(10000), want: -1},
 		{
 			name: "a misdirected one that has registered again",
 			all:  []directory.Endpoint{registeredAgain(a)}, do: func(tr *Tracker) {
 				tr.RecordSent(at(0), "a")
-				tr.RecordMisdirected(at(1), "a", 7, at(0))
+				tr.RecordMisdirected(at(1), "a", unit.Position{Revision: 7}, at(0))
 			}, now: at(2), want: 0,
 		},
 		{
