Use a misdirected endpoint again when it registers after a restore

What callers would see: an endpoint that registered again after a restore of the registry gets no requests. Cause: an endpoint at whose address another one was found is avoided until its registration has a higher revision; after a restore the revision of the new registration is lower. Evidence: the new row of TestChoose chose no endpoint. Fix: the positions are compared, by era first.

--- a/internal/policy/replica/choose.go
+++ b/internal/policy/replica/choose.go
@@ -58,7 +58,7 @@
 // registered again since.
 func (t *Tracker) isMisdirected(e directory.Endpoint) bool {
 	s := t.states[e.ID]
-	return s != nil && s.misdirected && e.Revision <= s.misdirectedPosition.Revision
+	return s != nil && s.misdirected && !e.After(s.misdirectedPosition)
 }
 
 // evaluate returns an endpoint's status and its cost: the expected latency of a further request relative to the
--- a/internal/policy/replica/replica_test.go
+++ b/internal/policy/replica/replica_test.go
@@ -30,6 +30,11 @@
 	return e
 }
 
+func afterRestore(e directory.Endpoint) directory.Endpoint {
+	e.Position = unit.Position{Era: 1, Revision: 3}
+	return e
+}
+
 func cold(e directory.Endpoint) directory.Endpoint {
 	e.WarmAt = at(100000)
 	return e
@@ -145,6 +150,13 @@
 				tr.RecordMisdirected(at(1), "a", unit.Position{Revision: 7}, at(0))
 			}, now: at(2), want: 0,
 		},
+		{
+			name: "a misdirected one that has registered again after a restore of the registry",
+			all:  []directory.Endpoint{afterRestore(a)}, do: func(tr *Tracker) {
+				tr.RecordSent(at(0), "a")
+				tr.RecordMisdirected(at(1), "a", unit.Position{Revision: 7}, at(0))
+			}, now: at(2), want: 0,
+		},
 		{
 			name: "one that has answered since its failure",
 			all:  []directory.Endpoint{a, endpoint("b", "there")}, do: func(tr *Tracker) {
