Keep out endpoints that only a restored copy shows as ready

Cause: a listing was believed over all that was known before. The copy has the older registration of an endpoint that has said 'draining' or was removed since, and the directory forgot endpoints as soon as they had gone. Evidence: seven of the 17 rows of TestRestoredRegistration failed: each listing of the copy made the endpoint usable, and in one case took the address from the endpoint that uses it now. Fix: 'born' and 'sequence' order what an endpoint publishes, whatever happens to the registry. A registration of a later era that the endpoint has overtaken is held back until it publishes again, the registration ends, or ten seconds have passed: live endpoints publish again within about two seconds, and a registration without heartbeats expires after three of them, 3.6 s on the platform's deployments. What is gone is remembered for a minute, 4096 endpoints at most, since copies are some seconds old. The decoder takes born, if there is one, and sequence; both only order registrations and are clamped to whole numbers. TestDecodeEndpoint had born as an unknown field; that row has another name now, and a new row has the start time.

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -108,9 +108,11 @@
 			all = append(all, r)
 		}
 	}
-	s.directory.Replace(now, all)
+	heldBack := s.directory.Replace(now, e.Era, all)
+	s.Metrics.Add("endpoint.heldback", int64(heldBack))
 	s.endpointsListed = true
-	s.Log.Info("endpoints listed", "count", len(all), "unreadable", len(e.Items)-len(all), "revision", e.Revision)
+	s.Log.Info("endpoints listed", "count", len(all), "unreadable", len(e.Items)-len(all), "held_back", heldBack,
+		"era", e.Era, "revision", e.Revision)
 	s.publishEndpoints(now, e.Revision)
 }
 
@@ -136,7 +138,7 @@
 func (s *State) applyRegistration(now time.Time, item registry.Item) {
 	id := s.EndpointID(item.Key)
 	if item.Deleted {
-		s.Log.Info("endpoint unregistered", "endpoint", id, "revision", item.Revision)
+		s.Log.Info("endpoint unregistered", "endpoint", id, "era", item.Era, "revision", item.Revision)
 		s.directory.Remove(now, id, item.Position, false)
 		return
 	}
@@ -145,9 +147,12 @@
 		s.directory.Remove(now, id, item.Position, true)
 		return
 	}
+	heldBack := s.directory.Put(r)
+	if heldBack {
+		s.Metrics.Add("endpoint.heldback", 1)
+	}
 	s.Log.Info("endpoint registered", "endpoint", id, "service", r.Service, "address", r.Address,
-		"leaving", r.Leaving, "revision", r.Revision)
-	s.directory.Put(r)
+		"leaving", r.Leaving, "held_back", heldBack, "era", r.Era, "revision", r.Revision)
 }
 
 // decodeRegistration decodes a registration; ok is false, and the failure counted and logged, if it is invalid.
--- a/internal/core/unit/unit.go
+++ b/internal/core/unit/unit.go
@@ -56,6 +56,9 @@
 	return p.Revision > other.Revision
 }
 
+// Sequence is the number of a heartbeat of an endpoint, counted from the endpoint's start.
+type Sequence uint64
+
 // AttemptID is the number of an attempt of one query, from 1.
 type AttemptID uint32
 
--- a/internal/platform/store/decode.go
+++ b/internal/platform/store/decode.go
@@ -35,6 +35,8 @@
 	ColdRemaining *float64 `json:"cold_remaining_ms"`
 	// Sequence is the number of the endpoint's latest heartbeat.
 	Sequence *float64 `json:"sequence"`
+	// Born is the time of the endpoint's start in Unix milliseconds. Some platforms do not have it.
+	Born *float64 `json:"born"`
 }
 
 // DecodeEndpoint decodes a registration. It returns an error if the registration does not describe a usable endpoint.
@@ -57,11 +59,29 @@
 		Address:  unit.Address(*w.Address),
 		Centre:   unit.CentreName(*w.Zone),
 		Slots:    unit.Slots(*w.Slots),
+		Born:     w.born(),
+		Sequence: unit.Sequence(clampCount(*w.Sequence)),
 		Leaving:  *w.State == "draining",
 		WarmAt:   now.Add(time.Duration(*w.ColdRemaining * float64(time.Millisecond))),
 	}, nil
 }
 
+// born returns the time of the endpoint's start, or the zero time if it is missing.
+func (w wireEndpoint) born() time.Time {
+	if w.Born == nil {
+		return time.Time{}
+	}
+	return time.UnixMilli(clampCount(*w.Born)).UTC()
+}
+
+// maxCount is the largest number up to which all whole numbers can be told apart in JSON.
+const maxCount = 1 << 53
+
+// clampCount returns n as a whole number from 0 to maxCount.
+func clampCount(n float64) int64 {
+	return int64(min(max(n, 0), maxCount))
+}
+
 // EndpointID returns the endpoint's ID from the key of its registration.
 func EndpointID(key registry.Key) unit.EndpointID {
 	return unit.EndpointID(strings.TrimPrefix(string(key), string(PrefixEndpoints)))
--- a/internal/platform/store/decode_test.go
+++ b/internal/platform/store/decode_test.go
@@ -21,10 +21,12 @@
 	now := time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
 	whole := directory.Registration{
 		Position: unit.Position{Revision: 7}, ID: "i-1", Service: "s", Address: "10.0.0.9:80", Centre: "z", Slots: 2,
-		WarmAt: now.Add(1500 * time.Millisecond),
+		Sequence: 4, WarmAt: now.Add(1500 * time.Millisecond),
 	}
 	leaving := whole
 	leaving.Leaving = true
+	started := whole
+	started.Born = now
 	tests := []struct {
 		name  string
 		value string
@@ -33,7 +35,8 @@
 	}{
 		{"whole", registration, whole, false},
 		{"leaving", strings.Replace(registration, "ready", "draining", 1), leaving, false},
-		{"unknown fields", strings.Replace(registration, "{", `{"born":1,"new":[],`, 1), whole, false},
+		{"unknown fields", strings.Replace(registration, "{", `{"old":1,"new":[],`, 1), whole, false},
+		{"start time", strings.Replace(registration, "{", `{"born":1767268800000,`, 1), started, false},
 		{"unknown state", strings.Replace(registration, "ready", "resting", 1), directory.Registration{}, true},
 		{"missing service", strings.Replace(registration, `"service"`, `"x"`, 1), directory.Registration{}, true},
 		{"missing version", strings.Replace(registration, `"version"`, `"x"`, 1), directory.Registration{}, true},
--- a/internal/policy/directory/directory.go
+++ b/internal/policy/directory/directory.go
@@ -17,6 +17,16 @@
 // the sweep and requests in flight finish before this VM has to be up to date.
 const dropMargin = 500 * time.Millisecond
 
+const (
+	// restoreHold is how long after a restore of the registry what an endpoint published before it stands against the
+	// registry's copy. Live endpoints publish it again, and registrations of others expire, in less.
+	restoreHold = 10 * time.Second
+	// goneTime is how long an endpoint that has gone is remembered, since a copy that the registry is restored from may
+	// still have it. maxGone bounds how many are.
+	goneTime = time.Minute
+	maxGone  = 4096
+)
+
 // Registration is what one endpoint has published about itself.
 type Registration struct {
 	// Position is the position of the last change in the registry.
@@ -26,12 +36,24 @@
 	Address unit.Address
 	Centre  unit.CentreName
 	Slots   unit.Slots
+	// Born is when the endpoint started, the zero time if it does not say so. With Sequence, the number of its last
+	// heartbeat before the change, it orders what the endpoint has published, independent of the registry.
+	Born     time.Time
+	Sequence unit.Sequence
 	// Leaving endpoints get no new requests.
 	Leaving bool
 	// WarmAt is when the endpoint, which is slow after its start, reaches its normal speed.
 	WarmAt time.Time
 }
 
+// publishedAfter reports whether the endpoint published r later than other.
+func (r Registration) publishedAfter(other Registration) bool {
+	if !r.Born.Equal(other.Born) {
+		return r.Born.After(other.Born)
+	}
+	return r.Sequence > other.Sequence
+}
+
 // Endpoint is an endpoint that may receive requests.
 type Endpoint struct {
 	Registration
@@ -47,6 +69,25 @@
 	// nearOutage is set if the registration went missing during or shortly after an outage of the registry, and so may
 	// only have expired because the endpoint could not renew it.
 	nearOutage bool
+	// goneSince is when the endpoint had gone. It gets no requests from then on, and the entry only serves to recognise
+	// its registration when a restore of the registry brings it back.
+	goneSince time.Time
+	// heldBack is the registration that a restore of the registry has brought back although the endpoint has published
+	// something else since, or has gone. It replaces this one if it still stands restoreHold after the restore.
+	heldBack *Registration
+}
+
+// stands reports whether what the endpoint published last stands against its registration of a later era.
+func (e *entry) stands(r Registration) bool {
+	expired := !e.missingSince.IsZero() && !e.nearOutage
+	if e.Leaving || e.gone() || expired {
+		return !r.publishedAfter(e.Registration)
+	}
+	return e.publishedAfter(r)
+}
+
+func (e *entry) gone() bool {
+	return !e.goneSince.IsZero()
 }
 
 // Directory holds the registrations that an entry VM knows. It is not safe for concurrent use.
@@ -60,6 +101,11 @@
 	unavailable bool
 	lastFailure time.Time
 	recovered   time.Time
+	// era is the era of the last listing, and eraSince is when it was first listed.
+	era      unit.Era
+	eraSince time.Time
+	// goneCount is the number of entries of endpoints that have gone.
+	goneCount int
 }
 
 // New returns an empty directory. The VM has to be up to date within calm after an outage of the registry.
@@ -68,12 +114,24 @@
 }
 
 // Put adds or replaces a registration and so ends a grace period of the endpoint. It ignores a registration that is
-// older than the known one.
-func (d *Directory) Put(r Registration) {
-	if known := d.entries[r.ID]; known != nil && known.After(r.Position) {
-		return
+// older than the known one. One that a restore of the registry has brought back, and that the endpoint has overtaken
+// since, is held back for restoreHold; Put reports whether it was.
+func (d *Directory) Put(r Registration) (heldBack bool) {
+	known := d.entries[r.ID]
+	if known == nil {
+		d.entries[r.ID] = &entry{Registration: r}
+		return false
+	}
+	if known.Era < r.Era && known.stands(r) {
+		known.heldBack = &r
+		return true
+	}
+	if known.After(r.Position) && !known.gone() {
+		return false
 	}
+	d.remove(known)
 	d.entries[r.ID] = &entry{Registration: r}
+	return false
 }
 
 // Remove handles the removal of a registration at a position. unreadable means that the key now holds a value that
@@ -83,35 +141,71 @@
 	if known == nil || known.After(at) {
 		return
 	}
+	known.heldBack = nil
 	if known.Leaving || unreadable {
-		delete(d.entries, id)
+		d.markGone(now, known)
 		return
 	}
 	d.markMissing(now, known)
 }
 
-// Replace applies a complete listing of the registry. Known registrations that it lacks are marked missing, or removed
-// if they were leaving.
-func (d *Directory) Replace(now time.Time, all []Registration) {
+// Replace applies a complete listing of the registry in an era. Known registrations that it lacks are marked missing, or
+// removed if they were leaving. It returns how many registrations were held back.
+func (d *Directory) Replace(now time.Time, era unit.Era, all []Registration) (heldBack int) {
+	if era > d.era {
+		d.era, d.eraSince = era, now
+	}
 	listed := make(map[unit.EndpointID]bool, len(all))
 	for _, r := range all {
 		listed[r.ID] = true
-		d.Put(r)
+		if d.Put(r) {
+			heldBack++
+		}
 	}
 	for id, e := range d.entries {
-		switch {
-		case listed[id]:
-		case e.Leaving:
-			delete(d.entries, id)
-		default:
+		if listed[id] {
+			continue
+		}
+		e.heldBack = nil
+		if e.Leaving {
+			d.markGone(now, e)
+		} else {
 			d.markMissing(now, e)
 		}
 	}
+	return heldBack
+}
+
+// markGone ends the use of an endpoint and remembers it for goneTime.
+func (d *Directory) markGone(now time.Time, e *entry) {
+	if e.gone() {
+		return
+	}
+	e.goneSince = now
+	d.goneCount++
+	if d.goneCount <= maxGone {
+		return
+	}
+	oldest := e
+	for _, other := range d.entries {
+		if other.gone() && other.goneSince.Before(oldest.goneSince) {
+			oldest = other
+		}
+	}
+	d.remove(oldest)
+}
+
+// remove forgets an entry.
+func (d *Directory) remove(e *entry) {
+	if e.gone() {
+		d.goneCount--
+	}
+	delete(d.entries, e.ID)
 }
 
-// markMissing starts the grace period of a registration that has disappeared, unless it is running already.
+// markMissing starts the grace period of a registration that has disappeared, unless it is running already or over.
 func (d *Directory) markMissing(now time.Time, e *entry) {
-	if e.missingSince.IsZero() {
+	if e.missingSince.IsZero() && !e.gone() {
 		e.missingSince = now
 		e.nearOutage = d.unavailable || now.Before(d.recovered.Add(lapseGrace))
 	}
@@ -131,17 +225,26 @@
 	}
 }
 
-// Sweep removes the endpoints whose grace period has ended and reports whether there were any. It is called on every
-// tick of the control goroutine.
+// Sweep ends the use of endpoints whose grace period has ended, begins that of registrations that were held back for
+// restoreHold, and reports whether there were any of either. It is called on every tick of the control goroutine.
 func (d *Directory) Sweep(now time.Time) bool {
-	dropped := false
-	for id, e := range d.entries {
-		if !e.missingSince.IsZero() && !now.Before(d.graceEnd(e)) {
-			delete(d.entries, id)
-			dropped = true
+	changed := false
+	for _, e := range d.entries {
+		switch {
+		case e.heldBack != nil && !now.Before(d.eraSince.Add(restoreHold)):
+			d.remove(e)
+			d.entries[e.ID] = &entry{Registration: *e.heldBack}
+			changed = true
+		case e.gone():
+			if e.heldBack == nil && !now.Before(e.goneSince.Add(goneTime)) {
+				d.remove(e)
+			}
+		case !e.missingSince.IsZero() && !now.Before(d.graceEnd(e)):
+			d.markGone(now, e)
+			changed = true
 		}
 	}
-	return dropped
+	return changed
 }
 
 // graceEnd returns when an endpoint with a missing registration is removed. If it went missing near an outage, its
@@ -163,7 +266,7 @@
 
 // Len returns the number of known registrations, including those that are leaving or missing. It has no callers.
 func (d *Directory) Len() int {
-	return len(d.entries)
+	return len(d.entries) - d.goneCount
 }
 
 // Endpoints returns the endpoints that may receive requests, grouped by service: all but those that are leaving and
@@ -172,7 +275,7 @@
 	newestByAddress := d.newestByAddress()
 	all := make(map[unit.ServiceName][]Endpoint)
 	for id, e := range d.entries {
-		if e.Leaving || newestByAddress[e.Address] != id {
+		if e.Leaving || e.gone() || newestByAddress[e.Address] != id {
 			continue
 		}
 		lapsed := !e.missingSince.IsZero() && !e.nearOutage
@@ -186,6 +289,9 @@
 func (d *Directory) newestByAddress() map[unit.Address]unit.EndpointID {
 	newestByAddress := make(map[unit.Address]unit.EndpointID, len(d.entries))
 	for id, e := range d.entries {
+		if e.gone() {
+			continue
+		}
 		other, taken := newestByAddress[e.Address]
 		if !taken || e.After(d.entries[other].Position) {
 			newestByAddress[e.Address] = id
--- a/internal/policy/directory/directory_test.go
+++ b/internal/policy/directory/directory_test.go
@@ -41,6 +41,136 @@
 	return r
 }
 
+// said returns the registration as published by an endpoint that started born ms after start, with that heartbeat.
+func said(r Registration, born int, sequence unit.Sequence) Registration {
+	r.Born, r.Sequence = at(born), sequence
+	return r
+}
+
+// TestRestoredRegistration checks that a registration that a restore of the registry has brought back does not replace
+// what the endpoint has published since, until the endpoint has had the time to publish it again.
+func TestRestoredRegistration(t *testing.T) {
+	copied := afterRestore(said(reg("a", "1", 1), 0, 3))
+	tests := []struct {
+		name string
+		do   func(d *Directory)
+		want []string
+	}{
+		{"was leaving", func(d *Directory) {
+			d.Put(said(leaving("a", "1", 5), 0, 9))
+			d.Replace(at(0), 1, []Registration{copied})
+		}, nil},
+		{"was leaving, and says so again", func(d *Directory) {
+			d.Put(said(leaving("a", "1", 5), 0, 9))
+			d.Replace(at(0), 1, []Registration{copied})
+			d.Put(afterRestore(said(leaving("a", "1", 2), 0, 10)))
+			d.Sweep(at(60000))
+		}, nil},
+		{"was leaving, and is ready again", func(d *Directory) {
+			d.Put(said(leaving("a", "1", 5), 0, 9))
+			d.Replace(at(0), 1, []Registration{copied})
+			d.Put(afterRestore(said(reg("a", "1", 2), 0, 10)))
+		}, []string{"a"}},
+		{"was leaving, restored twice", func(d *Directory) {
+			d.Put(said(leaving("a", "1", 5), 0, 9))
+			d.Replace(at(0), 1, []Registration{copied})
+			twice := copied
+			twice.Era = 2
+			d.Replace(at(9000), 2, []Registration{twice})
+			d.Sweep(at(11000))
+		}, nil},
+		{"was removed after leaving", func(d *Directory) {
+			d.Put(said(leaving("a", "1", 5), 0, 9))
+			d.Remove(at(0), "a", first(6), false)
+			d.Replace(at(3000), 1, []Registration{copied})
+		}, nil},
+		{"was removed without leaving", func(d *Directory) {
+			d.Put(said(reg("a", "1", 1), 0, 3))
+			d.Remove(at(0), "a", first(6), false)
+			d.Sweep(at(2000))
+			d.Replace(at(3000), 1, []Registration{copied})
+		}, nil},
+		{"was removed without leaving, just before the restore", func(d *Directory) {
+			d.Put(said(reg("a", "1", 1), 0, 3))
+			d.Remove(at(0), "a", first(6), false)
+			d.Replace(at(500), 1, []Registration{copied})
+			d.Sweep(at(2000))
+		}, nil},
+		{"was removed from a listing", func(d *Directory) {
+			d.Put(said(leaving("a", "1", 5), 0, 9))
+			d.Replace(at(0), 0, nil)
+			d.Replace(at(3000), 1, []Registration{copied})
+		}, nil},
+		{"was removed, and expires in the restored registry", func(d *Directory) {
+			d.Put(said(leaving("a", "1", 5), 0, 9))
+			d.Remove(at(0), "a", first(6), false)
+			d.Replace(at(3000), 1, []Registration{copied})
+			d.Remove(at(7000), "a", restored(2), false)
+			d.Sweep(at(60000))
+		}, nil},
+		{"was removed, and missing in the next listing", func(d *Directory) {
+			d.Put(said(leaving("a", "1", 5), 0, 9))
+			d.Remove(at(0), "a", first(6), false)
+			d.Replace(at(3000), 1, []Registration{copied})
+			d.Replace(at(7000), 1, nil)
+			d.Sweep(at(60000))
+		}, nil},
+		{"was removed, and stays in the restored registry", func(d *Directory) {
+			d.Put(said(reg("a", "1", 1), 0, 3))
+			d.Remove(at(0), "a", first(6), false)
+			d.Sweep(at(2000))
+			d.Replace(at(3000), 1, []Registration{copied})
+			d.Sweep(at(13000))
+		}, []string{"a"}},
+		{"was removed, and has started again", func(d *Directory) {
+			d.Put(said(leaving("a", "1", 5), 0, 9))
+			d.Remove(at(0), "a", first(6), false)
+			d.Replace(at(3000), 1, []Registration{copied})
+			d.Put(afterRestore(said(reg("a", "1", 2), 2500, 1)))
+		}, []string{"a"}},
+		{"had registered again under its id before the restore", func(d *Directory) {
+			d.Put(said(leaving("a", "1", 5), 0, 9))
+			d.Remove(at(0), "a", first(6), false)
+			d.Put(said(reg("a", "1", 7), 500, 1))
+			d.Replace(at(3000), 1, []Registration{copied})
+		}, []string{"a"}},
+		{"expired in the outage before the restore", func(d *Directory) {
+			d.Put(said(reg("a", "1", 1), 0, 3))
+			d.RecordRegistryFailure(at(0))
+			d.Replace(at(500), 0, nil)
+			d.RecordRegistryRecovery(at(1000))
+			d.Replace(at(1000), 1, []Registration{copied})
+			d.Sweep(at(60000))
+		}, []string{"a"}},
+		{"has not changed", func(d *Directory) {
+			d.Put(said(reg("a", "1", 1), 0, 3))
+			d.Replace(at(0), 1, []Registration{copied})
+			d.Sweep(at(60000))
+		}, []string{"a"}},
+		{"left a long time before the restore", func(d *Directory) {
+			d.Put(said(leaving("a", "1", 5), 0, 9))
+			d.Remove(at(0), "a", first(6), false)
+			d.Sweep(at(60000))
+			d.Replace(at(60000), 1, []Registration{copied})
+		}, []string{"a"}},
+		{"an address that is in use again", func(d *Directory) {
+			d.Put(said(leaving("a", "1", 5), 0, 9))
+			d.Remove(at(0), "a", first(6), false)
+			d.Put(said(reg("b", "1", 7), 2000, 1))
+			d.RecordRegistryFailure(at(2500))
+			d.RecordRegistryRecovery(at(3000))
+			d.Replace(at(3000), 1, []Registration{copied})
+		}, []string{"b"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := New(4 * time.Second)
+			tt.do(d)
+			assert.DeepEqual(t, usable(d), tt.want)
+		})
+	}
+}
+
 // TestEndpoints checks which endpoints may receive requests after registrations have changed or the registry has been
 // unavailable.
 func TestEndpoints(t *testing.T) {
@@ -76,14 +206,14 @@
 			d.Put(reg("a", "1", 1))
 			d.RecordRegistryFailure(at(0))
 			d.RecordRegistryRecovery(at(3000))
-			d.Replace(at(3000), nil)
+			d.Replace(at(3000), 0, nil)
 			d.Sweep(at(3500))
 		}, nil},
 		{"outage ended shortly before the next read", func(d *Directory) {
 			d.Put(reg("a", "1", 1))
 			d.RecordRegistryFailure(at(2500))
 			d.RecordRegistryRecovery(at(3000))
-			d.Replace(at(3000), nil)
+			d.Replace(at(3000), 0, nil)
 			d.Sweep(at(4999))
 		}, []string{"a"}},
 		{"removed after it was leaving", func(d *Directory) {
@@ -105,13 +235,13 @@
 			d.Put(reg("b", "2", 1))
 			d.RecordRegistryFailure(at(900))
 			d.RecordRegistryRecovery(at(1000))
-			d.Replace(at(1000), []Registration{reg("b", "2", 1)})
+			d.Replace(at(1000), 0, []Registration{reg("b", "2", 1)})
 		}, []string{"a", "b"}},
 		{"missing for the whole grace period after an outage", func(d *Directory) {
 			d.Put(reg("a", "1", 1))
 			d.RecordRegistryFailure(at(900))
 			d.RecordRegistryRecovery(at(1000))
-			d.Replace(at(1000), nil)
+			d.Replace(at(1000), 0, nil)
 			d.Sweep(at(3000))
 		}, nil},
 		{"registration missing long after an outage", func(d *Directory) {
@@ -133,7 +263,7 @@
 			d.Put(reg("a", "1", 9))
 			d.RecordRegistryFailure(at(0))
 			d.RecordRegistryRecovery(at(100))
-			d.Replace(at(100), nil)
+			d.Replace(at(100), 1, nil)
 			d.Put(afterRestore(reg("a", "1", 4)))
 			d.Sweep(at(5000))
 		}, []string{"a"}},
@@ -155,20 +285,25 @@
 		t.Run(tt.name, func(t *testing.T) {
 			d := New(4 * time.Second)
 			tt.do(d)
-			var got []string
-			for _, e := range d.Endpoints()["s"] {
-				id := string(e.ID)
-				if e.Lapsed {
-					id += "~"
-				}
-				got = append(got, id)
-			}
-			slices.Sort(got)
-			assert.DeepEqual(t, got, tt.want)
+			assert.DeepEqual(t, usable(d), tt.want)
 		})
 	}
 }
 
+// usable returns the ids of the endpoints that may receive requests, with "~" after those that are a last resort.
+func usable(d *Directory) []string {
+	var ids []string
+	for _, e := range d.Endpoints()["s"] {
+		id := string(e.ID)
+		if e.Lapsed {
+			id += "~"
+		}
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // TestSweep checks that a sweep removes an endpoint at the end of its grace period and not before.
 func TestSweep(t *testing.T) {
 	tests := []struct {
