Use endpoints that a restored copy lacks until they had the time to register again

What callers would see: after a restore of the registry, endpoints that had registered after the copy was made are asked last for two seconds, although they are live, at VMs whose own reads had not failed: those that follow a seed, or that waited in a watch during a short outage. Cause: the grace of registrations that are lost in an outage depends on this VM's failed reads. Without one, a registration that the listing lacks counts as withdrawn. Evidence: two new rows of TestRestoredRegistration had the endpoint as a last resort. Fix: the first listing of an era counts as the end of an outage, unless the VM has just seen one, whose bound by the calm time goes on. The endpoints are gone two seconds later as before.

--- a/internal/policy/directory/directory.go
+++ b/internal/policy/directory/directory.go
@@ -153,7 +153,7 @@
 // removed if they were leaving. It returns how many registrations were held back.
 func (d *Directory) Replace(now time.Time, era unit.Era, all []Registration) (heldBack int) {
 	if era > d.era {
-		d.era, d.eraSince = era, now
+		d.beginEra(now, era)
 	}
 	listed := make(map[unit.EndpointID]bool, len(all))
 	for _, r := range all {
@@ -176,6 +176,15 @@
 	return heldBack
 }
 
+// beginEra records the first listing of an era. A restore counts as the end of an outage, also at a VM whose reads did
+// not fail meanwhile.
+func (d *Directory) beginEra(now time.Time, era unit.Era) {
+	d.era, d.eraSince = era, now
+	if !d.unavailable && !now.Before(d.recovered.Add(lapseGrace)) {
+		d.lastFailure, d.recovered = now, now
+	}
+}
+
 // markGone ends the use of an endpoint and remembers it for goneTime.
 func (d *Directory) markGone(now time.Time, e *entry) {
 	if e.gone() {
--- a/internal/policy/directory/directory_test.go
+++ b/internal/policy/directory/directory_test.go
@@ -153,6 +153,30 @@
 			d.Sweep(at(60000))
 			d.Replace(at(60000), 1, []Registration{copied})
 		}, []string{"a"}},
+		{"registered after the copy was made", func(d *Directory) {
+			d.Put(said(reg("a", "1", 5), 0, 3))
+			d.Replace(at(3000), 1, nil)
+			d.Sweep(at(4999))
+		}, []string{"a"}},
+		{"registered after the copy was made, and a long time after an outage", func(d *Directory) {
+			d.RecordRegistryFailure(at(0))
+			d.RecordRegistryRecovery(at(1000))
+			d.Put(said(reg("a", "1", 5), 0, 3))
+			d.Replace(at(60000), 1, nil)
+			d.Sweep(at(61999))
+		}, []string{"a"}},
+		{"registered after the copy was made, and not again", func(d *Directory) {
+			d.Put(said(reg("a", "1", 5), 0, 3))
+			d.Replace(at(3000), 1, nil)
+			d.Sweep(at(5000))
+		}, nil},
+		{"registered after the copy was made, restored at the end of an outage", func(d *Directory) {
+			d.Put(said(reg("a", "1", 5), 0, 3))
+			d.RecordRegistryFailure(at(0))
+			d.RecordRegistryRecovery(at(3000))
+			d.Replace(at(3000), 1, nil)
+			d.Sweep(at(3500))
+		}, nil},
 		{"an address that is in use again", func(d *Directory) {
 			d.Put(said(leaving("a", "1", 5), 0, 9))
 			d.Remove(at(0), "a", first(6), false)
