Relay the newest routing table when the registry is restored

What callers would see: after a restore of the registry, VMs that start behind a seed serve by an older table, though their seed serves by the newest, until operators publish it again; with an unreadable or deleted one they serve nothing. Cause: the relay cache passes on what was last read under the key of the table, whatever the VM itself keeps in force. Fix: the table in force takes the place of what was read in the relay cache, once it has been decoded. What a follower does with a table is unchanged: it never goes back to an older version.

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"basilspan/internal/core/fleet"
@@ -44,7 +45,9 @@
 // State is the discovery state. The control goroutine owns it, except for the cache, which also answers peers.
 type State struct {
 	Options
-	view            View
+	view View
+	// tableValue is the published form of the table in force.
+	tableValue      []byte
 	directory       *directory.Directory
 	endpointsListed bool
 	lostSince       map[registry.Prefix]time.Time
@@ -97,11 +100,13 @@
 		s.recordRead(now, e.Prefix)
 	}
 	s.recordPosition(e.Prefix, e.Position)
-	s.cache.replace(now, e)
 	if e.Prefix == s.TablePrefix {
 		s.applyTables(now, e.Items)
+		e.Items = s.withTable(e.Position, e.Items)
+		s.cache.replace(now, e)
 		return
 	}
+	s.cache.replace(now, e)
 	all := make([]directory.Registration, 0, len(e.Items))
 	for _, item := range e.Items {
 		if r, ok := s.decodeRegistration(now, item); ok {
@@ -120,11 +125,15 @@
 func (s *State) onChanged(now time.Time, e registry.Changed) {
 	s.recordRead(now, e.Prefix)
 	s.recordPosition(e.Prefix, e.Position)
-	s.cache.applyChanges(now, e)
 	if e.Prefix == s.TablePrefix {
 		s.applyTables(now, e.Items)
+		if len(e.Items) > 0 {
+			e.Items = s.withTable(e.Position, e.Items)
+		}
+		s.cache.applyChanges(now, e)
 		return
 	}
+	s.cache.applyChanges(now, e)
 	for _, item := range e.Items {
 		s.applyRegistration(now, item)
 	}
@@ -185,11 +194,24 @@
 		s.Log.Info("routing table in force", "version", table.Version, "before", s.tableVersion(),
 			"revision", item.Revision, "routes", len(table.Routes()))
 		s.view.Table = table
+		s.tableValue = item.Value
 		s.view.TableSince = now
 		s.publish(now)
 	}
 }
 
+// withTable returns what this VM relays for the items that were read under the prefix of the tables: the table in force
+// takes the place of another one, of a deletion and of none, so that a VM which follows this one gets no older table than
+// this one has.
+func (s *State) withTable(at unit.Position, items []registry.Item) []registry.Item {
+	if s.tableValue == nil {
+		return items
+	}
+	key := registry.Key(s.TablePrefix)
+	all := slices.DeleteFunc(slices.Clone(items), func(i registry.Item) bool { return i.Key == key })
+	return append(all, registry.Item{Position: at, Key: key, Value: s.tableValue})
+}
+
 // tableVersion returns the version of the routing table in force, or 0 if there is none.
 func (s *State) tableVersion() unit.TableVersion {
 	if s.view.Table == nil {
--- a/internal/core/discovery/discovery_test.go
+++ b/internal/core/discovery/discovery_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +14,7 @@
 	"basilspan/internal/core/metric"
 	"basilspan/internal/core/registry"
 	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/routing"
 )
 
 // newState returns a discovery state that knows nothing yet and logs to log.
@@ -19,9 +22,93 @@
 	return Install(kernel.NewLoop(time.Now), Options{
 		Node: "n1", Views: NewViews(), Metrics: metric.NewSet(), Log: slog.New(slog.NewTextHandler(log, nil)),
 		TablePrefix: "table", EndpointPrefix: "endpoints/",
+		DecodeTable: func(value []byte) (*routing.Table, error) {
+			version, err := strconv.ParseUint(string(value), 10, 64)
+			return routing.NewTable(unit.TableVersion(version), nil, nil, routing.Limits{}), err
+		},
 	})
 }
 
+// table returns the item of a routing table, whose value is its version.
+func table(p unit.Position, version string) registry.Item {
+	return registry.Item{Position: p, Key: "table", Value: []byte(version)}
+}
+
+// TestRelayKeepsTable checks that a VM passes on the newest table that it knows when the registry is restored from a copy
+// with an older one, and never an unreadable one.
+func TestRelayKeepsTable(t *testing.T) {
+	restored := unit.Position{Era: 1, Revision: 4}
+	later := unit.Position{Era: 1, Revision: 5}
+	tests := []struct {
+		name    string
+		listed  []registry.Item
+		changed []registry.Item
+		want    []string
+	}{
+		{"an older table in the copy", []registry.Item{table(restored, "6")}, nil, []string{"table=7"}},
+		{"no table in the copy", nil, nil, []string{"table=7"}},
+		{"an unreadable table in the copy", []registry.Item{table(restored, "x")}, nil, []string{"table=7"}},
+		{
+			"another key in the copy",
+			[]registry.Item{table(restored, "6"), {Position: restored, Key: "table-2", Value: []byte("v")}},
+			nil,
+			[]string{"table-2=v", "table=7"},
+		},
+		{
+			"the table is published again",
+			[]registry.Item{table(restored, "6")},
+			[]registry.Item{table(later, "7")},
+			[]string{"table=7"},
+		},
+		{
+			"a newer table is published",
+			[]registry.Item{table(restored, "6")},
+			[]registry.Item{table(later, "8")},
+			[]string{"table=8"},
+		},
+		{
+			"an older table is published",
+			[]registry.Item{table(restored, "5")},
+			[]registry.Item{table(later, "6")},
+			[]string{"table=7"},
+		},
+		{
+			"an unreadable table is published",
+			[]registry.Item{table(restored, "6")},
+			[]registry.Item{table(later, "x")},
+			[]string{"table=7"},
+		},
+		{
+			"the table is deleted",
+			[]registry.Item{table(restored, "6")},
+			[]registry.Item{{Position: later, Key: "table", Deleted: true}},
+			[]string{"table=7"},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newState(&strings.Builder{})
+			s.onListed(start, registry.Listed{Position: at(9), Prefix: "table", Items: []registry.Item{table(at(9), "7")}})
+			s.onListed(start, registry.Listed{Position: restored, Prefix: "table", Items: tt.listed})
+			if tt.changed != nil {
+				s.onChanged(start, registry.Changed{Position: later, Prefix: "table", Items: tt.changed})
+			}
+			relayed := func(items []registry.Item) []string {
+				var lines []string
+				for _, i := range items {
+					lines = append(lines, string(i.Key)+"="+string(i.Value))
+				}
+				slices.Sort(lines)
+				return lines
+			}
+			assert.DeepEqual(t, relayed(s.CachedListing("table").Items), tt.want)
+			update := s.AwaitChanges(t.Context(), "table", at(9))
+			assert.Assert(t, update.Full)
+			assert.DeepEqual(t, relayed(update.Items), tt.want)
+		})
+	}
+}
+
 // TestRestoreIsReported checks that a restore of the registry is logged and counted once, whichever read shows it first,
 // and that a start is not taken for one.
 func TestRestoreIsReported(t *testing.T) {
