--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"basilspan/internal/core/fleet"
@@ -44,11 +45,16 @@
 // State is the discovery state. The control goroutine owns it, except for the cache, which also answers peers.
 type State struct {
 	Options
-	view            View
+	view View
+	// tableValue is the published form of the table in force.
+	tableValue      []byte
 	directory       *directory.Directory
 	endpointsListed bool
 	lostSince       map[registry.Prefix]time.Time
 	cache           *relayCache
+	// position is the latest position in the registry's history that is known; eraKnown is unset before the first one.
+	position unit.Position
+	eraKnown bool
 }
 
 // Install creates the discovery state and registers its event handlers with loop.
@@ -73,9 +79,9 @@
 	return s.cache.listing(prefix)
 }
 
-// AwaitChanges waits until this VM knows something under a prefix that is newer than a revision, or ctx ends, and
+// AwaitChanges waits until this VM knows something under a prefix that is newer than a position, or ctx ends, and
 // returns what is newer. Any goroutine may call it.
-func (s *State) AwaitChanges(ctx context.Context, prefix registry.Prefix, after unit.Revision) registry.Update {
+func (s *State) AwaitChanges(ctx context.Context, prefix registry.Prefix, after unit.Position) registry.Update {
 	return s.cache.awaitChanges(ctx, prefix, after)
 }
 
@@ -93,31 +99,41 @@
 	if !e.FromPeer {
 		s.recordRead(now, e.Prefix)
 	}
-	s.cache.replace(now, e)
+	s.recordPosition(e.Prefix, e.Position)
 	if e.Prefix == s.TablePrefix {
 		s.applyTables(now, e.Items)
+		e.Items = s.withTable(e.Position, e.Items)
+		s.cache.replace(now, e)
 		return
 	}
+	s.cache.replace(now, e)
 	all := make([]directory.Registration, 0, len(e.Items))
 	for _, item := range e.Items {
 		if r, ok := s.decodeRegistration(now, item); ok {
 			all = append(all, r)
 		}
 	}
-	s.directory.Replace(now, all)
+	heldBack := s.directory.Replace(now, e.Era, all)
+	s.Metrics.Add("endpoint.heldback", int64(heldBack))
 	s.endpointsListed = true
-	s.Log.Info("endpoints listed", "count", len(all), "unreadable", len(e.Items)-len(all), "revision", e.Revision)
+	s.Log.Info("endpoints listed", "count", len(all), "unreadable", len(e.Items)-len(all), "held_back", heldBack,
+		"era", e.Era, "revision", e.Revision)
 	s.publishEndpoints(now, e.Revision)
 }
 
 // onChanged handles the changes of a prefix; without items it only confirms that the registry can be read.
 func (s *State) onChanged(now time.Time, e registry.Changed) {
 	s.recordRead(now, e.Prefix)
-	s.cache.applyChanges(now, e)
+	s.recordPosition(e.Prefix, e.Position)
 	if e.Prefix == s.TablePrefix {
 		s.applyTables(now, e.Items)
+		if len(e.Items) > 0 {
+			e.Items = s.withTable(e.Position, e.Items)
+		}
+		s.cache.applyChanges(now, e)
 		return
 	}
+	s.cache.applyChanges(now, e)
 	for _, item := range e.Items {
 		s.applyRegistration(now, item)
 	}
@@ -131,18 +147,21 @@
 func (s *State) applyRegistration(now time.Time, item registry.Item) {
 	id := s.EndpointID(item.Key)
 	if item.Deleted {
-		s.Log.Info("endpoint unregistered", "endpoint", id, "revision", item.Revision)
-		s.directory.Remove(now, id, item.Revision, false)
+		s.Log.Info("endpoint unregistered", "endpoint", id, "era", item.Era, "revision", item.Revision)
+		s.directory.Remove(now, id, item.Position, false)
 		return
 	}
 	r, ok := s.decodeRegistration(now, item)
 	if !ok {
-		s.directory.Remove(now, id, item.Revision, true)
+		s.directory.Remove(now, id, item.Position, true)
 		return
 	}
+	heldBack := s.directory.Put(r)
+	if heldBack {
+		s.Metrics.Add("endpoint.heldback", 1)
+	}
 	s.Log.Info("endpoint registered", "endpoint", id, "service", r.Service, "address", r.Address,
-		"leaving", r.Leaving, "revision", r.Revision)
-	s.directory.Put(r)
+		"leaving", r.Leaving, "held_back", heldBack, "era", r.Era, "revision", r.Revision)
 }
 
 // decodeRegistration decodes a registration; ok is false, and the failure counted and logged, if it is invalid.
@@ -175,11 +194,24 @@
 		s.Log.Info("routing table in force", "version", table.Version, "before", s.tableVersion(),
 			"revision", item.Revision, "routes", len(table.Routes()))
 		s.view.Table = table
+		s.tableValue = item.Value
 		s.view.TableSince = now
 		s.publish(now)
 	}
 }
 
+// withTable returns what this VM relays for the items that were read under the prefix of the tables: the table in force
+// takes the place of another one, of a deletion and of none, so that a VM which follows this one gets no older table than
+// this one has.
+func (s *State) withTable(at unit.Position, items []registry.Item) []registry.Item {
+	if s.tableValue == nil {
+		return items
+	}
+	key := registry.Key(s.TablePrefix)
+	all := slices.DeleteFunc(slices.Clone(items), func(i registry.Item) bool { return i.Key == key })
+	return append(all, registry.Item{Position: at, Key: key, Value: s.tableValue})
+}
+
 // tableVersion returns the version of the routing table in force, or 0 if there is none.
 func (s *State) tableVersion() unit.TableVersion {
 	if s.view.Table == nil {
@@ -216,6 +248,21 @@
 	}
 }
 
+// recordPosition records a position that was read. A new era means that the registry has been restored from a copy,
+// which is logged and counted once, whichever prefix shows it first.
+func (s *State) recordPosition(prefix registry.Prefix, p unit.Position) {
+	before := s.position
+	if !s.eraKnown || p.After(before) {
+		s.position = p
+	}
+	if s.eraKnown && p.Era > before.Era {
+		s.Metrics.Add("registry.restored", 1)
+		s.Log.Warn("registry restored from a copy", "prefix", prefix, "era", p.Era, "revision", p.Revision,
+			"era_before", before.Era, "revision_before", before.Revision)
+	}
+	s.eraKnown = true
+}
+
 // onTick publishes the view again when its RegistryReadAt has grown old or endpoints without a registration have
 // expired.
 func (s *State) onTick(now time.Time, _ kernel.Tick) {
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -32,6 +32,8 @@
 	// keepAliveInterval and keepAliveProbes detect a dead connection between two responses.
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 2
+	// headerEra is the header field with the registry's era. A store that was never restored may omit it.
+	headerEra = "Store-Era"
 )
 
 // Client reads one store. It is safe for concurrent use.
@@ -73,6 +75,7 @@
 
 // page is the response to a read of several keys.
 type page struct {
+	era       unit.Era
 	Items     []item        `json:"items"`
 	Truncated bool          `json:"truncated"`
 	Revision  unit.Revision `json:"at"`
@@ -80,12 +83,14 @@
 
 // changes is the response to a watch.
 type changes struct {
+	era      unit.Era
 	Events   []item        `json:"events"`
 	Revision unit.Revision `json:"at"`
 }
 
 // List reads all keys with the given prefix, page by page. The listing's revision is that of the first page, so that
-// a watch from there returns every change that a later page may not show.
+// a watch from there returns every change that a later page may not show. When the store is restored between two pages,
+// the listing starts again.
 func (c *Client) List(ctx context.Context, prefix registry.Prefix) (registry.Listing, error) {
 	var all registry.Listing
 	query := url.Values{"prefix": {string(prefix)}}
@@ -94,11 +99,14 @@
 		if err != nil {
 			return registry.Listing{}, err
 		}
+		if !first && p.era != all.Era {
+			return c.List(ctx, prefix)
+		}
 		if first {
-			all.Revision = p.Revision
+			all.Position = unit.Position{Era: p.era, Revision: p.Revision}
 		}
 		for _, i := range p.Items {
-			all.Items = append(all.Items, i.decode())
+			all.Items = append(all.Items, i.decode(p.era))
 		}
 		if !p.Truncated || len(p.Items) == 0 {
 			return all, nil
@@ -112,7 +120,8 @@
 	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
 	defer cancel()
 	var p page
-	err := c.get(ctx, "/api/kv-range", query, &p)
+	var err error
+	p.era, err = c.get(ctx, "/api/kv-range", query, &p)
 	return p, err
 }
 
@@ -128,43 +137,62 @@
 		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
 	var w changes
-	if err := c.get(ctx, "/api/kv-watch", query, &w); err != nil {
+	var err error
+	if w.era, err = c.get(ctx, "/api/kv-watch", query, &w); err != nil {
 		return registry.Listing{}, err
 	}
-	all := registry.Listing{Revision: w.Revision}
+	all := registry.Listing{Position: unit.Position{Era: w.era, Revision: w.Revision}}
 	for _, e := range w.Events {
-		all.Items = append(all.Items, e.decode())
+		all.Items = append(all.Items, e.decode(w.era))
 	}
 	return all, nil
 }
 
-func (i item) decode() registry.Item {
-	return registry.Item{Key: registry.Key(i.Key), Value: i.Value, Revision: i.Revision, Deleted: i.Deleted}
+// decode returns the item as read in that era.
+func (i item) decode(era unit.Era) registry.Item {
+	return registry.Item{
+		Position: unit.Position{Era: era, Revision: i.Revision},
+		Key:      registry.Key(i.Key), Value: i.Value, Deleted: i.Deleted,
+	}
 }
 
-// get sends a GET request to the store and decodes the JSON response into the value that into points to. It returns
-// registry.ErrCompacted for status 410. Only ctx bounds how long it takes.
-func (c *Client) get(ctx context.Context, path string, query url.Values, into any) error {
+// decodeEra returns the era in the header of a response, 0 if it has none.
+func decodeEra(h http.Header) (unit.Era, error) {
+	text := h.Get(headerEra)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	return unit.Era(n), errors.Wrapf(err, "parse the header field %s", headerEra)
+}
+
+// get sends a GET request to the store, decodes the JSON response into the value that into points to and returns the
+// era of the response. It returns registry.ErrCompacted for status 410. Only ctx bounds how long it takes.
+func (c *Client) get(ctx context.Context, path string, query url.Values, into any) (unit.Era, error) {
 	target := "http://" + string(c.address) + path + "?" + query.Encode()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
-		return errors.Wrap(err, "build the request to the store")
+		return 0, errors.Wrap(err, "build the request to the store")
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return errors.Wrap(err, "send the request to the store")
+		return 0, errors.Wrap(err, "send the request to the store")
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	if err != nil {
-		return errors.Wrap(err, "read the store's response")
+		return 0, errors.Wrap(err, "read the store's response")
 	}
 	switch resp.StatusCode {
 	case http.StatusOK:
-		return errors.Wrap(json.Unmarshal(body, into), "decode the store's response")
+		era, err := decodeEra(resp.Header)
+		if err != nil {
+			return 0, err
+		}
+		return era, errors.Wrap(json.Unmarshal(body, into), "decode the store's response")
 	case http.StatusGone:
-		return registry.ErrCompacted
+		return 0, registry.ErrCompacted
 	default:
-		return errors.Newf("the store responded with status %d", resp.StatusCode)
+		return 0, errors.Newf("the store responded with status %d", resp.StatusCode)
 	}
 }
--- a/internal/platform/store/store_test.go
+++ b/internal/platform/store/store_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -93,6 +95,66 @@
 	}
 }
 
+// TestEra checks that lists and watches return the era of each response, and that a response whose era cannot be read is
+// an error.
+func TestEra(t *testing.T) {
+	copied := func(s *standin.Store) { s.Restore(s.Copy()) }
+	tests := []struct {
+		name   string
+		header string
+		do     func(s *standin.Store)
+		want   unit.Era
+		fault  bool
+	}{
+		{"no header", "", nil, 0, false},
+		{"never restored", "0", nil, 0, false},
+		{"restored", "", copied, 1, false},
+		{"not a number", "one", nil, 0, true},
+		{"negative", "-1", nil, 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c, s := newClient(t)
+			s.Put("servers/1", "a")
+			if tt.do != nil {
+				tt.do(s)
+			} else {
+				s.EraHeader = &tt.header
+			}
+			listing, err := c.List(t.Context(), PrefixEndpoints)
+			assert.Equal(t, err != nil, tt.fault, "%v", err)
+			assert.Equal(t, listing.Era, tt.want)
+			changes, err := c.Watch(t.Context(), PrefixEndpoints, 1, 50*time.Millisecond)
+			assert.Equal(t, err != nil, tt.fault, "%v", err)
+			assert.Equal(t, changes.Era, tt.want)
+			for _, i := range slices.Concat(listing.Items, changes.Items) {
+				assert.Equal(t, i.Era, tt.want)
+			}
+		})
+	}
+}
+
+// TestListDuringRestore checks that no listing mixes pages from before and after a restore.
+func TestListDuringRestore(t *testing.T) {
+	c, s := newClient(t)
+	s.PageSize = 2
+	s.Put("servers/1", "old")
+	s.Put("servers/3", "old")
+	restored := s.Copy()
+	s.Put("servers/2", "lost")
+	s.Put("servers/4", "lost")
+	restore := sync.OnceFunc(func() { s.Restore(restored) })
+	s.AfterPage = restore
+	got, err := c.List(t.Context(), PrefixEndpoints)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Position, unit.Position{Era: 1, Revision: 3})
+	var values []string
+	for _, i := range got.Items {
+		values = append(values, string(i.Key)+"="+string(i.Value))
+	}
+	assert.DeepEqual(t, values, []string{"servers/1=old", "servers/3=old"})
+}
+
 // TestListFaults checks that each kind of failure of the store is returned as an error within a bounded time, and not
 // as an empty listing.
 func TestListFaults(t *testing.T) {
--- a/internal/policy/replica/replica_test.go
+++ b/internal/policy/replica/replica_test.go
@@ -30,6 +30,11 @@
 	return e
 }
 
+func afterRestore(e directory.Endpoint) directory.Endpoint {
+	e.Position = unit.Position{Era: 1, Revision: 3}
+	return e
+}
+
 func cold(e directory.Endpoint) directory.Endpoint {
 	e.WarmAt = at(100000)
 	return e
@@ -136,13 +141,20 @@
 		},
 		{name: "never a misdirected one", all: []directory.Endpoint{a}, do: func(tr *Tracker) {
 			tr.RecordSent(at(0), "a")
-			tr.RecordMisdirected(at(1), "a", 7, at(0))
+			tr.RecordMisdirected(at(1), "a", unit.Position{Revision: 7}, at(0))
 		}, now: at(10000), want: -1},
 		{
 			name: "a misdirected one that has registered again",
 			all:  []directory.Endpoint{registeredAgain(a)}, do: func(tr *Tracker) {
 				tr.RecordSent(at(0), "a")
-				tr.RecordMisdirected(at(1), "a", 7, at(0))
+				tr.RecordMisdirected(at(1), "a", unit.Position{Revision: 7}, at(0))
+			}, now: at(2), want: 0,
+		},
+		{
+			name: "a misdirected one that has registered again after a restore of the registry",
+			all:  []directory.Endpoint{afterRestore(a)}, do: func(tr *Tracker) {
+				tr.RecordSent(at(0), "a")
+				tr.RecordMisdirected(at(1), "a", unit.Position{Revision: 7}, at(0))
 			}, now: at(2), want: 0,
 		},
 		{
