Don't close a connection as idle whose request has come

A connection counted as idle until hertz had begun to handle a request on it. Bytes that waited in the socket, or that had been read just before, were not looked at, and all idle connections were marked before the first was closed.

TestRequestThatHasComeIsNotIdle has no counterpart in the code before: the tracker could not ask. Now a connection is idle if no byte has come since its last response, read or unread, and is marked and closed in one step. A request that is still on its way then is cut as before, unread.

--- a/internal/serve/keepalive/keepalive.go
+++ b/internal/serve/keepalive/keepalive.go
@@ -44,7 +44,10 @@
 
 // idle reports whether no byte of a request has come that has not been responded to.
 func (c *connection) idle() bool {
-	return !c.busy || c.accepted != nil && !c.accepted.Received()
+	if c.accepted == nil {
+		return !c.busy
+	}
+	return c.accepted.Idle()
 }
 
 // disconnect closes the connection while hertz may still read from it.
@@ -94,6 +97,9 @@
 	t.mu.Lock()
 	if c, known := t.conns[conn]; known {
 		c.busy = false
+		if c.accepted != nil {
+			c.accepted.Answered()
+		}
 	}
 	closing := t.closing
 	t.mu.Unlock()
@@ -135,17 +141,13 @@
 func (t *Tracker) CloseIdle() {
 	t.mu.Lock()
 	t.closing = true
-	var idle []*connection
+	defer t.mu.Unlock()
 	for _, c := range t.conns {
 		if c.idle() {
-			idle = append(idle, c)
 			c.closed = true
+			c.disconnect()
 		}
 	}
-	t.mu.Unlock()
-	for _, c := range idle {
-		c.disconnect()
-	}
 }
 
 // forget removes a connection that has ended, unless CloseIdle has closed it: a request that was read from it may still
--- a/internal/serve/port/conn.go
+++ b/internal/serve/port/conn.go
@@ -47,6 +47,8 @@
 	watched chan struct{}
 	// received reports whether a byte has been read.
 	received atomic.Bool
+	// unanswered reports whether a byte has been read since the last response.
+	unanswered atomic.Bool
 	// readTimeout bounds the wait of one Read.
 	readTimeout atomic.Int64
 	// timer is used by Read only.
@@ -136,8 +138,11 @@
 		return 0, os.ErrDeadlineExceeded
 	}
 	n, err := c.Conn.Read(b)
-	if n > 0 && !c.received.Swap(true) {
-		c.readTimeout.Store(int64(c.timeouts.Read))
+	if n > 0 {
+		c.unanswered.Store(true)
+		if !c.received.Swap(true) {
+			c.readTimeout.Store(int64(c.timeouts.Read))
+		}
 	}
 	select {
 	case c.taken <- struct{}{}:
@@ -194,9 +199,24 @@
 	return c.Conn.Write(b)
 }
 
-// Received reports whether a byte has been read from the connection.
-func (c *Conn) Received() bool {
-	return c.received.Load()
+// Answered records that the response to the last request has been written.
+func (c *Conn) Answered() {
+	c.unanswered.Store(false)
+}
+
+// Idle reports whether no byte of a request has come since the last response, read or unread.
+func (c *Conn) Idle() bool {
+	return !c.unanswered.Load() && !c.hasInput()
+}
+
+// hasInput reports whether input waits to be read.
+func (c *Conn) hasInput() bool {
+	var first [1]byte
+	n := 0
+	_ = c.raw.Control(func(fd uintptr) {
+		n, _, _ = unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return n > 0
 }
 
 // Disconnect closes the connection while its server may still use it. The server has to call Close.
--- a/internal/serve/port/conn_test.go
+++ b/internal/serve/port/conn_test.go
@@ -133,6 +133,43 @@
 	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
 }
 
+// TestRequestThatHasComeIsNotIdle guards against a stop that closes a connection whose request it has not seen yet.
+func TestRequestThatHasComeIsNotIdle(t *testing.T) {
+	tests := []struct {
+		name string
+		// sent is what the caller sends, of which read bytes are read.
+		sent     string
+		read     int
+		answered bool
+		want     bool
+	}{
+		{"nothing has come", "", 0, false, true},
+		{"a request that is unread", "request", 0, false, false},
+		{"a request that is read", "request", 7, false, false},
+		{"a request that is answered", "request", 7, true, true},
+		{"a second request that is unread", "requestrequest", 7, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			accepted, caller := pair(t, Timeouts{})
+			_, err := io.WriteString(caller, tt.sent)
+			assert.NilError(t, err)
+			if tt.sent != "" {
+				assert.Assert(t, accepted.await())
+				accepted.readable <- struct{}{}
+			}
+			if tt.read > 0 {
+				_, err = io.ReadFull(accepted, make([]byte, tt.read))
+				assert.NilError(t, err)
+			}
+			if tt.answered {
+				accepted.Answered()
+			}
+			assert.Equal(t, accepted.Idle(), tt.want)
+		})
+	}
+}
+
 // TestCloseKeepsResponse guards against a response that is lost since the request was not read to its end.
 func TestCloseKeepsResponse(t *testing.T) {
 	accepted, caller := pair(t, Timeouts{})
