Tell callers of a stopping gateway to retry at once

Callers that a stopping VM refuses (code 206) were not told when to retry, and waited as long as they chose, although another VM can serve them at once and docs/RESULTS.md has Retry-After for this code.

The refusal now has a Retry-After of 10 to 15 ms. The row of TestRetryAfter failed before with 250 ms.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -138,8 +138,8 @@
 // retryAfter returns when a request that was refused with code is worth sending again, 0 if that is not stated.
 func (d *Dispatcher) retryAfter(code unit.Code, route *routing.Route) time.Duration {
 	switch code {
-	case unit.CodeNoRoute, unit.CodeBadRequest, unit.CodeTooLarge, unit.CodeHeaderTooLarge, unit.CodeStopping:
-		// The same request would be refused again, or another VM can serve it at once.
+	case unit.CodeNoRoute, unit.CodeBadRequest, unit.CodeTooLarge, unit.CodeHeaderTooLarge:
+		// The same request would be refused again.
 		return 0
 	}
 	d.mu.Lock()
--- a/internal/policy/retryafter/retryafter.go
+++ b/internal/policy/retryafter/retryafter.go
@@ -15,17 +15,22 @@
 	// defaultDelay is the delay after other refusals, such as while no configuration or endpoint is known. The
 	// registry answers within it.
 	defaultDelay = 250 * time.Millisecond
+	// stoppingDelay is the delay after a refusal because this VM is stopping. Another VM can serve the request at once.
+	stoppingDelay = 10 * time.Millisecond
 	// jitter is the largest share by which a delay is extended at random, so that callers don't all retry at once.
 	jitter = 0.5
 )
 
 // RetryAfter returns how long a caller should wait before it retries a request that was refused with code. typical is
-// the typical latency of the route. It is used only for CodeRefused and CodeNotConnected; after other codes the delay
-// is defaultDelay. random is a number from 0 to 1 that sets the jitter.
+// the typical latency of the route. It is used only for CodeRefused and CodeNotConnected; after other codes but
+// CodeStopping the delay is defaultDelay. random is a number from 0 to 1 that sets the jitter.
 func RetryAfter(code unit.Code, typical time.Duration, random float64) time.Duration {
 	delay := defaultDelay
-	if code == unit.CodeRefused || code == unit.CodeNotConnected {
+	switch code {
+	case unit.CodeRefused, unit.CodeNotConnected:
 		delay = min(max(2*typical, minBusyDelay), maxBusyDelay)
+	case unit.CodeStopping:
+		delay = stoppingDelay
 	}
 	return time.Duration(float64(delay) * (1 + jitter*random))
 }
--- a/internal/policy/retryafter/retryafter_test.go
+++ b/internal/policy/retryafter/retryafter_test.go
@@ -21,6 +21,7 @@
 		{"full endpoints, full jitter", unit.CodeRefused, 60 * time.Millisecond, 1, 180 * time.Millisecond},
 		{"full endpoints with a low latency", unit.CodeRefused, time.Millisecond, 0, 10 * time.Millisecond},
 		{"full endpoints with a high latency", unit.CodeRefused, time.Second, 0, 500 * time.Millisecond},
+		{"this VM is stopping", unit.CodeStopping, time.Second, 0, 10 * time.Millisecond},
 		{"no configuration", unit.CodeNoConfig, time.Second, 0, 250 * time.Millisecond},
 		{"no endpoint", unit.CodeNoEndpoint, 0, 0.5, 312500 * time.Microsecond},
 	}
