Wait at a stop of serve for the slowest query that may be in flight

A caller that sends its query slowly could lose the answer at a stop: a query whose first byte comes just before the stop may take 10 s to arrive and 60 s to run, and the port closed after 65 s. It is the cause of the gateway's lost requests in a milder form: a limit on the whole that is shorter than its parts.

The limit is now the sum of both and 5 s for writing.

--- a/internal/serve/caller/caller.go
+++ b/internal/serve/caller/caller.go
@@ -26,8 +26,11 @@
 	maxBodyBytes = 1 << 20
 	// readTimeout bounds the reading of one request, so that a half-open connection does not hold resources for long.
 	readTimeout = 10 * time.Second
-	// shutdownMargin is how much longer than the maximum query timeout a shutdown may take.
-	shutdownMargin = 5 * time.Second
+	// exitWait bounds the wait of a shutdown for requests in flight. A request whose first byte came just before may take
+	// all its time to arrive, and then all its timeout.
+	exitWait = readTimeout + query.MaxTimeout + answerTime
+	// answerTime is for writing the last responses.
+	answerTime = 5 * time.Second
 	// writeTimeout bounds the wait for a caller that does not read its response.
 	writeTimeout = 30 * time.Second
 	// idleTimeout is how long a connection may be idle before its next request.
@@ -92,7 +95,7 @@
 		server.WithReadTimeout(readTimeout),
 		server.WithWriteTimeout(writeTimeout),
 		server.WithIdleTimeout(idleTimeout),
-		server.WithExitWaitTime(query.MaxTimeout+shutdownMargin),
+		server.WithExitWaitTime(exitWait),
 		config.Option{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
 	)
 	s.server, err = listen.Start(ctx, s.listen, options, func(h *server.Hertz, tracker *keepalive.Tracker) {
--- a/internal/serve/caller/caller_test.go
+++ b/internal/serve/caller/caller_test.go
@@ -274,6 +274,12 @@
 	assert.Equal(t, unit.Code(roundTrip(t, f, valid).Code), unit.CodeWhole)
 }
 
+// TestStopOutlastsSlowestQuery guards against a stop that gives up a query whose caller sends it slowly and lets it run
+// for the longest time.
+func TestStopOutlastsSlowestQuery(t *testing.T) {
+	assert.Assert(t, exitWait > readTimeout+query.MaxTimeout)
+}
+
 // TestDisconnectCancelsQuery checks that a query is cancelled when its caller closes the connection.
 func TestDisconnectCancelsQuery(t *testing.T) {
 	began, ended := make(chan struct{}), make(chan struct{})
