Hold the soak to planned stops while endpoints fail

The soak left out requests that ended while any endpoint had a fault when it checked that a planned stop interrupts no request, and its callers waited at most 60 ms between two requests, so that a stopping VM had no open connections for long. A gateway answers whatever its endpoints do; the narrower check hid requests lost at a stop.

--- a/internal/standin/soak/callers.go
+++ b/internal/standin/soak/callers.go
@@ -28,6 +28,10 @@
 	// connectTimeout bounds a caller's attempt to connect.
 	connectTimeout           = time.Second
 	maxRequestsPerConnection = 30
+	// patientCallers is the number of further callers, which keep a connection open for up to maxPatience between two
+	// requests, and so also use it late in a planned stop.
+	patientCallers = 32
+	maxPatience    = 4 * time.Second
 	// maxPause is the longest pause of a caller between two requests on a connection, and the pause after a failure to
 	// connect.
 	maxPause = 60 * time.Millisecond
@@ -96,7 +100,7 @@
 }
 
 // startCallers starts callers that send requests until the run is over. Callers beyond callerCount send requests only
-// during bursts.
+// during bursts. It also starts the patient ones.
 func (dep *deployment) startCallers(seed uint64) {
 	for i := range maxCallers {
 		dep.wg.Add(1)
@@ -111,15 +115,26 @@
 					time.Sleep(healthCheckPeriod)
 					continue
 				}
-				dep.runConnection(r)
+				dep.runConnection(r, maxPause)
+			}
+		}()
+	}
+	for i := range patientCallers {
+		dep.wg.Add(1)
+		go func() {
+			defer dep.wg.Done()
+			r := rand.New(rand.NewPCG(seed, uint64(2+maxCallers+i)))
+			for dep.isRunning() {
+				dep.runConnection(r, maxPatience)
 			}
 		}()
 	}
 }
 
 // runConnection opens one connection and sends a random number of requests over it, at most maxRequestsPerConnection,
-// until the connection or the run ends. If it can't connect, it waits for maxPause.
-func (dep *deployment) runConnection(r *rand.Rand) {
+// until the connection or the run ends. It waits for up to pause between two requests. If it can't connect, it waits for
+// maxPause.
+func (dep *deployment) runConnection(r *rand.Rand, pause time.Duration) {
 	v := dep.pickVM(r)
 	c, err := net.DialTimeout("tcp", string(v.callersAddress), connectTimeout)
 	if err != nil {
@@ -132,7 +147,10 @@
 		if !dep.isRunning() || !dep.sendRequest(r, v, c, reader) {
 			return
 		}
-		time.Sleep(time.Duration(r.Int64N(int64(maxPause))))
+		select {
+		case <-time.After(time.Duration(r.Int64N(int64(pause)))):
+		case <-dep.quit:
+		}
 	}
 }
 
--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -59,7 +59,7 @@
 	case KindPeerLink:
 		return dep.disruptLink(v.peerLink, f, dep.recordVMFault(v.number))
 	case KindEndpointLink:
-		return dep.disruptLink(dep.endpointLinks[e], f, dep.recordEndpointFault())
+		return dep.disruptLink(dep.endpointLinks[e], f, func() {})
 	case KindEndpoint:
 		return dep.disruptEndpoint(e, f)
 	case KindDrain:
@@ -79,11 +79,6 @@
 	return dep.recordSpan(func(h *History, s Span) { h.VMFaults[vm] = append(h.VMFaults[vm], s) })
 }
 
-// recordEndpointFault records a fault of an endpoint that starts now. The returned function ends it.
-func (dep *deployment) recordEndpointFault() func() {
-	return dep.recordSpan(func(h *History, s Span) { h.EndpointFaults = append(h.EndpointFaults, s) })
-}
-
 // recordSpan notes the present time. The returned function calls add with the span from then until its own call, with
 // the history locked.
 func (dep *deployment) recordSpan(add func(h *History, s Span)) func() {
@@ -156,12 +151,10 @@
 		shard.ModeReject, shard.ModeDrop, shard.ModeFail, shard.ModeBusy, shard.ModeHang, shard.ModeEncode,
 		shard.ModeUnsigned, shard.ModeAbsent,
 	}
-	ended := dep.recordEndpointFault()
 	dep.endpoints[i].SetMode(modes[f.Variant%len(modes)])
 	return func() {
 		time.Sleep(f.For)
 		dep.endpoints[i].SetMode(shard.ModeServe)
-		ended()
 	}
 }
 
@@ -203,7 +196,6 @@
 // reuseAddress removes an endpoint and lets an endpoint of another service take over its address. At the end both are
 // as before.
 func (dep *deployment) reuseAddress(i int, f Fault) func() {
-	ended := dep.recordEndpointFault()
 	other := (i + replicas) % len(dep.endpoints)
 	dep.store.Delete(dep.endpoints[i].Key())
 	dep.endpointLinks[i].Cut()
@@ -215,7 +207,6 @@
 		dep.endpointLinks[i].Reset()
 		dep.endpointLinks[i].SetTarget(unit.Address(dep.endpoints[i].Address()))
 		dep.register(i, "ready")
-		ended()
 	}
 }
 
--- a/internal/standin/soak/history.go
+++ b/internal/standin/soak/history.go
@@ -141,8 +141,6 @@
 	// registry, or a scheduling stall of the machine that runs the soak.
 	VMFaults     map[int][]Span
 	GlobalFaults []Span
-	// EndpointFaults are the periods with a fault at an endpoint or its connections.
-	EndpointFaults []Span
 }
 
 // update calls change with the history locked. Safe for concurrent use.
@@ -165,11 +163,6 @@
 	return !slices.ContainsFunc(h.VMFaults[vm], disturbs) && !slices.ContainsFunc(h.GlobalFaults, hit)
 }
 
-// endpointsHealthy reports whether no endpoint and no connection to one had a fault between two times.
-func (h *History) endpointsHealthy(from, to time.Time) bool {
-	return !slices.ContainsFunc(h.EndpointFaults, func(s Span) bool { return s.overlaps(from, to) })
-}
-
 // lifetimeAt returns the process of a VM that was running at a time, or nil if there was none.
 func (h *History) lifetimeAt(vm int, at time.Time) *Lifetime {
 	for i := range h.Lifetimes {
--- a/internal/standin/soak/lifetimes.go
+++ b/internal/standin/soak/lifetimes.go
@@ -6,8 +6,8 @@
 )
 
 // checkPlannedStop reports requests that a VM had read, or had time to read, and whose connection ended without a
-// response after the VM received its stop signal. It leaves out requests that the caller abandoned, that reached the
-// timeout, whose process was killed, or that another fault may have affected.
+// response after the VM received its stop signal, whatever the endpoints did. It leaves out requests that the caller
+// abandoned, that reached the timeout, whose process was killed, or that another fault of the VM may have affected.
 func checkPlannedStop(h *History, report func(string, ...any)) {
 	runs := h.runsByRequest()
 	for _, req := range h.Requests {
@@ -17,8 +17,7 @@
 			continue
 		}
 		read := len(runs[req.ID]) > 0 || req.Ended.Sub(req.Sent) > readSlack
-		calm := h.isCalmExcept(req.VM, req.Sent, req.Ended, lifetime.isOwnStopOrRestart) &&
-			h.endpointsHealthy(req.Sent, req.Ended)
+		calm := h.isCalmExcept(req.VM, req.Sent, req.Ended, lifetime.isOwnStopOrRestart)
 		if read && calm && req.Ended.After(lifetime.StopRequested) && req.Ended.Sub(req.Sent) < h.Bounds.Timeout {
 			report("%s: connection ended without a response %v after VM %d was told to stop: %v", req.ID,
 				req.Ended.Sub(lifetime.StopRequested), req.VM, req.Err)
