Record how late timers fire

What was missing: no log line and no counter told late timers from slow endpoints or a busy processor; hedges and cuts that came 20 to 280 ms late could only be inferred from took_ms.

The control loop now tells its handlers by how much each firing of its ticker was late. The histogram timer.lag has all of them, the counter timer.late those over 50 ms, and one line a second at most, "timer fired late", gives the worst and their number. A ticker that drops firings is not counted as late for them.

--- a/internal/core/kernel/loop.go
+++ b/internal/core/kernel/loop.go
@@ -27,6 +27,12 @@
 	Gap time.Duration
 }
 
+// TimerFired is the event that the loop passes to its handlers each time its ticker fires.
+type TimerFired struct {
+	// Late is the time by which the control goroutine was told after the moment that was due.
+	Late time.Duration
+}
+
 // Loop is the event loop of the control goroutine. All handlers run on that goroutine, so their state needs no lock.
 type Loop struct {
 	Now func() time.Time
@@ -103,6 +109,7 @@
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
 	last := l.Now()
+	due := last.Add(tickPeriod)
 	for {
 		select {
 		case event := <-l.events:
@@ -110,6 +117,9 @@
 			last = l.tick(last)
 			l.handle(l.Now(), event)
 		case <-ticker.C:
+			now := l.Now()
+			l.handle(now, TimerFired{Late: max(0, now.Sub(due))})
+			due = nextDue(due, now)
 			last = l.tick(last)
 		case <-l.quit:
 			return
@@ -117,6 +127,12 @@
 	}
 }
 
+// nextDue returns when the ticker is due after it has fired at the given time. A ticker drops what it has missed.
+func nextDue(due, now time.Time) time.Time {
+	missed := max(0, now.Sub(due)) / tickPeriod
+	return due.Add((missed + 1) * tickPeriod)
+}
+
 // tick calls the handlers of Tick if at least half a period has passed since the last one, and returns the time of the
 // latest Tick.
 func (l *Loop) tick(last time.Time) time.Time {
--- a/internal/core/metric/metric.go
+++ b/internal/core/metric/metric.go
@@ -47,7 +47,7 @@
 	return time.Duration(l.h.ValueAtQuantile(q*100)) * time.Microsecond
 }
 
-// Count returns the number of recorded latencies. It has no callers.
+// Count returns the number of recorded latencies. Only tests call it.
 func (l *Latency) Count() int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -116,6 +116,13 @@
 	s.counters.Set(name, expvar.Func(read))
 }
 
+// RegisterLatency adds a histogram that belongs to no search, and returns it.
+func (s *Set) RegisterLatency(name string) *Latency {
+	l := NewLatency()
+	s.published.Set(name, l)
+	return l
+}
+
 // RecordStage records the duration of one stage of a query of that search. The histogram has the stage in place of
 // the rank.
 func (s *Set) RecordStage(search unit.SearchName, stage unit.RankName, took time.Duration) {
--- a/internal/serve/entry/services.go
+++ b/internal/serve/entry/services.go
@@ -12,6 +12,7 @@
 	"basilspan/internal/core/metric"
 	"basilspan/internal/core/query"
 	"basilspan/internal/core/route"
+	"basilspan/internal/core/timerlag"
 	"basilspan/internal/core/trace"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/core/view"
@@ -111,6 +112,7 @@
 	if err := f.Err(); err != nil {
 		return err
 	}
+	timerlag.Install(loop, metrics, e.options.Log)
 	control.Install(loop, e.options.Now(), control.Options{
 		Node:            e.settings.Node,
 		Centre:          e.settings.Centre,
--- a/internal/serve/gateway/services.go
+++ b/internal/serve/gateway/services.go
@@ -11,6 +11,7 @@
 	"basilspan/internal/core/kernel"
 	"basilspan/internal/core/metric"
 	"basilspan/internal/core/registry"
+	"basilspan/internal/core/timerlag"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/link/leaf"
 	"basilspan/internal/link/peer"
@@ -83,6 +84,7 @@
 	if err := f.Err(); err != nil {
 		return err
 	}
+	timerlag.Install(loop, metrics, g.options.Log)
 	state := discovery.Install(loop, discovery.Options{
 		Node:           g.settings.Node,
 		Views:          g.views,
