Write log lines to a pipe through the poller of the Go runtime

What callers would see: late hedges, cuts and timeouts on an entry VM whose log reader is slow.

Cause: the standard output is a blocking file. While its pipe is full, the goroutine that writes the log lines of the gateway, or a line or trace record of serve, waits in write(2), as the poller of the ports did in epoll_pwait, and keeps the only thread for Go code until the runtime's monitor takes it back.

Fix: both commands open the pipe anew without blocking, so that the wait is in the runtime's poller. The flags of the inherited file stay, since other processes may share them. A gateway whose log reader has ended now runs on instead of being ended by SIGPIPE. An output that is a socket, as under systemd, can't be opened anew and stays as it was.

--- a/internal/cmd/gateway/gateway.go
+++ b/internal/cmd/gateway/gateway.go
@@ -90,7 +90,9 @@
 		return stream.WithExitCode(err, stream.ExitUsage)
 	}
 	configureRuntime()
-	lines := logline.NewWriter(opts.Streams.Out)
+	out, closeOut := stream.Polled(opts.Streams.Out)
+	defer closeOut()
+	lines := logline.NewWriter(out)
 	defer func() { _ = lines.Close() }()
 	handler := logline.NewHandler(lines, logLevel(settings))
 	defer func() { _ = handler.Close() }()
--- a/internal/cmd/serve/serve.go
+++ b/internal/cmd/serve/serve.go
@@ -129,8 +129,12 @@
 	stop, cancel := opts.StopContext(ctx)
 	defer cancel()
 	hlog.SetOutput(io.Discard)
-	log := newLogger(opts).With("node", string(opts.Settings.Node))
-	e, err := entry.New(opts.Settings, entry.Options{Now: opts.Now, Log: log, Trace: traceOutput(opts)})
+	out, closeOut := stream.Polled(opts.Streams.Out)
+	defer closeOut()
+	errOut, closeErr := stream.Polled(opts.Streams.Err)
+	defer closeErr()
+	log := newLogger(opts, errOut).With("node", string(opts.Settings.Node))
+	e, err := entry.New(opts.Settings, entry.Options{Now: opts.Now, Log: log, Trace: traceOutput(opts, out)})
 	if err != nil {
 		return err
 	}
@@ -145,18 +149,18 @@
 	return e.Close()
 }
 
-// traceOutput returns the writer for the records of decisions, or nil if tracing is off.
-func traceOutput(opts *Options) io.Writer {
+// traceOutput returns out, the writer for the records of decisions, or nil if tracing is off.
+func traceOutput(opts *Options, out io.Writer) io.Writer {
 	if !opts.Settings.Trace {
 		return nil
 	}
-	return opts.Streams.Out
+	return out
 }
 
-// newLogger returns a logger to the standard error, in JSON or text.
-func newLogger(opts *Options) *slog.Logger {
+// newLogger returns a logger in JSON or text to the standard error.
+func newLogger(opts *Options, out io.Writer) *slog.Logger {
 	if opts.Settings.LogJSON {
-		return slog.New(slog.NewJSONHandler(opts.Streams.Err, nil))
+		return slog.New(slog.NewJSONHandler(out, nil))
 	}
-	return slog.New(slog.NewTextHandler(opts.Streams.Err, nil))
+	return slog.New(slog.NewTextHandler(out, nil))
 }
