Track a connection until its server has closed it

Cause: the tracker and the guard took the end of a connection's context for the end of its use. The context ends as soon as either side disconnects, while hertz may still handle requests that it has read.

--- a/internal/serve/caller/guard.go
+++ b/internal/serve/caller/guard.go
@@ -58,7 +58,7 @@
 		g.metrics.Add(counterReadTimeout, 1)
 		accepted.Disconnect()
 	})}
-	context.AfterFunc(ctx, func() {
+	accepted.OnClose(func() {
 		t.timer.Stop()
 		g.open.Add(-1)
 	})
--- a/internal/serve/keepalive/keepalive.go
+++ b/internal/serve/keepalive/keepalive.go
@@ -65,7 +65,7 @@
 }
 
 // Start marks the connection of a request as busy. On the first request of a connection, it also arranges that forget
-// is called when the connection ends.
+// is called when hertz has closed the connection.
 func (t *Tracker) Start(ctx context.Context, rc *app.RequestContext) context.Context {
 	conn := rc.GetConn()
 	t.mu.Lock()
@@ -80,7 +80,10 @@
 	if known {
 		return ctx
 	}
-	context.AfterFunc(ctx, func() { t.forget(conn) })
+	if c.accepted != nil && !c.accepted.OnClose(func() { t.forget(conn) }) {
+		// A request that was read together with the one before it, at whose end Finish has closed the connection.
+		t.forget(conn)
+	}
 	if closing {
 		_ = conn.SetReadTimeout(lateFirstByteTimeout)
 	}
@@ -121,12 +124,13 @@
 }
 
 // Answerable reports whether the caller can still receive a response. A request may be read from a connection just as
-// CloseIdle closes the connection as idle. Such a request must not be forwarded, since its caller regards it as unread.
+// CloseIdle closes the connection as idle, or together with one at whose end Finish closes the connection. Such a
+// request must not be forwarded, since its caller regards it as unread.
 func (t *Tracker) Answerable(rc *app.RequestContext) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c, known := t.conns[rc.GetConn()]
-	return !known || !c.closed
+	return known && !c.closed
 }
 
 // CloseIdle closes the connections without a request in flight. Finish closes the others after their response. It is
@@ -148,12 +152,9 @@
 	}
 }
 
-// forget removes a connection that has ended, unless CloseIdle has closed it: a request that was read from it may still
-// be waiting for Answerable. Start arranges the call.
+// forget removes a connection that hertz has closed. Start arranges the call.
 func (t *Tracker) forget(conn network.Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if c, known := t.conns[conn]; known && !c.closed {
-		delete(t.conns, conn)
-	}
+	delete(t.conns, conn)
 }
--- a/internal/serve/keepalive/keepalive_test.go
+++ b/internal/serve/keepalive/keepalive_test.go
@@ -97,6 +97,31 @@
 	}
 }
 
+// TestPipelinedRequestIsNotAnswerable guards against forwarding a request that was read together with one at whose end a
+// stop has closed the connection.
+func TestPipelinedRequestIsNotAnswerable(t *testing.T) {
+	tr := New()
+	answerable := make(chan bool, 2)
+	address, stop := startServer(t, tr, func(_ context.Context, rc *app.RequestContext) {
+		answerable <- tr.Answerable(rc)
+		tr.CloseIdle()
+	})
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	const text = "GET /work HTTP/1.1\r\nHost: x\r\n\r\n"
+	_, err = io.WriteString(conn, text+text)
+	assert.NilError(t, err)
+	assert.Assert(t, <-answerable)
+	assert.Assert(t, !<-answerable)
+	eventually(t, func() bool {
+		tr.mu.Lock()
+		defer tr.mu.Unlock()
+		return len(tr.conns) == 0
+	})
+	stop()
+}
+
 // startRequest starts a request on the connection of rc.
 func startRequest(tr *Tracker, rc *app.RequestContext) {
 	tr.Start(context.Background(), rc)
--- a/internal/serve/port/conn.go
+++ b/internal/serve/port/conn.go
@@ -50,8 +50,13 @@
 	// readTimeout bounds the wait of one Read.
 	readTimeout atomic.Int64
 	// timer is used by Read only.
-	timer     *time.Timer
-	closeOnce sync.Once
+	timer *time.Timer
+
+	mu sync.Mutex
+	// closed reports whether Close has been called.
+	closed bool
+	// onClose has the functions that Close calls.
+	onClose []func()
 }
 
 // connKey is the context key of a Conn.
@@ -205,15 +210,32 @@
 	_ = c.Conn.Close()
 }
 
+// OnClose registers a function that Close calls. It returns false if Close has been called.
+func (c *Conn) OnClose(f func()) (ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.onClose = append(c.onClose, f)
+	return !c.closed
+}
+
 // Close closes the connection and waits for the goroutine that watches it. The server calls it when it needs the
-// connection no more.
+// connection no more. Calls after the first do nothing.
 func (c *Conn) Close() error {
-	c.closeOnce.Do(func() {
-		c.discardInput()
-		c.Disconnect()
-		<-c.watched
-		c.listener.open.Done()
-	})
+	c.mu.Lock()
+	again := c.closed
+	c.closed = true
+	callbacks := c.onClose
+	c.mu.Unlock()
+	if again {
+		return nil
+	}
+	c.discardInput()
+	c.Disconnect()
+	<-c.watched
+	for _, f := range callbacks {
+		f()
+	}
+	c.listener.open.Done()
 	return nil
 }
 
