Ask peers for a newer routing table after a listing of a restored registry

What callers would see: a VM that starts after a restore of the registry answers 404 for routes that the others serve, and sends requests to the services of an older table, until operators publish the table again. Cause: a VM asks its peers only when it cannot read the registry. After a restore it can, and gets the copy's table. Evidence: two rows of TestOfferedTable kept version 6 although a peer has version 7, and TestFollower's new row had no offers. Fix: after each full listing of tables in an era above 0, all seeds are asked for what they know, at once. A table is taken if its version is higher, as from the registry, and is relayed. Registrations have no such order between the copy and a peer, so of endpoints such a VM still knows the copy only.

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"slices"
@@ -68,6 +69,7 @@
 	}
 	kernel.On(loop, s.onListed)
 	kernel.On(loop, s.onChanged)
+	kernel.On(loop, s.onOffered)
 	kernel.On(loop, s.onReadFailed)
 	kernel.On(loop, s.onTick)
 	kernel.On(loop, s.onCensusChanged)
@@ -142,6 +144,19 @@
 	}
 }
 
+// onOffered handles values of a peer that the registry may have lost. Only tables have an order of their own.
+func (s *State) onOffered(now time.Time, e registry.Offered) {
+	if e.Prefix != s.TablePrefix {
+		return
+	}
+	before := s.tableVersion()
+	s.applyTables(now, e.Items)
+	if s.tableVersion() != before {
+		s.Log.Info("newer routing table taken from a peer", "version", s.tableVersion(), "before", before)
+		s.cache.substitute(e.Prefix, registry.Key(s.TablePrefix), s.tableValue)
+	}
+}
+
 // applyRegistration applies one change of a registration to the directory. A registration that cannot be decoded
 // removes the endpoint.
 func (s *State) applyRegistration(now time.Time, item registry.Item) {
@@ -179,7 +194,7 @@
 // good one in force, and a deletion is ignored.
 func (s *State) applyTables(now time.Time, items []registry.Item) {
 	for _, item := range items {
-		if item.Deleted || string(item.Key) != string(s.TablePrefix) {
+		if item.Deleted || string(item.Key) != string(s.TablePrefix) || bytes.Equal(item.Value, s.tableValue) {
 			continue
 		}
 		table, err := s.DecodeTable(item.Value)
--- a/internal/core/discovery/discovery_test.go
+++ b/internal/core/discovery/discovery_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"fmt"
 	"log/slog"
 	"slices"
 	"strconv"
@@ -34,6 +35,38 @@
 	return registry.Item{Position: p, Key: "table", Value: []byte(version)}
 }
 
+// TestOfferedTable checks that a VM that starts after a restore takes the newest table that its peers know, and relays
+// it.
+func TestOfferedTable(t *testing.T) {
+	restored := unit.Position{Era: 1, Revision: 4}
+	tests := []struct {
+		name    string
+		offered []string
+		want    string
+	}{
+		{"none", nil, "6"},
+		{"newer", []string{"7"}, "7"},
+		{"the same", []string{"6"}, "6"},
+		{"older", []string{"5"}, "6"},
+		{"newer and older", []string{"7", "5"}, "7"},
+		{"unreadable", []string{"x"}, "6"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newState(&strings.Builder{})
+			s.onListed(start, registry.Listed{Position: restored, Prefix: "table", Items: []registry.Item{table(restored, "6")}})
+			for _, version := range tt.offered {
+				s.onOffered(start, registry.Offered{Prefix: "table", Items: []registry.Item{table(at(9), version)}})
+			}
+			assert.Equal(t, fmt.Sprint(s.tableVersion()), tt.want)
+			cached := s.CachedListing("table")
+			assert.Equal(t, cached.Position, restored)
+			assert.Equal(t, len(cached.Items), 1)
+			assert.Equal(t, string(cached.Items[0].Value), tt.want)
+		})
+	}
+}
+
 // TestRelayKeepsTable checks that a VM passes on the newest table that it knows when the registry is restored from a copy
 // with an older one, and never an unreadable one.
 func TestRelayKeepsTable(t *testing.T) {
--- a/internal/core/discovery/relay_cache.go
+++ b/internal/core/discovery/relay_cache.go
@@ -86,6 +86,16 @@
 	p.wake()
 }
 
+// substitute replaces the value of a key at the present position, for peers that do not have that position yet.
+func (c *relayCache) substitute(prefix registry.Prefix, key registry.Key, value []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.getOrCreate(prefix)
+	if p.items != nil {
+		p.items[key] = registry.Item{Position: p.position, Key: key, Value: value}
+	}
+}
+
 // apply applies one change to the values and appends it to the history.
 func (p *prefixCache) apply(i registry.Item) {
 	if i.Deleted {
--- a/internal/core/fleet/listing.go
+++ b/internal/core/fleet/listing.go
@@ -171,6 +171,32 @@
 	return registry.Listing{}, errNothingNewer
 }
 
+// ListingsFromSeeds returns what each seed that answers knows under the prefix. It calls the seeds concurrently.
+func (f *Fleet) ListingsFromSeeds(ctx context.Context, prefix registry.Prefix) []registry.Listing {
+	seeds := f.seeds()
+	responses := make(chan registry.Listing, len(seeds))
+	for _, seed := range seeds {
+		go func() {
+			w, err := f.fetchListing(ctx, seed, newListingQuery(prefix, unit.Position{}))
+			var listing registry.Listing
+			if err == nil {
+				listing, err = w.decode()
+			}
+			if err != nil {
+				f.Log.Debug("no values from seed", "seed", seed, "prefix", prefix, "error", err)
+			}
+			responses <- listing
+		}()
+	}
+	var all []registry.Listing
+	for range seeds {
+		if l := <-responses; l.Revision > 0 {
+			all = append(all, l)
+		}
+	}
+	return all
+}
+
 // fetchListing requests a listing from one seed.
 func (f *Fleet) fetchListing(ctx context.Context, seed unit.Address, query wireListingQuery) (wireListing, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/core/fleet/listing_test.go
+++ b/internal/core/fleet/listing_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"regexp"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -134,6 +135,49 @@
 	}
 }
 
+// TestListingsFromSeeds checks that all seeds are asked, and that one that does not answer or knows nothing is left out.
+func TestListingsFromSeeds(t *testing.T) {
+	tests := []struct {
+		name string
+		// known is the revision that each seed has caught up with, 0 if it knows nothing and -1 if it does not answer.
+		known []int
+		want  []unit.Revision
+	}{
+		{"no seeds", nil, nil},
+		{"one", []int{7}, []unit.Revision{7}},
+		{"two", []int{7, 9}, []unit.Revision{7, 9}},
+		{"one knows nothing", []int{0, 9}, []unit.Revision{9}},
+		{"one does not answer", []int{-1, 9}, []unit.Revision{9}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := &Fleet{
+				Log: slog.New(slog.DiscardHandler),
+				Call: func(ctx context.Context, to unit.Address, method peer.Method, params, result any) error {
+					n, err := strconv.Atoi(string(to))
+					if err != nil || tt.known[n] < 0 {
+						return errors.New("no answer")
+					}
+					known := registry.Listing{Position: unit.Position{Revision: unit.Revision(tt.known[n])}}
+					seed := &Fleet{KnownValues: func(registry.Prefix) registry.Listing { return known }}
+					return callDirectly(ctx, seed, method, params, result, false)
+				},
+			}
+			var seeds []unit.Address
+			for n := range tt.known {
+				seeds = append(seeds, unit.Address(strconv.Itoa(n)))
+			}
+			f.SetSeeds(seeds)
+			var got []unit.Revision
+			for _, l := range f.ListingsFromSeeds(t.Context(), "p/") {
+				got = append(got, l.Revision)
+			}
+			slices.Sort(got)
+			assert.DeepEqual(t, got, tt.want)
+		})
+	}
+}
+
 // callDirectly calls a method of a VM with messages in their encoded form. An old VM neither reads nor sends eras.
 func callDirectly(ctx context.Context, to *Fleet, method peer.Method, params, result any, old bool) error {
 	reencode := func(from, into any) error {
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -104,6 +104,13 @@
 	ConfirmedAt time.Time
 }
 
+// Offered is the event that a peer knows values that the registry may have lost in a restore. They have no position in
+// the registry's history any more, and count only if they show themselves that they are newer.
+type Offered struct {
+	Prefix Prefix
+	Items  []Item
+}
+
 // ReadFailed is the event that a read of the registry has failed. Began is when the read began.
 type ReadFailed struct {
 	Prefix Prefix
@@ -136,6 +143,9 @@
 	// PeerListing returns all that a peer knows under the prefix, if that is newer than a position. It is called when
 	// the registry can't be read.
 	PeerListing func(ctx context.Context, prefix Prefix, after unit.Position) (Listing, error)
+	// PeerValues returns what each peer that answers knows under the prefix. It is called after a listing of a registry
+	// that has been restored. nil does nothing.
+	PeerValues func(ctx context.Context, prefix Prefix) []Listing
 	// Relay waits for the next update from a peer that reads the registry. Role determines whether to rely on it.
 	Relay func(ctx context.Context, prefix Prefix, after unit.Position, wait time.Duration) (Update, error)
 	Role  func() Role
@@ -213,7 +223,8 @@
 	f.post(ctx, Listed{Position: listing.Position, Prefix: f.Prefix, Items: listing.Items, FromPeer: true})
 }
 
-// readAll lists all values in the registry and posts them.
+// readAll lists all values in the registry and posts them. A registry that has been restored may have lost some that
+// peers still know.
 func (f *Follower) readAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -226,6 +237,11 @@
 	}
 	f.post(ctx, Listed{Position: listing.Position, Prefix: f.Prefix, Items: listing.Items})
 	f.position = listing.Position
+	if f.PeerValues != nil && listing.Era > 0 {
+		for _, known := range f.PeerValues(ctx, f.Prefix) {
+			f.post(ctx, Offered{Prefix: f.Prefix, Items: known.Items})
+		}
+	}
 	return nil
 }
 
--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -27,6 +27,8 @@
 // holds the calls and events seen so far.
 type script struct {
 	list, watch, relay, peers []string
+	// offers are the positions that peers offer after each listing of a restored registry.
+	offers []unit.Position
 
 	mu       sync.Mutex
 	recorded []string
@@ -101,6 +103,13 @@
 			}
 			return s.next(ctx, &s.peers)
 		},
+		PeerValues: func(context.Context, Prefix) []Listing {
+			var all []Listing
+			for _, p := range s.offers {
+				all = append(all, Listing{Position: p})
+			}
+			return all
+		},
 		Relay: func(ctx context.Context, _ Prefix, after unit.Position, _ time.Duration) (Update, error) {
 			s.record("relay %s", text(after))
 			full := after.Revision == 0 || len(s.relay) > 0 && strings.HasPrefix(s.relay[0], fullPrefix)
@@ -127,6 +136,8 @@
 		s.record("listed %s%s", text(e.Position), by)
 	case Changed:
 		s.record("changed %s", text(e.Position))
+	case Offered:
+		s.record("offered")
 	case ReadFailed:
 		s.record("lost")
 	}
@@ -233,6 +244,15 @@
 			"peer's listing after a restore", &script{list: []string{"5+"}, watch: []string{"", "1/4"}, peers: []string{"1/3+"}},
 			RoleStandalone, 0, "listed 5, watch 5, lost, listed 1/3 by a peer, watch 3, changed 1/4, watch 4",
 		},
+		{
+			"start after a restore, two peers know values",
+			&script{list: []string{"1/3+"}, watch: []string{"1/4"}, offers: []unit.Position{{Revision: 9}, {Era: 1, Revision: 3}}},
+			RoleStandalone, 0, "listed 1/3, offered, offered, watch 3, changed 1/4, watch 4",
+		},
+		{
+			"start without a restore", &script{list: []string{"3+"}, offers: []unit.Position{{Revision: 3}}}, RoleStandalone, 0,
+			"listed 3, watch 3",
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/serve/gateway/services.go
+++ b/internal/serve/gateway/services.go
@@ -148,8 +148,10 @@
 			BatchDelay:    batch,
 		}
 	}
+	tables := follow(store.KeyTable, 0)
+	tables.PeerValues = fleetService.ListingsFromSeeds
 	return g.register(
-		follow(store.KeyTable, 0).Service(kernel.ServiceTables),
+		tables.Service(kernel.ServiceTables),
 		follow(store.PrefixEndpoints, endpointBatch).Service(kernel.ServiceEndpoints),
 	)
 }
