Test a gateway whose registry is restored from a copy

TestRegistryRestored runs a gateway against a store that goes away and comes back from a copy. The stand-in's Revision lets the test wait until the gateway has seen all changes.

--- a/internal/serve/gateway/changes_test.go
+++ b/internal/serve/gateway/changes_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"basilspan/internal/core/unit"
 	"basilspan/internal/standin/registry"
 	"basilspan/internal/standin/shard"
 )
@@ -80,6 +83,94 @@
 	}
 }
 
+// TestRegistryRestored checks which endpoints get requests and which table is in force when the registry comes back from
+// a copy: what was published after the copy does not count as withdrawn, and what is published then counts although its
+// revision is lower.
+func TestRegistryRestored(t *testing.T) {
+	drain := func(f *fixture) { f.store.Put("servers/a0", f.endpoints["a0"].Registration("draining")) }
+	remove := func(f *fixture) { f.store.Delete("servers/a0") }
+	publish := func(f *fixture) { f.publish(`"/two/"`) }
+	tests := []struct {
+		name string
+		// before is done after the copy was made, away while the registry is away, and after when it is back. nil does
+		// nothing.
+		before, away, after func(f *fixture)
+		// path is the path that must be served by the endpoints in want.
+		path string
+		want []unit.EndpointID
+	}{
+		{name: "nothing changes", path: "/one/x", want: []unit.EndpointID{"a0", "a1"}},
+		{name: "an endpoint was leaving", before: drain, path: "/one/x", want: []unit.EndpointID{"a1"}},
+		{name: "an endpoint was leaving and has gone", before: func(f *fixture) {
+			drain(f)
+			remove(f)
+		}, path: "/one/x", want: []unit.EndpointID{"a1"}},
+		{name: "an endpoint leaves", after: drain, path: "/one/x", want: []unit.EndpointID{"a1"}},
+		{name: "an endpoint ends", after: remove, path: "/one/x", want: []unit.EndpointID{"a1"}},
+		{name: "an endpoint leaves, and the revisions catch up", away: func(f *fixture) {
+			drain(f)
+			f.raiseRevision(3 * restoredChanges)
+		}, path: "/one/x", want: []unit.EndpointID{"a1"}},
+		{name: "a table was published", before: publish, path: "/two/x", want: []unit.EndpointID{"a0", "a1"}},
+		{name: "a table was published, and is again", before: publish, after: func(f *fixture) {
+			f.version--
+			publish(f)
+		}, path: "/two/x", want: []unit.EndpointID{"a0", "a1"}},
+		{name: "a table is published", after: publish, path: "/two/x", want: []unit.EndpointID{"a0", "a1"}},
+		{name: "a table is published, and the revisions catch up", away: func(f *fixture) {
+			publish(f)
+			f.raiseRevision(3 * restoredChanges)
+		}, path: "/two/x", want: []unit.EndpointID{"a0", "a1"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			do := func(f *fixture, step func(f *fixture)) {
+				if step != nil {
+					step(f)
+				}
+			}
+			f := newFixture(t).start()
+			copied := f.store.Copy()
+			do(f, tt.before)
+			f.raiseRevision(restoredChanges)
+			f.awaitRevision()
+			f.store.SetFault(registry.Fault503)
+			f.store.Restore(copied)
+			do(f, tt.away)
+			f.store.SetFault(registry.FaultNone)
+			f.await(func() bool { return strings.Count(f.log.String(), `"endpoints listed"`) > 1 })
+			do(f, tt.after)
+			f.await(func() bool {
+				var usable []unit.EndpointID
+				for _, e := range f.gateway.views.Load().Endpoints["a"] {
+					if !e.Lapsed {
+						usable = append(usable, e.ID)
+					}
+				}
+				slices.Sort(usable)
+				return slices.Equal(usable, tt.want)
+			})
+			f.await(func() bool { return f.request("GET", tt.path, "r", "").status == 200 })
+		})
+	}
+}
+
+// restoredChanges is the number of changes between the copy and the restore.
+const restoredChanges = 20
+
+// raiseRevision makes n changes that mean nothing to the gateway.
+func (f *fixture) raiseRevision(n int) {
+	for range n {
+		f.store.Put("servers/unused", "x")
+	}
+}
+
+// awaitRevision waits until the gateway has seen all changes of endpoints so far.
+func (f *fixture) awaitRevision() {
+	f.t.Helper()
+	f.await(func() bool { return uint64(f.gateway.views.Load().EndpointsRevision) == f.store.Revision() })
+}
+
 // TestLeavingEndpointGetsNoRequests checks that an endpoint gets no new request once its registration says that it is
 // draining, is deleted or cannot be read.
 func TestLeavingEndpointGetsNoRequests(t *testing.T) {
--- a/internal/standin/registry/registry.go
+++ b/internal/standin/registry/registry.go
@@ -125,6 +125,13 @@
 	s.items[i.Key] = i
 }
 
+// Revision returns the revision of the last change.
+func (s *Store) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 // Compact discards the history, so that a watch from an earlier revision gets status 410.
 func (s *Store) Compact() {
 	s.mu.Lock()
