--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -143,8 +143,8 @@
 	// PeerListing returns all that a peer knows under the prefix, if that is newer than a position. It is called when
 	// the registry can't be read.
 	PeerListing func(ctx context.Context, prefix Prefix, after unit.Position) (Listing, error)
-	// PeerValues returns what each peer that answers knows under the prefix. It is called after a listing of a registry
-	// that has been restored. nil does nothing.
+	// PeerValues returns what each peer that answers knows under the prefix. It is called after each listing. nil does
+	// nothing.
 	PeerValues func(ctx context.Context, prefix Prefix) []Listing
 	// Relay waits for the next update from a peer that reads the registry. Role determines whether to rely on it.
 	Relay func(ctx context.Context, prefix Prefix, after unit.Position, wait time.Duration) (Update, error)
@@ -237,7 +237,7 @@
 	}
 	f.post(ctx, Listed{Position: listing.Position, Prefix: f.Prefix, Items: listing.Items})
 	f.position = listing.Position
-	if f.PeerValues != nil && listing.Era > 0 {
+	if f.PeerValues != nil {
 		for _, known := range f.PeerValues(ctx, f.Prefix) {
 			f.post(ctx, Offered{Prefix: f.Prefix, Items: known.Items})
 		}
