--- a/internal/standin/shard/shard.go
+++ b/internal/standin/shard/shard.go
@@ -66,7 +66,9 @@
 
 	mu   sync.Mutex
 	mode Mode
-	runs []Run
+	// sequence is the number of registrations so far.
+	sequence int
+	runs     []Run
 	// rejected holds the calls that were not run.
 	rejected []Arrival
 }
@@ -126,16 +128,20 @@
 	return "servers/" + e.ID
 }
 
-// Registration returns the value that the endpoint registers about itself, in the given state.
+// Registration returns the value that the endpoint registers about itself, in the given state. Each one has a higher
+// sequence than the one before.
 func (e *Endpoint) Registration(state string) string {
 	return e.RegistrationAt(e.Address(), state)
 }
 
 // RegistrationAt returns the same value with another address.
 func (e *Endpoint) RegistrationAt(address, state string) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sequence++
 	content, err := json.Marshal(map[string]any{
 		"service": e.Service, "address": address, "zone": "z", "version": "v1", "slots": 2,
-		"state": state, "cold_remaining_ms": 0, "sequence": 1,
+		"state": state, "cold_remaining_ms": 0, "sequence": e.sequence,
 	})
 	if err != nil {
 		return ""
--- a/internal/standin/soak/check_test.go
+++ b/internal/standin/soak/check_test.go
@@ -217,5 +217,6 @@
 			seen[f.Kind] = true
 		}
 	}
-	assert.Equal(t, len(seen), len(kinds))
+	assert.Assert(t, seen[KindRestore])
+	assert.Equal(t, len(seen), len(kinds)+1)
 }
--- a/internal/standin/soak/deployment.go
+++ b/internal/standin/soak/deployment.go
@@ -60,6 +60,10 @@
 	// registrationChanged holds the endpoints whose registration an active fault changes.
 	registrationChanged map[int]bool
 
+	publishMu sync.Mutex
+	// published holds the values that the operators and the endpoints have published last.
+	published map[string]string
+
 	quit chan struct{}
 	wg   sync.WaitGroup
 }
@@ -104,6 +108,7 @@
 	t.Helper()
 	dep := &deployment{
 		t: t, store: registry.New(), callerFactor: 1, registrationChanged: make(map[int]bool), quit: make(chan struct{}),
+		published: make(map[string]string),
 		history: &History{
 			Bounds: defaultBounds, Records: make(map[unit.ServiceName]string),
 			Services: make(map[unit.EndpointID]unit.ServiceName),
@@ -137,10 +142,39 @@
 	}
 }
 
+// publish writes a value to the registry, and unpublish deletes one. publishAgain repeats the last of each key, since a
+// restore of the registry may have taken it back.
+func (dep *deployment) publish(key, value string) {
+	dep.publishMu.Lock()
+	defer dep.publishMu.Unlock()
+	dep.store.Put(key, value)
+	dep.published[key] = value
+}
+
+func (dep *deployment) unpublish(key string) {
+	dep.publishMu.Lock()
+	defer dep.publishMu.Unlock()
+	dep.store.Delete(key)
+	delete(dep.published, key)
+}
+
+func (dep *deployment) publishAgain() {
+	dep.publishMu.Lock()
+	defer dep.publishMu.Unlock()
+	for _, e := range dep.endpoints {
+		if _, ok := dep.published[e.Key()]; !ok {
+			dep.store.Delete(e.Key())
+		}
+	}
+	for key, value := range dep.published {
+		dep.store.Put(key, value)
+	}
+}
+
 // register writes the registration of an endpoint, with its relay's address and the given state.
 func (dep *deployment) register(i int, state string) {
 	e := dep.endpoints[i]
-	dep.store.Put(e.Key(), e.RegistrationAt(string(dep.endpointLinks[i].Address()), state))
+	dep.publish(e.Key(), e.RegistrationAt(string(dep.endpointLinks[i].Address()), state))
 }
 
 // publishTable writes the next routing table to the registry.
@@ -167,7 +201,7 @@
 			Version: v, Published: time.Now(), Shards: tableShards(v), MovedService: movedService(v),
 		})
 	})
-	dep.store.Put("op/config", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[],"limits":{}}`, v,
+	dep.publish("op/config", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[],"limits":{}}`, v,
 		strings.Join(routes, ",")))
 }
 
--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -16,6 +16,9 @@
 	reuseDelay = 2 * time.Second
 	// deregisterDelay is how long a draining endpoint stays registered and serves.
 	deregisterDelay = time.Second
+	// restoreDelay is how long the registry is away for a restore, and how long after it operators and endpoints have
+	// published again what was lost.
+	restoreDelay = 500 * time.Millisecond
 	// burstFactor is the number of callers in a burst, as a multiple of the usual number.
 	burstFactor = 4
 )
@@ -54,6 +57,8 @@
 		return dep.failRegistry(f)
 	case KindCompact:
 		dep.store.Compact()
+	case KindRestore:
+		return dep.restoreRegistry(f.For)
 	case KindRegistryLink:
 		return dep.disruptLink(v.registryLink, f, dep.recordVMFault(v.number))
 	case KindPeerLink:
@@ -129,6 +134,23 @@
 	}
 }
 
+// restoreRegistry copies the registry. The returned function waits for age, lets the registry come back from the copy,
+// and publishes again what it has lost.
+func (dep *deployment) restoreRegistry(age time.Duration) func() {
+	copied := dep.store.Copy()
+	return func() {
+		time.Sleep(age)
+		ended := dep.recordSpan(func(h *History, s Span) { h.GlobalFaults = append(h.GlobalFaults, s) })
+		dep.store.SetFault(registry.Fault503)
+		time.Sleep(restoreDelay)
+		dep.store.Restore(copied)
+		dep.store.SetFault(registry.FaultNone)
+		time.Sleep(restoreDelay)
+		dep.publishAgain()
+		ended()
+	}
+}
+
 // disruptLink makes a link fail in the way that the fault's variant selects, and heals it at the end.
 func (dep *deployment) disruptLink(link *proc.Relay, f Fault, ended func()) func() {
 	variants := []func(){
@@ -193,7 +215,7 @@
 	dep.register(i, "draining")
 	return func() {
 		time.Sleep(deregisterDelay)
-		dep.store.Delete(dep.endpoints[i].Key())
+		dep.unpublish(dep.endpoints[i].Key())
 		time.Sleep(d + defaultBounds.DrainTime)
 		endLeaving()
 		dep.register(i, "ready")
@@ -205,7 +227,7 @@
 func (dep *deployment) reuseAddress(i int, f Fault) func() {
 	ended := dep.recordEndpointFault()
 	other := (i + replicas) % len(dep.endpoints)
-	dep.store.Delete(dep.endpoints[i].Key())
+	dep.unpublish(dep.endpoints[i].Key())
 	dep.endpointLinks[i].Cut()
 	return func() {
 		time.Sleep(reuseDelay)
--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -42,9 +42,11 @@
 	KindTable Kind = "table"
 	// KindBurst multiplies the number of callers for a while.
 	KindBurst Kind = "burst"
+	// KindRestore lets the registry be away for a moment and come back from a copy.
+	KindRestore Kind = "restore"
 )
 
-// kinds are all kinds of faults with the relative frequency at which each is drawn.
+// kinds are the kinds of faults but KindRestore, with the relative frequency at which each is drawn.
 var kinds = []struct {
 	kind   Kind
 	weight int
@@ -76,6 +78,8 @@
 	seriesShare     = 0.3
 	maxSeriesLength = 4
 	maxSeriesGap    = 900 * time.Millisecond
+	// restoreShare is the share of runs in which the registry is restored from a copy.
+	restoreShare = 0.4
 )
 
 // Fault is a planned fault of a run.
@@ -115,10 +119,23 @@
 		}
 	}
 	all = slices.DeleteFunc(all, func(f Fault) bool { return f.At >= length })
+	all = append(all, planRestore(seed, length)...)
 	slices.SortFunc(all, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return all
 }
 
+// planRestore draws whether and when the registry is restored. It has a random source of its own, so that a seed draws
+// the same other faults as before there were restores.
+func planRestore(seed uint64, length time.Duration) []Fault {
+	r := rand.New(rand.NewPCG(seed, 1))
+	if r.Float64() >= restoreShare {
+		return nil
+	}
+	return []Fault{{
+		At: drawDuration(r, 0, length), For: drawDuration(r, minDuration, maxDuration), Kind: KindRestore,
+	}}
+}
+
 // drawDuration draws a duration in [from, to).
 func drawDuration(r *rand.Rand, from, to time.Duration) time.Duration {
 	return from + time.Duration(r.Int64N(int64(to-from)))
