Bound the size of endpoints' replies as they are read

Callers saw a request wait for its whole timeout, and the VM's memory grow meanwhile, when an endpoint answered with bytes without end.

Cause: http.ReadResponse collects a status line and header fields of any size. A body over the limit was detected, but closing it made net/http read on to the end of the body, which never came, so that the call ended only when it was abandoned. Replies to other requests were discarded without a bound. Errors of net/http quote the malformed line, so that a log line could be as long as what the endpoint had sent.

leaf.Reader now bounds the bytes that one head (64 KB) and one body (8 MB, 16 MB with the encoding of its chunks) may take from the connection. The bound applies to each read, before net/http collects anything, and its error is final, as is a reset: the socket reports a reset once and the end of the stream afterwards. A body is not closed any more. After four surplus replies the connection is closed. The counter leaf.closed.oversized is new; error texts are cut at 200 bytes.

--- a/internal/link/leaf/conn.go
+++ b/internal/link/leaf/conn.go
@@ -1,7 +1,6 @@
 package leaf
 
 import (
-	"bufio"
 	"net"
 	"sync"
 	"time"
@@ -13,6 +12,7 @@
 var (
 	errUnexpectedData = errors.New("the endpoint sent data although no call was in flight")
 	errClosed         = errors.New("the connection was closed by this VM")
+	errManySurplus    = errors.New("the endpoint sent too many replies to other requests")
 )
 
 // conn is a connection to an endpoint. Its own goroutine reads all incoming data, so that it notices at once when the
@@ -21,10 +21,12 @@
 	net.Conn
 	pool *Pool
 	host *hostPool
-	r    *bufio.Reader
+	r    *Reader
 
 	mu     sync.Mutex
 	flight *Flight
+	// surplus is the number of replies to other requests since the last reply to a call. Only readLoop uses it.
+	surplus int
 	// writing is set while a call is being written. replyRead is set if the complete reply arrives during the write.
 	writing   bool
 	replyRead bool
@@ -123,9 +125,10 @@
 
 // readReply waits for data, reads one reply and completes its call. A reply with another request ID is a surplus reply
 // to an earlier call: it is counted and discarded, and readReply returns nil with the current call still in flight.
-// Data that arrives while no call is in flight is an error, as is a reply that cannot be decoded. After an error the
-// connection must be closed.
+// More than maxSurplusReplies of them are an error, as are data that arrives while no call is in flight and a reply that
+// cannot be decoded. After an error the connection must be closed.
 func (c *conn) readReply() error {
+	c.r.BeginHead()
 	if _, err := c.r.Peek(1); err != nil {
 		return errors.Wrap(err, "wait for the endpoint")
 	}
@@ -142,8 +145,12 @@
 	if reply.ID != f.call.Message.ID {
 		// The reply to this call follows the surplus reply.
 		c.pool.count("leaf.surplus")
+		if c.surplus++; c.surplus > maxSurplusReplies {
+			return errManySurplus
+		}
 		return nil
 	}
+	c.surplus = 0
 	c.finishCall(f, reply)
 	return nil
 }
@@ -192,8 +199,10 @@
 func closeReason(err error, busy bool) string {
 	var timeout net.Error
 	switch {
-	case errors.Is(err, errUnexpectedData):
+	case errors.IsAny(err, errUnexpectedData, errManySurplus):
 		return "surplus"
+	case errors.Is(err, ErrOversized):
+		return "oversized"
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return "abandoned"
 	case busy:
--- a/internal/link/leaf/pool.go
+++ b/internal/link/leaf/pool.go
@@ -1,7 +1,6 @@
 package leaf
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"slices"
@@ -27,11 +26,11 @@
 	idleMargin = time.Second
 	// tcpUserTimeout is how long sent data may stay unacknowledged before the connection counts as broken.
 	tcpUserTimeout = 2 * time.Second
-	// readBufferSize is the size of a connection's read buffer in bytes. It holds a typical reply.
-	readBufferSize = 4096
 	// maxWaiting is the number of calls that may wait for a connection to one endpoint. If more wait, the endpoint is
 	// slow, and another endpoint is the better choice.
 	maxWaiting = 4
+	// maxSurplusReplies is the number of replies to other requests that may precede the reply to a call.
+	maxSurplusReplies = 4
 	// smallWriteSize is the size in bytes up to which a call fits into the socket's buffer, so that its write cannot
 	// block.
 	smallWriteSize = 8192
@@ -53,7 +52,7 @@
 	// Encode returns the encoded call.
 	Encode func(c Call, now time.Time) []byte
 	// Decode reads one complete reply to a request with the given method.
-	Decode func(r *bufio.Reader, method string) (Reply, error)
+	Decode func(r *Reader, method string) (Reply, error)
 	// Count increments the counter with the given name.
 	Count func(name string)
 
@@ -273,7 +272,7 @@
 		failUnsent(waiting, err)
 		return nil, err
 	}
-	c := &conn{Conn: raw, pool: p, host: h, r: bufio.NewReaderSize(raw, readBufferSize), idleSince: p.Now()}
+	c := &conn{Conn: raw, pool: p, host: h, r: NewReader(raw), idleSince: p.Now()}
 	h.all[c] = true
 	p.mu.Unlock()
 	go c.readLoop()
--- /dev/null
+++ b/internal/link/leaf/reader.go
@@ -0,0 +1,74 @@
+package leaf
+
+import (
+	"bufio"
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// MaxHeadBytes is the size of the largest head of a reply that is read, in bytes.
+	MaxHeadBytes = 64 << 10
+	// MaxBodyBytes is the size of the largest body of a reply that is read, in bytes, without the encoding of chunks.
+	MaxBodyBytes = 8 << 20
+	// maxEncodedBodyBytes bounds a body with the encoding of its chunks.
+	maxEncodedBodyBytes = 2 * MaxBodyBytes
+	// readBufferSize is the size of a connection's read buffer in bytes. It holds a typical reply.
+	readBufferSize = 4096
+)
+
+// ErrOversized is the error of a reply whose head or body is larger than the bounds.
+var ErrOversized = errors.New("the reply is too large")
+
+// Reader reads the replies of one connection. An endpoint may send bytes without end, and http.ReadResponse collects a
+// head of any size, so the bounds apply as the bytes are read from the connection.
+type Reader struct {
+	*bufio.Reader
+	source *boundedSource
+}
+
+// NewReader returns a reader of the source, in which a head is expected first.
+func NewReader(source io.Reader) *Reader {
+	s := &boundedSource{source: source}
+	r := &Reader{Reader: bufio.NewReaderSize(s, readBufferSize), source: s}
+	r.BeginHead()
+	return r
+}
+
+// BeginHead starts the bound on the size of a head. It is called before the first byte of each reply is read.
+func (r *Reader) BeginHead() {
+	r.source.left = MaxHeadBytes
+}
+
+// BeginBody starts the bound on the size of a body, after its head was read.
+func (r *Reader) BeginBody() {
+	r.source.left = maxEncodedBodyBytes
+}
+
+// Err returns the error that ended the reads from the connection, or nil if there is none. Parsers may replace it by
+// their own, since they take what was read of a line for the whole line.
+func (r *Reader) Err() error {
+	return r.source.err
+}
+
+// boundedSource reads at most left bytes from a source. Its first error is final: after a reset, the socket itself would
+// report the end of the stream, which ends a body without a length.
+type boundedSource struct {
+	source io.Reader
+	left   int64
+	err    error
+}
+
+func (s *boundedSource) Read(p []byte) (n int, err error) {
+	if s.err != nil {
+		return 0, s.err
+	}
+	if s.left <= 0 {
+		s.err = ErrOversized
+		return 0, s.err
+	}
+	n, s.err = s.source.Read(p[:min(int64(len(p)), s.left)])
+	s.left -= int64(n)
+	return n, s.err
+}
--- a/internal/platform/leaf/leaf.go
+++ b/internal/platform/leaf/leaf.go
@@ -3,7 +3,6 @@
 package leaf
 
 import (
-	"bufio"
 	"bytes"
 	"io"
 	"net/http"
@@ -35,9 +34,12 @@
 	fieldLoad = "Basilspan-Server-Load"
 )
 
-// maxReplyBytes is the size of the largest reply body that is read, in bytes. It bounds the memory that a faulty
-// endpoint can make this VM use.
-const maxReplyBytes = 8 << 20
+const (
+	// initialBodyBytes is how much memory is reserved for a body by its stated length alone.
+	initialBodyBytes = 64 << 10
+	// maxErrorBytes is the length of the longest error text that is kept. Errors of net/http quote the malformed line.
+	maxErrorBytes = 200
+)
 
 // headerEnd terminates the header of a message.
 var headerEnd = []byte("\r\n\r\n")
@@ -100,14 +102,15 @@
 
 // Decode reads one complete reply to a request with the given method. It returns an error if the end of the reply was
 // not reached.
-func Decode(r *bufio.Reader, method string) (leaf.Reply, error) {
-	resp, err := http.ReadResponse(r, &http.Request{Method: method})
+func Decode(r *leaf.Reader, method string) (leaf.Reply, error) {
+	resp, err := http.ReadResponse(r.Reader, &http.Request{Method: method})
 	if err != nil {
-		return leaf.Reply{}, errors.Wrap(err, "header")
+		return leaf.Reply{}, errors.Wrap(readError(r, err), "header")
 	}
+	r.BeginBody()
 	body, err := readBody(resp, method)
 	if err != nil {
-		return leaf.Reply{}, errors.Wrap(err, "body")
+		return leaf.Reply{}, errors.Wrap(readError(r, err), "body")
 	}
 	return leaf.Reply{
 		ID:               unit.RequestID(resp.Header.Get(fieldRequestID)),
@@ -124,25 +127,39 @@
 	}, nil
 }
 
-// readBody reads the complete body of a reply to a request with the given method.
+// readBody reads the complete body of a reply to a request with the given method. It leaves the body open, since
+// closing one that failed would read on to its end.
 func readBody(resp *http.Response, method string) ([]byte, error) {
-	defer func() { _ = resp.Body.Close() }()
-	if method == http.MethodHead {
+	switch n := resp.ContentLength; {
+	case method == http.MethodHead:
 		// The length is that of the body that a GET would return.
 		return nil, nil
-	}
-	if n := resp.ContentLength; n >= 0 && n <= maxReplyBytes {
+	case n > leaf.MaxBodyBytes:
+		return nil, leaf.ErrOversized
+	case n >= 0 && n <= initialBodyBytes:
 		body := make([]byte, n)
 		_, err := io.ReadFull(resp.Body, body)
 		return body, err
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
-	if err == nil && len(body) > maxReplyBytes {
-		return nil, errors.Newf("larger than %d bytes", maxReplyBytes)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, leaf.MaxBodyBytes+1))
+	if err == nil && len(body) > leaf.MaxBodyBytes {
+		return nil, leaf.ErrOversized
 	}
 	return body, err
 }
 
+// readError returns why a reply could not be read: the failure of the connection if there is one, and otherwise err. It
+// keeps only the beginning of a long text.
+func readError(r *leaf.Reader, err error) error {
+	if cause := r.Err(); cause != nil && !errors.Is(cause, io.EOF) {
+		return cause
+	}
+	if text := err.Error(); len(text) > maxErrorBytes {
+		return errors.Newf("%.*q", maxErrorBytes, text)
+	}
+	return err
+}
+
 // forwardedFields returns the header fields of a reply that are forwarded to the caller.
 func forwardedFields(h http.Header) []leaf.Field {
 	all := make([]leaf.Field, 0, len(h))
--- a/internal/platform/leaf/leaf_bench_test.go
+++ b/internal/platform/leaf/leaf_bench_test.go
@@ -1,7 +1,6 @@
 package leaf
 
 import (
-	"bufio"
 	"strings"
 	"testing"
 
@@ -17,12 +16,12 @@
 		b.Fatal(err)
 	}
 	source := strings.NewReader(text)
-	r := bufio.NewReader(source)
+	r := leaf.NewReader(source)
 	b.ReportAllocs()
 	for b.Loop() {
 		Encode(leaf.Call{Message: m, Endpoint: "i-7f3a91c2", Deadline: now}, now)
 		source.Reset(text)
-		r.Reset(source)
+		r.BeginHead()
 		if _, err := Decode(r, "GET"); err != nil {
 			b.Fatal(err)
 		}
--- a/internal/platform/leaf/leaf_test.go
+++ b/internal/platform/leaf/leaf_test.go
@@ -1,7 +1,6 @@
 package leaf
 
 import (
-	"bufio"
 	"strings"
 	"testing"
 	"time"
@@ -137,7 +136,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			got, err := Decode(bufio.NewReader(strings.NewReader(tt.text)), tt.method)
+			got, err := Decode(leaf.NewReader(strings.NewReader(tt.text)), tt.method)
 			assert.Equal(t, err != nil, tt.fault, "%v", err)
 			got.Fields = nil
 			assert.DeepEqual(t, got, tt.want)
@@ -149,7 +148,7 @@
 func TestForwardedFields(t *testing.T) {
 	text := "HTTP/1.1 200 OK\r\nX-One: 1\r\nX-One: 2\r\nConnection: close\r\nKeep-Alive: timeout=1\r\nDate: x\r\n" +
 		"Basilspan-Server-Load: 1,2,3\r\nBasilspan-Response-Seal: s\r\nContent-Length: 0\r\n\r\n"
-	got, err := Decode(bufio.NewReader(strings.NewReader(text)), "GET")
+	got, err := Decode(leaf.NewReader(strings.NewReader(text)), "GET")
 	assert.NilError(t, err)
 	kept := make(map[string]int)
 	for _, f := range got.Fields {
