Skip interim replies and reject statuses that HTTP does not have

Callers saw a request fail, and an endpoint set aside, when the endpoint sent an interim reply (1xx) with the request's id before its reply: it was taken for the reply. A status above 599 was passed on to callers.

Cause: http.ReadResponse returns interim replies like any other and accepts every status of three digits, 042 and +20 included.

Decode now reads on after an interim reply; its size counts towards the bound on the head, so that interim replies without end close the connection. 101 and statuses outside 100 to 599 are replies that cannot be read.

TestDecode: six of the new rows failed before. TestDecodeCutReplies cuts replies of eight framings at each byte, with the end of the stream and with a reset: before, only the two rows with an interim reply failed. A head that ends early, at a line end too, was and is never a reply.

--- a/internal/link/leaf/reader.go
+++ b/internal/link/leaf/reader.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	// MaxHeadBytes is the size of the largest head of a reply that is read, in bytes.
+	// MaxHeadBytes is the size of the largest head of a reply that is read, in bytes. It includes the interim replies
+	// (1xx) before the reply.
 	MaxHeadBytes = 64 << 10
 	// MaxBodyBytes is the size of the largest body of a reply that is read, in bytes, without the encoding of chunks.
 	MaxBodyBytes = 8 << 20
--- a/internal/platform/leaf/leaf.go
+++ b/internal/platform/leaf/leaf.go
@@ -100,10 +100,10 @@
 	return append(b, ": "...)
 }
 
-// Decode reads one complete reply to a request with the given method. It returns an error if the end of the reply was
-// not reached.
+// Decode reads one complete reply to a request with the given method, and skips the interim replies before it. It
+// returns an error if the end of the reply was not reached.
 func Decode(r *leaf.Reader, method string) (leaf.Reply, error) {
-	resp, err := http.ReadResponse(r.Reader, &http.Request{Method: method})
+	resp, err := readHead(r, method)
 	if err != nil {
 		return leaf.Reply{}, errors.Wrap(readError(r, err), "header")
 	}
@@ -127,6 +127,23 @@
 	}, nil
 }
 
+// readHead reads the status line and the header of a reply to a request with the given method. It skips interim replies
+// (1xx), whose size counts towards the bound on the head.
+func readHead(r *leaf.Reader, method string) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(r.Reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case resp.StatusCode >= 200 && resp.StatusCode < 600:
+			return resp, nil
+		case resp.StatusCode < 100 || resp.StatusCode >= 600 || resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errors.Newf("status %d", resp.StatusCode)
+		}
+	}
+}
+
 // readBody reads the complete body of a reply to a request with the given method. It leaves the body open, since
 // closing one that failed would read on to its end.
 func readBody(resp *http.Response, method string) ([]byte, error) {
--- a/internal/platform/leaf/leaf_test.go
+++ b/internal/platform/leaf/leaf_test.go
@@ -1,8 +1,12 @@
 package leaf
 
 import (
+	"fmt"
+	"io"
 	"strings"
+	"syscall"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -131,6 +135,44 @@
 			leaf.Reply{},
 			true,
 		},
+		{
+			"interim replies before the reply", "GET",
+			"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nBasilspan-Request-Id: id\r\n" +
+				"Basilspan-Response-Seal: s\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
+			leaf.Reply{Status: 200, Body: []byte("x")},
+			false,
+		},
+		{"only an interim reply", "GET", "HTTP/1.1 100 Continue\r\nBasilspan-Request-Id: id\r\n\r\n", leaf.Reply{}, true},
+		{"change of the protocol", "GET", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", leaf.Reply{}, true},
+		{"status below 100", "GET", "HTTP/1.1 042 Odd\r\nContent-Length: 0\r\n\r\n", leaf.Reply{}, true},
+		{"status above 599", "GET", "HTTP/1.1 999 Odd\r\nContent-Length: 0\r\n\r\n", leaf.Reply{}, true},
+		{"status with a sign", "GET", "HTTP/1.1 +20 Odd\r\nContent-Length: 0\r\n\r\n", leaf.Reply{}, true},
+		{
+			"negative length", "GET", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", leaf.Reply{}, true,
+		},
+		{
+			"two equal Content-Length fields", "GET",
+			"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\na",
+			leaf.Reply{Status: 200, Body: []byte("a")},
+			false,
+		},
+		{
+			"chunks win over a Content-Length field", "GET",
+			"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
+			leaf.Reply{Status: 200, Body: []byte("a")},
+			false,
+		},
+		{
+			"unknown transfer encoding", "GET",
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\na",
+			leaf.Reply{},
+			true,
+		},
+		{
+			"HTTP/1.0 without a length", "GET", "HTTP/1.0 200 OK\r\n\r\na",
+			leaf.Reply{Status: 200, Body: []byte("a"), ClosesConnection: true},
+			false,
+		},
 		{"not an HTTP reply", "GET", "garbage\r\n\r\n", leaf.Reply{}, true},
 		{"truncated header", "GET", "HTTP/1.1 200 OK\r\nX: ", leaf.Reply{}, true},
 	}
@@ -144,6 +186,53 @@
 	}
 }
 
+// TestDecodeCutReplies cuts replies at each byte, with the end of the stream and with a reset.
+func TestDecodeCutReplies(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nBasilspan-Request-Id: id\r\nBasilspan-Response-Seal: 3e1b.07.5a2\r\n"
+	tests := []struct {
+		name string
+		text string
+		// whole is the first cut that leaves a complete reply if the stream ends there, and if the connection is reset.
+		whole, wholeReset int
+	}{
+		{"length", head + "Content-Length: 3\r\n\r\nabc", len(head) + 24, len(head) + 24},
+		{"no body", head + "Content-Length: 0\r\n\r\n", len(head) + 21, len(head) + 21},
+		{"bare line feeds", "HTTP/1.1 200 OK\nX: 1\nContent-Length: 1\n\na", 41, 41},
+		{"folded field", head + "X: 1\r\n 2\r\nContent-Length: 0\r\n\r\n", len(head) + 31, len(head) + 31},
+		{
+			"chunks", head + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+			len(head) + 48, len(head) + 48,
+		},
+		{
+			"trailer", head + "Transfer-Encoding: chunked\r\nTrailer: X\r\n\r\n1\r\na\r\n0\r\nX: 1\r\n\r\n",
+			len(head) + 59, len(head) + 59,
+		},
+		{
+			// The end of the stream is the end of a body without a length; a reset is not.
+			"no length", head + "\r\nabc", len(head) + 2, len(head) + 6,
+		},
+		{
+			"interim reply", "HTTP/1.1 100 Continue\r\n\r\n" + head + "Content-Length: 1\r\n\r\na",
+			25 + len(head) + 22, 25 + len(head) + 22,
+		},
+	}
+	for _, tt := range tests {
+		for _, end := range []error{io.EOF, syscall.ECONNRESET} {
+			whole := tt.whole
+			if end != io.EOF {
+				whole = tt.wholeReset
+			}
+			t.Run(fmt.Sprint(tt.name, " ", end), func(t *testing.T) {
+				for cut := range len(tt.text) + 1 {
+					source := io.MultiReader(strings.NewReader(tt.text[:cut]), iotest.ErrReader(end))
+					reply, err := Decode(leaf.NewReader(source), "GET")
+					assert.Equal(t, err == nil, cut >= whole, "cut at %d of %d: %+v", cut, len(tt.text), reply)
+				}
+			})
+		}
+	}
+}
+
 // TestForwardedFields checks which header fields of a reply are forwarded to the caller.
 func TestForwardedFields(t *testing.T) {
 	text := "HTTP/1.1 200 OK\r\nX-One: 1\r\nX-One: 2\r\nConnection: close\r\nKeep-Alive: timeout=1\r\nDate: x\r\n" +
