--- /dev/null
+++ b/internal/serve/gateway/malformed_test.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilspan/internal/standin/shard"
+)
+
+// scriptHead is the beginning of a scripted reply's header.
+const scriptHead = "HTTP/1.1 200 OK\r\nBasilspan-Request-Id: ID\r\nBasilspan-Response-Seal: SEAL\r\n"
+
+// TestCutRepliesAreNotAnswers cuts endpoints' replies at each byte and checks that no caller gets a success.
+func TestCutRepliesAreNotAnswers(t *testing.T) {
+	body := record("a1") + record("a2")
+	tests := []struct {
+		name  string
+		text  string
+		reset bool
+		// whole is the number of bytes of the shortest complete reply.
+		whole int
+	}{
+		{"length", scriptHead + "Content-Length: 32\r\n\r\n" + body, false, len(scriptHead) + 22 + 32},
+		{"length, reset", scriptHead + "Content-Length: 32\r\n\r\n" + body, true, len(scriptHead) + 22 + 32},
+		{
+			"chunks", scriptHead + "Transfer-Encoding: chunked\r\n\r\n10\r\n" + body[:16] + "\r\n10\r\n" + body[16:] + "\r\n0\r\n\r\n",
+			false, len(scriptHead) + 30 + 22 + 22 + 5,
+		},
+		{"no length", scriptHead + "\r\n" + body, false, len(scriptHead) + 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t).start()
+			for cut := range tt.whole {
+				text := tt.text[:cut]
+				for _, id := range []string{"a0", "a1"} {
+					f.endpoints[id].SetScript(shard.Script{Text: text, Reset: tt.reset})
+				}
+				got := f.request("GET", "/one/x", fmt.Sprintf("r%03d", cut), "")
+				assert.Equal(t, got.status, 502, "cut at %d: %q", cut, text)
+			}
+		})
+	}
+}
+
+// TestCutPartsAreLeftOut cuts the replies of one shard and checks that a merged answer does not count it.
+func TestCutPartsAreLeftOut(t *testing.T) {
+	const part = scriptHead + "Content-Length: 32\r\n\r\n"
+	tests := []struct {
+		name string
+		text string
+	}{
+		{"nothing", ""},
+		{"in the status line", part[:10]},
+		{"after the status line", part[:17]},
+		{"in the seal", part[:len(scriptHead)-4]},
+		{"after the seal", scriptHead},
+		{"before the blank line", part[:len(part)-2]},
+		{"after the header", part},
+		{"between two records", part + record("c1")},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t).start()
+			for _, id := range []string{"c0", "c1"} {
+				f.endpoints[id].SetScript(shard.Script{Text: tt.text})
+			}
+			got := f.request("GET", "/all/x", "r1", "")
+			assert.Equal(t, got.status, 200)
+			assert.Equal(t, got.header.Get("Basilspan-Missing-Parts"), "1")
+			assert.Equal(t, len(strings.Split(got.header.Get("Basilspan-Part-Stamps"), ", ")), 2)
+			assert.Equal(t, got.body, record("b2")+record("b1")+record("a2")+record("a1"))
+		})
+	}
+}
+
+// TestEndlessReplies checks that a request whose endpoint replies without end is served by another endpoint, and that it
+// fails well before its deadline if all do or if it must not be repeated.
+func TestEndlessReplies(t *testing.T) {
+	tests := []struct {
+		name   string
+		script shard.Script
+	}{
+		{"status line", shard.Script{Text: "HTTP/1.1 200 ", Repeat: strings.Repeat("x", 4096)}},
+		{"header", shard.Script{Text: scriptHead, Repeat: strings.Repeat("X: 1\r\n", 500)}},
+		{"interim replies", shard.Script{Repeat: strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 100)}},
+		{"body without a length", shard.Script{Text: scriptHead + "\r\n", Repeat: strings.Repeat("x", 4096)}},
+		{
+			"chunks",
+			shard.Script{Text: scriptHead + "Transfer-Encoding: chunked\r\n\r\n", Repeat: strings.Repeat("3\r\nabc\r\n", 500)},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t)
+			// An endpoint that has just started is the second choice.
+			cold := strings.Replace(f.endpoints["a1"].Registration("ready"), `remaining_ms":0`, `remaining_ms":60000`, 1)
+			f.store.Put("servers/a1", cold)
+			f.start()
+			f.endpoints["a0"].SetScript(tt.script)
+			got := f.request("GET", "/one/x", "first", "")
+			assert.Equal(t, got.status, 200)
+			assert.Equal(t, got.body, record("a1")+record("a2"))
+			assert.Equal(t, len(f.endpoints["a0"].Runs()), 1)
+			f.await(func() bool {
+				return strings.Contains(f.log.String(), `"msg":"endpoint set aside","node":"n1","endpoint":"a0"`)
+			})
+			f.endpoints["a1"].SetScript(tt.script)
+			for _, path := range []string{"/one/x", "/once/x"} {
+				began := time.Now()
+				assert.Equal(t, f.request("GET", path, "second"+path, "").status, 502)
+				assert.Assert(t, time.Since(began) < 1500*time.Millisecond)
+			}
+		})
+	}
+}
--- a/internal/standin/shard/shard.go
+++ b/internal/standin/shard/shard.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"time"
 )
@@ -36,8 +37,20 @@
 	ModeUnsigned Mode = "unsigned"
 	// ModeAbsent replies 404, as an endpoint may for a request that it doesn't know.
 	ModeAbsent Mode = "absent"
+	// ModeScript runs the call and sends the bytes of the endpoint's script instead of a reply.
+	ModeScript Mode = "script"
 )
 
+// Script is what an endpoint in ModeScript sends, with "ID" and "SEAL" in Text replaced by those of the call. It then
+// closes the connection.
+type Script struct {
+	Text string
+	// Repeat, if set, is sent after Text until the caller closes the connection.
+	Repeat string
+	// Reset resets the connection instead of closing it.
+	Reset bool
+}
+
 // Run is one call that an endpoint has run.
 type Run struct {
 	// At is when the call had been received completely.
@@ -64,9 +77,10 @@
 	server *httptest.Server
 	quit   chan struct{}
 
-	mu   sync.Mutex
-	mode Mode
-	runs []Run
+	mu     sync.Mutex
+	mode   Mode
+	script Script
+	runs   []Run
 	// rejected holds the calls that were not run.
 	rejected []Arrival
 }
@@ -98,6 +112,13 @@
 	e.mode = m
 }
 
+// SetScript sets ModeScript with that script.
+func (e *Endpoint) SetScript(s Script) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.mode, e.script = ModeScript, s
+}
+
 // Runs returns the calls that were run, in the order of arrival.
 func (e *Endpoint) Runs() []Run {
 	e.mu.Lock()
@@ -155,7 +176,7 @@
 	expected := r.Header.Get("Basilspan-Expected-Instance")
 	misdirected := expected != "" && expected != e.ID
 	e.mu.Lock()
-	mode := e.mode
+	mode, script := e.mode, e.script
 	if mode == ModeReject || misdirected {
 		e.rejected = append(e.rejected, Arrival{At: now, ID: id})
 	} else {
@@ -169,7 +190,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	e.respond(w, r, mode, fmt.Sprintf("%s.%s", e.ID, id))
+	seal := fmt.Sprintf("%s.%s", e.ID, id)
+	if mode == ModeScript {
+		script.play(w, id, seal)
+		return
+	}
+	e.respond(w, r, mode, seal)
 }
 
 // respond waits for the delay, unless the call is rejected, and responds as the mode says.
@@ -207,6 +233,22 @@
 	}
 }
 
+// play sends the script on the connection of a call and ends the connection.
+func (s Script) play(w http.ResponseWriter, id, seal string) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, strings.NewReplacer("ID", id, "SEAL", seal).Replace(s.Text))
+	for s.Repeat != "" && err == nil {
+		_, err = io.WriteString(c, s.Repeat)
+	}
+	if tcp, ok := c.(*net.TCPConn); ok && s.Reset {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // resetConnection resets the TCP connection without a reply.
 func resetConnection(w http.ResponseWriter) {
 	c, _, err := w.(http.Hijacker).Hijack()
