Reject registrations whose numbers or address no endpoint can have

With one odd registration among the others, callers saw part of their requests fail or go to another endpoint at the cost of an attempt: the VM took an entry with slots of 1e300, a port of 0 or the address 0.0.0.0 for an endpoint.

Cause: numbers were read as float64 and checked against a lower bound only. The conversion of 1e300 to an integer depends on the architecture: 1e300 slots were the largest integer on arm64 and, as the Go specification allows, another value on x86-64, so that the endpoint looked always free on one and got one connection on both (the addition to the slots overflowed). The same held for cold_remaining_ms. A connection to 0.0.0.0 reaches the VM itself.

Such an entry is counted as endpoint.unreadable, logged and ignored; texts of decoding errors, which quoted a number of any length, are cut.

TestDecodeEndpoint: 15 of the new rows failed before, and one of TestDecodeEndpointID. TestOddRegistrationsAreIgnored: 6 of 14 rows failed. The others passed: text that is not JSON, a nesting of 100,000 levels, 1e400 and a port of 70000 neither ended the process nor stopped it from following the registry, since encoding/json bounds the nesting at 10,000 levels and each registration is decoded on its own.

--- a/internal/platform/store/decode.go
+++ b/internal/platform/store/decode.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/netip"
 	"strings"
 	"time"
@@ -22,6 +23,19 @@
 	PrefixEndpoints registry.Prefix = "servers/"
 )
 
+const (
+	// maxKeyBytes is the length of the longest key of the store.
+	maxKeyBytes = 200
+	// maxSlots is the largest number of slots of an endpoint.
+	maxSlots = 1 << 20
+	// maxColdTime is the longest time for which an endpoint may stay slow after its start.
+	maxColdTime = 24 * time.Hour
+	// maxExactNumber is the largest number up to which a float64 holds each whole number.
+	maxExactNumber = 1 << 53
+	// maxErrorBytes is the length to which the texts of decoding errors are cut.
+	maxErrorBytes = 200
+)
+
 // wireEndpoint is an endpoint's registration. A field that is missing is nil.
 type wireEndpoint struct {
 	Service *string `json:"service"`
@@ -41,14 +55,14 @@
 func DecodeEndpoint(now time.Time, i registry.Item) (directory.Registration, error) {
 	var w wireEndpoint
 	if err := json.Unmarshal(i.Value, &w); err != nil {
-		return directory.Registration{}, errors.Wrap(err, "decode the registration")
+		return directory.Registration{}, shortenedError("decode the registration", err)
 	}
 	if err := w.validate(); err != nil {
 		return directory.Registration{}, err
 	}
 	id := EndpointID(i.Key)
-	if !isHeaderToken(string(id)) {
-		return directory.Registration{}, errors.Newf("the endpoint ID %q cannot be sent in a header field", id)
+	if !isHeaderToken(string(id)) || len(i.Key) > maxKeyBytes {
+		return directory.Registration{}, errors.Newf("the endpoint ID %.40q cannot be sent in a header field", id)
 	}
 	return directory.Registration{
 		ID:       id,
@@ -74,13 +88,53 @@
 		return errors.New("the registration lacks a required field")
 	}
 	if *w.State != "ready" && *w.State != "draining" {
-		return errors.Newf("unknown state %q", *w.State)
+		return errors.Newf("unknown state %.40q", *w.State)
+	}
+	if *w.Service == "" {
+		return errors.New("the registration has an empty service")
 	}
-	if *w.Service == "" || *w.Slots < 1 || *w.ColdRemaining < 0 {
-		return errors.New("the registration has an empty service, or slots or cold_remaining_ms out of range")
+	if err := w.validateNumbers(); err != nil {
+		return err
 	}
-	_, err := netip.ParseAddrPort(*w.Address)
-	return errors.Wrap(err, "parse the registration's address")
+	return validateAddress(*w.Address)
+}
+
+// validateNumbers returns an error if a number is out of range. The conversion of a float64 that an integer type cannot
+// hold has a result that depends on the architecture.
+func (w wireEndpoint) validateNumbers() error {
+	switch {
+	case !isWhole(*w.Slots) || *w.Slots < 1 || *w.Slots > maxSlots:
+		return errors.Newf("slots are %g", *w.Slots)
+	case *w.ColdRemaining < 0 || *w.ColdRemaining > float64(maxColdTime.Milliseconds()):
+		return errors.Newf("cold_remaining_ms is %g", *w.ColdRemaining)
+	case !isWhole(*w.Sequence) || *w.Sequence < 0 || *w.Sequence > maxExactNumber:
+		return errors.Newf("sequence is %g", *w.Sequence)
+	}
+	return nil
+}
+
+// isWhole reports whether a number has no fraction.
+func isWhole(n float64) bool {
+	return n == math.Trunc(n)
+}
+
+// validateAddress returns an error for an address at which no endpoint can listen. A connection to the unspecified
+// address would reach this VM itself.
+func validateAddress(text string) error {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return shortenedError("parse the registration's address", err)
+	}
+	ip := address.Addr().Unmap()
+	if address.Port() == 0 || ip.IsUnspecified() || ip.IsMulticast() {
+		return errors.Newf("no endpoint can listen at the address %s", address)
+	}
+	return nil
+}
+
+// shortenedError returns an error with the action and the beginning of the text of err, which may quote all of a value.
+func shortenedError(action string, err error) error {
+	return errors.Newf("%s: %.*s", action, maxErrorBytes, err.Error())
 }
 
 // isHeaderToken reports whether text can be sent in a header field.
@@ -132,7 +186,7 @@
 func DecodeTable(value []byte) (*routing.Table, error) {
 	var w wireTable
 	if err := json.Unmarshal(value, &w); err != nil {
-		return nil, errors.Wrap(err, "decode the routing table")
+		return nil, shortenedError("decode the routing table", err)
 	}
 	if w.Version == nil {
 		return nil, errors.New("the routing table has no version field")
--- a/internal/platform/store/decode_test.go
+++ b/internal/platform/store/decode_test.go
@@ -17,6 +17,11 @@
 const registration = `{"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":2,"state":"ready",` +
 	`"cold_remaining_ms":1500,"sequence":4}`
 
+// nested returns the JSON object with a further field that holds lists nested to that depth.
+func nested(object string, depth int) string {
+	return strings.Replace(object, "{", `{"extra":`+strings.Repeat("[", depth)+strings.Repeat("]", depth)+",", 1)
+}
+
 func TestDecodeEndpoint(t *testing.T) {
 	now := time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
 	whole := directory.Registration{
@@ -41,6 +46,63 @@
 		{"sequence is null", strings.Replace(registration, `4}`, `null}`, 1), directory.Registration{}, true},
 		{"zero slots", strings.Replace(registration, `2,`, `0,`, 1), directory.Registration{}, true},
 		{"invalid address", strings.Replace(registration, "10.0.0.9:80", "here", 1), directory.Registration{}, true},
+		{"port 0", strings.Replace(registration, ":80", ":0", 1), directory.Registration{}, true},
+		{"port too large", strings.Replace(registration, ":80", ":65536", 1), directory.Registration{}, true},
+		{"negative port", strings.Replace(registration, ":80", ":-1", 1), directory.Registration{}, true},
+		{
+			"port 0 of an IPv6 address", strings.Replace(registration, "10.0.0.9:80", "[::1]:0", 1),
+			directory.Registration{},
+			true,
+		},
+		{"unspecified address", strings.Replace(registration, "10.0.0.9", "0.0.0.0", 1), directory.Registration{}, true},
+		{
+			"unspecified IPv6 address", strings.Replace(registration, "10.0.0.9", "[::]", 1),
+			directory.Registration{},
+			true,
+		},
+		{
+			"unspecified mapped address", strings.Replace(registration, "10.0.0.9", "[::ffff:0.0.0.0]", 1),
+			directory.Registration{},
+			true,
+		},
+		{"multicast address", strings.Replace(registration, "10.0.0.9", "224.0.0.1", 1), directory.Registration{}, true},
+		{"host name", strings.Replace(registration, "10.0.0.9", "localhost", 1), directory.Registration{}, true},
+		{"slots as an exponent", strings.Replace(registration, `2,`, `20e-1,`, 1), whole, false},
+		{"fractional slots", strings.Replace(registration, `2,`, `2.5,`, 1), directory.Registration{}, true},
+		{"negative slots", strings.Replace(registration, `2,`, `-0,`, 1), directory.Registration{}, true},
+		{"slots beyond int64", strings.Replace(registration, `2,`, `1e300,`, 1), directory.Registration{}, true},
+		{
+			"slots at the end of int64", strings.Replace(registration, `2,`, `9223372036854775807,`, 1),
+			directory.Registration{},
+			true,
+		},
+		{"slots beyond float64", strings.Replace(registration, `2,`, `1e400,`, 1), directory.Registration{}, true},
+		{"slots are NaN", strings.Replace(registration, `2,`, `NaN,`, 1), directory.Registration{}, true},
+		{
+			"slots of many digits", strings.Replace(registration, `2,`, strings.Repeat("9", 100_000)+`,`, 1),
+			directory.Registration{},
+			true,
+		},
+		{
+			"cold time beyond time.Duration", strings.Replace(registration, `1500`, `1e300`, 1),
+			directory.Registration{},
+			true,
+		},
+		{"cold time of years", strings.Replace(registration, `1500`, `1e12`, 1), directory.Registration{}, true},
+		{"negative cold time", strings.Replace(registration, `1500`, `-1`, 1), directory.Registration{}, true},
+		{"sequence too large", strings.Replace(registration, `4}`, `1e300}`, 1), directory.Registration{}, true},
+		{"negative sequence", strings.Replace(registration, `4}`, `-4}`, 1), directory.Registration{}, true},
+		{"unknown field nested deeply", nested(registration, 9000), whole, false},
+		{"unknown field nested too deeply", nested(registration, 1_000_000), directory.Registration{}, true},
+		{"nested objects", strings.Repeat(`{"a":`, 1_000_000), directory.Registration{}, true},
+		{
+			"state of a megabyte", strings.Replace(registration, "ready", strings.Repeat("x", 1<<20), 1),
+			directory.Registration{},
+			true,
+		},
+		{"list", "[" + registration + "]", directory.Registration{}, true},
+		{"null", "null", directory.Registration{}, true},
+		{"two values", registration + registration, directory.Registration{}, true},
 		{"not JSON", "\x00\x01", directory.Registration{}, true},
 		{"nothing", "", directory.Registration{}, true},
 	}
@@ -49,6 +111,9 @@
 			got, err := DecodeEndpoint(now, registry.Item{Key: "servers/i-1", Value: []byte(tt.value), Revision: 7})
 			assert.Equal(t, err != nil, tt.fault, "%v", err)
 			assert.DeepEqual(t, got, tt.want)
+			if err != nil {
+				assert.Assert(t, len(err.Error()) < 400, "long error text: %.400s", err)
+			}
 		})
 	}
 }
@@ -62,6 +127,8 @@
 		{"servers/i-1", false},
 		{"servers/", true},
 		{"servers/i 1", true},
+		{"servers/" + registry.Key(strings.Repeat("i", 192)), false},
+		{"servers/" + registry.Key(strings.Repeat("i", 193)), true},
 		{"servers/i\r\nX: 1", true},
 	}
 	for _, tt := range tests {
@@ -122,3 +189,23 @@
 		})
 	}
 }
+
+// FuzzDecodeEndpoint checks that a registration that is accepted has values that the rest of the VM can calculate with.
+func FuzzDecodeEndpoint(f *testing.F) {
+	f.Add([]byte(registration))
+	f.Add([]byte(strings.Replace(registration, `2,`, `1e300,`, 1)))
+	f.Add([]byte(strings.Replace(registration, `1500`, `-0`, 1)))
+	f.Add([]byte(nested(registration, 100)))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		now := time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+		got, err := DecodeEndpoint(now, registry.Item{Key: "servers/i-1", Value: value})
+		if err != nil {
+			assert.Assert(t, len(err.Error()) < 400)
+			return
+		}
+		assert.Assert(t, got.Slots >= 1 && got.Slots <= maxSlots)
+		assert.Assert(t, !got.WarmAt.Before(now) && !got.WarmAt.After(now.Add(maxColdTime)))
+		assert.NilError(t, validateAddress(string(got.Address)))
+		assert.Assert(t, got.Service != "")
+	})
+}
--- a/internal/serve/gateway/malformed_test.go
+++ b/internal/serve/gateway/malformed_test.go
@@ -118,3 +118,45 @@
 		})
 	}
 }
+
+// TestOddRegistrationsAreIgnored checks that a VM starts and goes on following the registry with one odd registration
+// among the others, and uses only the others.
+func TestOddRegistrationsAreIgnored(t *testing.T) {
+	const odd = `{"service":"a","address":"127.0.0.1:1","zone":"z","version":"v1","slots":2,"state":"ready",` +
+		`"cold_remaining_ms":0,"sequence":1}`
+	tests := []struct {
+		name  string
+		value string
+	}{
+		{"not JSON", "\x00\xff"},
+		{"nested deeply", `{"service":` + strings.Repeat("[", 100_000)},
+		{"objects nested deeply", strings.Repeat(`{"service":`, 50_000)},
+		{"slots beyond float64", strings.Replace(odd, `:2,`, `:1e400,`, 1)},
+		{"slots beyond int64", strings.Replace(odd, `:2,`, `:1e300,`, 1)},
+		{"slots at the end of int64", strings.Replace(odd, `:2,`, `:9223372036854775807,`, 1)},
+		{"cold time too long", strings.Replace(odd, `_ms":0`, `_ms":1e300`, 1)},
+		{"sequence too large", strings.Replace(odd, `"sequence":1`, `"sequence":1e300`, 1)},
+		{"port too large", strings.Replace(odd, ":1\"", ":70000\"", 1)},
+		{"port 0", strings.Replace(odd, ":1\"", ":0\"", 1)},
+		{"unspecified address", strings.Replace(odd, "127.0.0.1", "0.0.0.0", 1)},
+		{"service of another type", strings.Replace(odd, `"a"`, `["a"]`, 1)},
+		{"unknown state", strings.Replace(odd, "ready", "odd", 1)},
+		{"field missing", strings.Replace(odd, `"sequence":1`, `"other":1`, 1)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.store.Put("servers/odd0", tt.value)
+			f.start()
+			endpoints := func() int { return len(f.gateway.views.Load().Endpoints["a"]) }
+			assert.Equal(t, endpoints(), 2)
+			f.store.Put("servers/odd1", tt.value)
+			f.store.Put("servers/a2", f.endpoints["a0"].RegistrationAt("127.0.0.1:2", "ready"))
+			f.await(func() bool { return endpoints() == 3 })
+			f.store.Put("servers/a2", tt.value)
+			f.await(func() bool { return endpoints() == 2 })
+			assert.Equal(t, f.request("GET", "/one/x", "r1", "").status, 200)
+			assert.Equal(t, f.request("GET", "/all/x", "r2", "").header.Get("Basilspan-Missing-Parts"), "0")
+		})
+	}
+}
