Keep one unreadable item from spoiling a whole listing

With one odd item in a response of the store, a VM that starts never becomes ready, and one that runs serves on with what it knows and reads in vain: the follower gets the same error at each read.

Cause: encoding/json returns an error for the response if a single value is not base64 or a revision is no number or too large.

An item that cannot be read now has no value, so that its registration is counted as endpoint.unreadable, logged and ignored, and the response's revision if its own cannot be read, so that an endpoint which it replaces is removed and a VM that follows this one misses nothing.

TestOddItemSparesTheOthers: all 26 rows failed before. TestMalformedResponses passed before: a response that is cut, nested deeply or without end is an error within the read's time; net/http bounds the header at 10 MB. An item that is nested by more than 10,000 levels still makes its response unreadable; the store can't return one, since it encodes values as base64.

--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -71,6 +71,24 @@
 	Deleted  bool          `json:"deleted"`
 }
 
+// UnmarshalJSON decodes an item. It returns no error for one that cannot be read, which would make the whole response
+// unreadable, but an item without a value, and without the key and the revision if those cannot be read either.
+func (i *item) UnmarshalJSON(data []byte) error {
+	type plain item
+	if json.Unmarshal(data, (*plain)(i)) == nil {
+		return nil
+	}
+	var w struct {
+		Key      json.RawMessage `json:"key"`
+		Revision json.RawMessage `json:"revision"`
+	}
+	*i = item{}
+	_ = json.Unmarshal(data, &w)
+	_ = json.Unmarshal(w.Key, &i.Key)
+	_ = json.Unmarshal(w.Revision, &i.Revision)
+	return nil
+}
+
 // page is the response to a read of several keys.
 type page struct {
 	Items     []item        `json:"items"`
@@ -98,15 +116,24 @@
 			all.Revision = p.Revision
 		}
 		for _, i := range p.Items {
-			all.Items = append(all.Items, i.decode())
+			all.Items = append(all.Items, i.decode(p.Revision))
 		}
 		if !p.Truncated || len(p.Items) == 0 {
 			return all, nil
 		}
-		query.Set("after", p.Items[len(p.Items)-1].Key)
+		query.Set("after", p.lastKey())
 	}
 }
 
+// lastKey returns the greatest key of the page, behind which the next page begins.
+func (p page) lastKey() string {
+	last := ""
+	for _, i := range p.Items {
+		last = max(last, i.Key)
+	}
+	return last
+}
+
 // page reads one page of keys.
 func (c *Client) page(ctx context.Context, query url.Values) (page, error) {
 	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
@@ -133,12 +160,16 @@
 	}
 	all := registry.Listing{Revision: w.Revision}
 	for _, e := range w.Events {
-		all.Items = append(all.Items, e.decode())
+		all.Items = append(all.Items, e.decode(w.Revision))
 	}
 	return all, nil
 }
 
-func (i item) decode() registry.Item {
+// decode returns the item. One without a readable revision gets that of the response, which is not older.
+func (i item) decode(response unit.Revision) registry.Item {
+	if i.Revision == 0 {
+		i.Revision = response
+	}
 	return registry.Item{Key: registry.Key(i.Key), Value: i.Value, Revision: i.Revision, Deleted: i.Deleted}
 }
 
