End a listing whose pages do not advance

A store that answers each read with the same truncated page kept a VM reading and collecting items until the listing's timeout of 4 s, as fast as the store answers; all VMs share a limit on reads.

Cause: List trusted that the next page begins behind the last key. It now returns an error if the greatest key of a page is not behind that of the page before. TestMalformedResponses has the row; before, the read went on until the test's own timeout of 5 s.

--- a/internal/platform/store/envelope_test.go
+++ b/internal/platform/store/envelope_test.go
@@ -112,6 +112,7 @@
 		{"negative revision", write(`{"items":[],"at":-1}`)},
 		{"body without end", repeat(strings.Repeat(" ", 4096))},
 		{"items without end", repeat(strings.Repeat(item+",", 100))},
+		{"pages without end", write(`{"items":[` + item + `],"truncated":true,"at":9}`)},
 		{"header without end", func(w http.ResponseWriter, _ *http.Request) {
 			c, _, err := w.(http.Hijacker).Hijack()
 			if err != nil {
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -121,7 +121,11 @@
 		if !p.Truncated || len(p.Items) == 0 {
 			return all, nil
 		}
-		query.Set("after", p.lastKey())
+		next := p.lastKey()
+		if next <= query.Get("after") {
+			return registry.Listing{}, errors.New("the store returned a page that does not continue the last one")
+		}
+		query.Set("after", next)
 	}
 }
 
