Reserve memory for the records that there are, not for those requested

With a routing table whose top_k is large or negative, callers of the route got no answer, since the request panicked, and with 10^12 the process ended, out of memory. The same holds for a portion that another VM requests.

Cause: TopRecords reserved room for n records before it had seen one, and cut its result to n. It now counts the records first, and takes a negative n as none. Three rows of TestTopRecords; before, each ended the test's process.

--- a/internal/policy/merge/merge.go
+++ b/internal/policy/merge/merge.go
@@ -9,8 +9,14 @@
 // RecordSize is the length of a record in bytes. A shorter remainder of a part is ignored.
 const RecordSize = 16
 
-// TopRecords returns the n greatest records of the parts in descending bytewise order. Equal records are all kept.
+// TopRecords returns the n greatest records of the parts in descending bytewise order, none if n is negative. Equal
+// records are all kept.
 func TopRecords(n int, parts [][]byte) []byte {
+	records := 0
+	for _, part := range parts {
+		records += len(part) / RecordSize
+	}
+	n = min(max(n, 0), records)
 	kept := make([][]byte, 0, n+1)
 	for _, part := range parts {
 		for len(part) >= RecordSize {
--- a/internal/policy/merge/merge_test.go
+++ b/internal/policy/merge/merge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -39,6 +40,9 @@
 			makeRecord("b") + makeRecord("b") + makeRecord("b"),
 		},
 		{"a remainder shorter than a record", 2, []string{makeRecord("a") + "zzz", "zzz"}, makeRecord("a")},
+		{"more records requested than fit into memory", 1 << 40, []string{makeRecord("a")}, makeRecord("a")},
+		{"the largest number of records requested", math.MaxInt, []string{makeRecord("a")}, makeRecord("a")},
+		{"a negative number of records requested", -1, []string{makeRecord("a")}, ""},
 		{"no records requested", 0, []string{makeRecord("a")}, ""},
 		{"bytes compare unsigned", 1, []string{makeRecord("\x7f"), makeRecord("\xff")}, makeRecord("\xff")},
 	}
