--- a/internal/policy/routing/routing_test.go
+++ b/internal/policy/routing/routing_test.go
@@ -68,6 +68,37 @@
 	}
 }
 
+// TestSplitterOddRoutes checks routes that a table should not have: without a service, or with the name of another route.
+func TestSplitterOddRoutes(t *testing.T) {
+	two := []WeightedService{{"a", 1}, {"b", 1}}
+	three := []WeightedService{{"c", 1}, {"d", 1}, {"e", 1}}
+	tests := []struct {
+		name   string
+		routes []*Route
+		want   []unit.ServiceName
+	}{
+		{"no service", []*Route{{Name: "r"}, {Name: "r"}}, []unit.ServiceName{"", ""}},
+		{
+			"one name, two prefixes",
+			[]*Route{{Name: "r", Prefix: "/a/", Split: two}, {Name: "r", Prefix: "/b/", Split: three}, {Name: "r", Prefix: "/a/", Split: two}},
+			[]unit.ServiceName{"a", "c", "b"},
+		},
+		{
+			"one name, host and prefix",
+			[]*Route{{Name: "r", Split: two}, {Name: "r", Split: three}, {Name: "r", Split: three}, {Name: "r", Split: two}},
+			[]unit.ServiceName{"a", "c", "d", "a"},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var s Splitter
+			for i, r := range tt.routes {
+				assert.Equal(t, s.Pick(1, r), tt.want[i])
+			}
+		})
+	}
+}
+
 // TestSplitterNewTable checks that the current weights of an older table, which may have other weights, are discarded.
 func TestSplitterNewTable(t *testing.T) {
 	var s Splitter
