Limit the attempts that a table or a portion can allow

With a routing table whose max_attempts is very large, callers of the route got no answer: the connection was closed. A portion that another VM requests with such a number, or a negative one, ended the process, since no one recovers a panic there.

Cause: a request reserves a channel for the ends of all its attempts, whose size overflowed or was out of range.

max_attempts is taken as 1 to 100 where it is decoded, in a table and in a portion; it is an upper bound, so that a lower one keeps it. TestOddPortions: the row of many attempts panicked before ("makechan: size out of range").

--- a/internal/core/dispatch/divided_test.go
+++ b/internal/core/dispatch/divided_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"sync"
 	"testing"
 	"time"
@@ -230,3 +231,32 @@
 	q := &Request{ID: "r", Host: "h", Method: "GET", URI: "/x", Path: "/x", Arrived: time.Now()}
 	assert.Equal(t, c.vms[0].Serve(ctx, q).Code, unit.CodeCallerGone)
 }
+
+// TestOddPortions checks that a VM serves a portion that another VM requests with numbers that are too large.
+func TestOddPortions(t *testing.T) {
+	tests := []struct {
+		name    string
+		portion wirePortion
+	}{
+		{"many attempts", wirePortion{Attempts: 1 << 56, TopK: 5}},
+		{"the largest number of attempts", wirePortion{Attempts: math.MaxInt, TopK: 5}},
+		{"negative attempts", wirePortion{Attempts: -100, TopK: 5}},
+		{"huge number of records", wirePortion{Attempts: 2, TopK: math.MaxInt}},
+		{"negative number of records", wirePortion{Attempts: 2, TopK: math.MinInt}},
+		{"huge target", wirePortion{Attempts: 2, TopK: 5, Target: math.MaxInt64}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCluster()
+			c.vms[0].Views.Publish(c.view)
+			tt.portion.ID, tt.portion.Method, tt.portion.Route = "r", "GET", "all"
+			tt.portion.Services = c.route.Shards
+			tt.portion.PartialDeadline, tt.portion.Deadline = 1_000_000, 1_000_000
+			got := c.vms[0].servePortion(context.Background(), tt.portion)
+			assert.Equal(t, len(got.Seals), shards)
+			for _, seal := range got.Seals {
+				assert.Assert(t, seal != "")
+			}
+		})
+	}
+}
--- a/internal/core/dispatch/portion.go
+++ b/internal/core/dispatch/portion.go
@@ -108,8 +108,8 @@
 func (d *Dispatcher) servePortion(ctx context.Context, w wirePortion) portionResult {
 	now := d.Now().Add(-peer.QueueingDelay(ctx))
 	route := &routing.Route{
-		Name: unit.RouteName(w.Route), Repeatable: true, Attempts: w.Attempts, TopK: w.TopK, Shards: w.Services,
-		TargetLatency: micros(w.Target),
+		Name: unit.RouteName(w.Route), Repeatable: true, Attempts: routing.LimitAttempts(w.Attempts), TopK: w.TopK,
+		Shards: w.Services, TargetLatency: micros(w.Target),
 	}
 	j := &job{
 		view:    d.Views.Load(),
--- a/internal/platform/store/decode.go
+++ b/internal/platform/store/decode.go
@@ -221,7 +221,7 @@
 		Timeout:       millis(w.Timeout),
 		TargetLatency: millis(w.TargetLatency),
 		Urgency:       unit.Urgency(w.Priority),
-		Attempts:      max(w.MaxAttempts, 1),
+		Attempts:      routing.LimitAttempts(w.MaxAttempts),
 		TopK:          w.TopK,
 		MinShare:      unit.Share(w.MinShare),
 	}
--- a/internal/policy/routing/routing.go
+++ b/internal/policy/routing/routing.go
@@ -11,6 +11,10 @@
 	"basilspan/internal/core/unit"
 )
 
+// MaxAttempts is the largest number of attempts that a route can allow. The memory that a request reserves grows with
+// it.
+const MaxAttempts = 100
+
 // Route defines which services handle the requests for one host and path prefix, and within which limits.
 type Route struct {
 	Name   unit.RouteName
@@ -23,7 +27,8 @@
 	// TargetLatency is the time within which a response has its full value to the caller.
 	TargetLatency time.Duration
 	Urgency       unit.Urgency
-	// Attempts is the maximum number of endpoints that one request may be sent to, for each service of Shards.
+	// Attempts is the maximum number of endpoints that one request may be sent to, for each service of Shards; it is from
+	// 1 to MaxAttempts.
 	Attempts int
 	// Split lists the services of which each request goes to one. It is empty on a route with Shards.
 	Split []WeightedService
@@ -41,6 +46,11 @@
 	Weight  unit.Weight
 }
 
+// LimitAttempts returns n as a number of attempts that a route can allow.
+func LimitAttempts(n int) int {
+	return min(max(n, 1), MaxAttempts)
+}
+
 // Gathers reports whether a request goes to every service of the route and the replies are merged.
 func (r *Route) Gathers() bool {
 	return len(r.Shards) > 0
