Limit a table's times, shares and weights to ranges that can be calculated with

A table with a time of 1e300 ms or a share of 1e300 was in force with other values on arm64 than on x86-64: the conversion of a float64 that the integer cannot hold depends on the architecture. With such a minimum share, every request of the route was refused.

Cause: the numbers were converted as they came. The table comes into force all the same, since the registry accepts only valid ones and the other routes are wanted.

--- a/internal/platform/store/decode.go
+++ b/internal/platform/store/decode.go
@@ -32,6 +32,10 @@
 	maxColdTime = 24 * time.Hour
 	// maxExactNumber is the largest number up to which a float64 holds each whole number.
 	maxExactNumber = 1 << 53
+	// maxTime is the longest time of a table.
+	maxTime = 24 * time.Hour
+	// maxWeight is the largest weight of a service in a traffic split.
+	maxWeight = 1e12
 	// maxErrorBytes is the length to which the texts of decoding errors are cut.
 	maxErrorBytes = 200
 )
@@ -182,7 +186,8 @@
 	IdleTimeout   float64 `json:"idle_timeout_ms"`
 }
 
-// DecodeTable decodes the routing table. It returns an error if the JSON is malformed or has no version.
+// DecodeTable decodes the routing table. It returns an error if the JSON is malformed or has no version. Other numbers
+// that are out of range are limited to their range, so that the other routes of the table come into force.
 func DecodeTable(value []byte) (*routing.Table, error) {
 	var w wireTable
 	if err := json.Unmarshal(value, &w); err != nil {
@@ -223,14 +228,14 @@
 		Urgency:       unit.Urgency(w.Priority),
 		Attempts:      routing.LimitAttempts(w.MaxAttempts),
 		TopK:          w.TopK,
-		MinShare:      unit.Share(w.MinShare),
+		MinShare:      unit.Share(limit(w.MinShare, 1)),
 	}
 	for _, s := range w.Gather {
 		r.Shards = append(r.Shards, unit.ServiceName(s))
 	}
 	for _, p := range w.TrafficSplit {
 		r.Split = append(r.Split, routing.WeightedService{
-			Service: unit.ServiceName(p.Service), Weight: unit.Weight(p.Weight),
+			Service: unit.ServiceName(p.Service), Weight: unit.Weight(limit(p.Weight, maxWeight)),
 		})
 	}
 	if w.Service != "" {
@@ -239,7 +244,12 @@
 	return r
 }
 
-// millis returns n milliseconds as a duration.
+// millis returns n milliseconds as a duration from 0 to maxTime.
 func millis(n float64) time.Duration {
-	return time.Duration(n * float64(time.Millisecond))
+	return time.Duration(limit(n, float64(maxTime.Milliseconds())) * float64(time.Millisecond))
+}
+
+// limit returns n limited to 0 to highest.
+func limit(n, highest float64) float64 {
+	return min(max(n, 0), highest)
 }
--- a/internal/platform/store/decode_test.go
+++ b/internal/platform/store/decode_test.go
@@ -172,6 +172,37 @@
 	})
 }
 
+// TestDecodeTableOutOfRange checks that numbers out of range are limited, to the same values on each architecture.
+func TestDecodeTableOutOfRange(t *testing.T) {
+	const day = 24 * time.Hour
+	tests := []struct {
+		name  string
+		route string
+		want  routing.Route
+	}{
+		{"huge times", `"timeout_ms":1e300,"target_latency_ms":1e300`, routing.Route{Timeout: day, TargetLatency: day, Attempts: 1}},
+		{"times at the end of int64", `"timeout_ms":9223372036854.775807`, routing.Route{Timeout: day, Attempts: 1}},
+		{"negative times", `"timeout_ms":-1e300,"target_latency_ms":-0`, routing.Route{Attempts: 1}},
+		{"fractional time", `"timeout_ms":0.5`, routing.Route{Timeout: 500 * time.Microsecond, Attempts: 1}},
+		{"huge share", `"min_success_share":1e300`, routing.Route{MinShare: 1, Attempts: 1}},
+		{"negative share", `"min_success_share":-1e300`, routing.Route{Attempts: 1}},
+		{"huge attempts", `"max_attempts":9223372036854775807`, routing.Route{Attempts: routing.MaxAttempts}},
+		{"negative attempts", `"max_attempts":-9223372036854775808`, routing.Route{Attempts: 1}},
+		{
+			"weights", `"traffic_split":[{"service":"a","weight":1e308},{"service":"b","weight":-1}]`,
+			routing.Route{Attempts: 1, Split: []routing.WeightedService{{Service: "a", Weight: maxWeight}, {Service: "b"}}},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			table, err := DecodeTable([]byte(`{"version":1,"routes":[{` + tt.route + `}],"limits":{"idle_timeout_ms":1e300}}`))
+			assert.NilError(t, err)
+			assert.DeepEqual(t, *table.Routes()[0], tt.want)
+			assert.Equal(t, table.Limits.IdleTimeout, day)
+		})
+	}
+}
+
 func TestDecodeTableFaults(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -180,12 +211,24 @@
 		{"nothing", ""},
 		{"missing version", `{"routes":[]}`},
 		{"version of the wrong type", `{"version":"7"}`},
+		{"negative version", `{"version":-7}`},
+		{"fractional version", `{"version":7.5}`},
+		{"version too large", `{"version":18446744073709551616}`},
+		{"version beyond float64", `{"version":1e400}`},
+		{"time beyond float64", `{"version":7,"routes":[{"timeout_ms":1e400}]}`},
+		{"time is NaN", `{"version":7,"routes":[{"timeout_ms":NaN}]}`},
+		{"attempts too large", `{"version":7,"routes":[{"max_attempts":9223372036854775808}]}`},
+		{"number of records beyond int64", `{"version":7,"routes":[{"top_k":1e300}]}`},
+		{"limit of many digits", `{"version":7,"limits":{"max_body_bytes":` + strings.Repeat("9", 100_000) + `}}`},
+		{"lists nested deeply", `{"version":7,"routes":` + strings.Repeat("[", 1_000_000)},
+		{"objects nested deeply", strings.Repeat(`{"version":`, 1_000_000)},
 		{"route of the wrong type", `{"version":7,"routes":[1]}`},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			_, err := DecodeTable([]byte(tt.content))
 			assert.Assert(t, err != nil)
+			assert.Assert(t, len(err.Error()) < 400, "long error text: %.400s", err)
 		})
 	}
 }
@@ -209,3 +252,24 @@
 		assert.Assert(t, got.Service != "")
 	})
 }
+
+// FuzzDecodeTable checks that a table that is accepted has values that the rest of the VM can calculate with.
+func FuzzDecodeTable(f *testing.F) {
+	f.Add([]byte(`{"version":7,"routes":[{"name":"a","timeout_ms":1e300,"max_attempts":9,"gather":["x","x"]}]}`))
+	f.Add([]byte(`{"version":7,"routes":[{"traffic_split":[{"weight":-1}]}],"services":[{}],"limits":{"idle_timeout_ms":-0}}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		table, err := DecodeTable(value)
+		if err != nil {
+			assert.Assert(t, len(err.Error()) < 400)
+			return
+		}
+		for _, r := range table.Routes() {
+			assert.Assert(t, r.Timeout >= 0 && r.Timeout <= maxTime && r.TargetLatency >= 0 && r.TargetLatency <= maxTime)
+			assert.Assert(t, r.Attempts >= 1 && r.Attempts <= routing.MaxAttempts)
+			assert.Assert(t, r.MinShare >= 0 && r.MinShare <= 1)
+			for _, p := range r.Split {
+				assert.Assert(t, p.Weight >= 0 && p.Weight <= maxWeight)
+			}
+		}
+	})
+}
