Survive calls of a peer that repeat an ID

Two calls in flight on one connection of the peers' port with the same JSON-RPC ID, or with text as IDs, ended the process: callers lost all their requests in flight.

Cause: the session finds a call's cancel function by the ID when the call ends, and calls it; the end of the first had removed it. Text IDs all count as 0. The entry VMs use new IDs, but the port reads whatever connects to it.

A call now releases its own context.

--- a/internal/link/peer/session.go
+++ b/internal/link/peer/session.go
@@ -74,7 +74,7 @@
 	}
 	go func() {
 		defer s.wg.Done()
-		defer s.unregister(req.ID.Num)
+		defer s.unregister(req.ID.Num, cancel)
 		jsonrpc2.HandlerWithError(s.runHandler).Handle(ctx, conn, req)
 	}()
 }
@@ -117,11 +117,12 @@
 	}
 }
 
-// unregister removes a registered call that has ended and cancels its context, to release it.
-func (s *session) unregister(id uint64) {
+// unregister removes a registered call that has ended and cancels its context, to release it. A faulty peer may have
+// used the ID for several calls, of which only the last can be cancelled by the peer.
+func (s *session) unregister(id uint64, cancel context.CancelFunc) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.cancels[id]()
+	cancel()
 	delete(s.cancels, id)
 }
 
