Bound the size of a peer's message as it is read

A message without end at the peers' port took memory until the process ended.

Cause: the JSON decoder collects a message of any size.

--- a/internal/link/peer/peer.go
+++ b/internal/link/peer/peer.go
@@ -214,7 +214,7 @@
 
 // startRPC starts JSON-RPC on an incoming or outgoing connection. h handles the calls that the peer makes on it.
 func (l *Link) startRPC(c net.Conn, h jsonrpc2.Handler) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(newBatchConn(c), jsonrpc2.PlainObjectCodec{})
+	stream := newBoundedStream(newBatchConn(c))
 	return jsonrpc2.NewConn(l.ctx, stream, h, jsonrpc2.SetLogger(log.New(io.Discard, "", 0)))
 }
 
