Keep one odd entry from spoiling serve's list of VMs

With one entry of another type in the platform's list of VMs, `serve` got no list at all: VMs that were new or leaving were not noticed while the platform showed it.

Each entry is now decoded on its own. Odd ones are counted as platform.unreadable, and a line says how many there are when that changes.

--- a/internal/core/control/control.go
+++ b/internal/core/control/control.go
@@ -71,6 +71,8 @@
 	freshness freshness.Tracker
 	// fetching holds the configurations that are being fetched from peers.
 	fetching map[revision.Version]bool
+	// unreadableVMs is the number of entries that could not be decoded in the platform's last list of VMs.
+	unreadableVMs int
 	// lastHeartbeat is when this VM last counted its heartbeat.
 	lastHeartbeat time.Time
 	// fresh is set when the first view is published after the start or after a pause of the process.
--- a/internal/core/control/events.go
+++ b/internal/core/control/events.go
@@ -109,8 +109,14 @@
 	c.publishLeaving(now)
 }
 
-// onVMs merges the platform's list of VMs and of leaving endpoints and publishes what has changed.
+// onVMs merges the platform's list of VMs and of leaving endpoints and publishes what has changed. Entries that cannot be
+// decoded are counted, and logged when their number changes.
 func (c *Control) onVMs(now time.Time, event platform.VMs) {
+	if event.Unreadable != c.unreadableVMs {
+		c.unreadableVMs = event.Unreadable
+		c.Log.Warn("entries of the list of VMs ignored", "count", event.Unreadable)
+	}
+	c.Metrics.Add("platform.unreadable", int64(event.Unreadable))
 	if c.memberTable.Seed(now, event.Members) {
 		c.publishMembers(now)
 	}
--- a/internal/link/platform/platform.go
+++ b/internal/link/platform/platform.go
@@ -48,6 +48,8 @@
 	Members []member.Member
 	// Leaving holds the endpoints that the list marks as leaving.
 	Leaving []unit.EndpointID
+	// Unreadable is the number of entries of the list that could not be decoded.
+	Unreadable int
 }
 
 // ReadEnded is the event that an attempt to read the configuration or the list of VMs has ended. New data of a
@@ -185,16 +187,22 @@
 	return nil
 }
 
-// readVMs reads the list of VMs and posts it, also if it has not changed. The request does not wait for a change.
+// readVMs reads the list of VMs and posts it, also if it has not changed. It leaves out entries that cannot be decoded.
+// The request does not wait for a change.
 func (w *Watcher) readVMs(ctx context.Context, _ time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	var response []wireVM
+	var response []json.RawMessage
 	if err := w.getJSON(ctx, "/vms", &response); err != nil {
 		return err
 	}
 	event := VMs{}
-	for _, vm := range response {
+	for _, raw := range response {
+		var vm wireVM
+		if json.Unmarshal(raw, &vm) != nil {
+			event.Unreadable++
+			continue
+		}
 		state := member.State(vm.State)
 		switch {
 		case vm.Peer != "":
