--- a/internal/platform/store/decode_test.go
+++ b/internal/platform/store/decode_test.go
@@ -17,6 +17,11 @@
 const registration = `{"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":2,"state":"ready",` +
 	`"cold_remaining_ms":1500,"sequence":4}`
 
+// nested returns the JSON object with a further field that holds lists nested to that depth.
+func nested(object string, depth int) string {
+	return strings.Replace(object, "{", `{"extra":`+strings.Repeat("[", depth)+strings.Repeat("]", depth)+",", 1)
+}
+
 func TestDecodeEndpoint(t *testing.T) {
 	now := time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
 	whole := directory.Registration{
@@ -44,6 +49,63 @@
 		{"sequence is null", strings.Replace(registration, `4}`, `null}`, 1), directory.Registration{}, true},
 		{"zero slots", strings.Replace(registration, `2,`, `0,`, 1), directory.Registration{}, true},
 		{"invalid address", strings.Replace(registration, "10.0.0.9:80", "here", 1), directory.Registration{}, true},
+		{"port 0", strings.Replace(registration, ":80", ":0", 1), directory.Registration{}, true},
+		{"port too large", strings.Replace(registration, ":80", ":65536", 1), directory.Registration{}, true},
+		{"negative port", strings.Replace(registration, ":80", ":-1", 1), directory.Registration{}, true},
+		{
+			"port 0 of an IPv6 address", strings.Replace(registration, "10.0.0.9:80", "[::1]:0", 1),
+			directory.Registration{},
+			true,
+		},
+		{"unspecified address", strings.Replace(registration, "10.0.0.9", "0.0.0.0", 1), directory.Registration{}, true},
+		{
+			"unspecified IPv6 address", strings.Replace(registration, "10.0.0.9", "[::]", 1),
+			directory.Registration{},
+			true,
+		},
+		{
+			"unspecified mapped address", strings.Replace(registration, "10.0.0.9", "[::ffff:0.0.0.0]", 1),
+			directory.Registration{},
+			true,
+		},
+		{"multicast address", strings.Replace(registration, "10.0.0.9", "224.0.0.1", 1), directory.Registration{}, true},
+		{"host name", strings.Replace(registration, "10.0.0.9", "localhost", 1), directory.Registration{}, true},
+		{"slots as an exponent", strings.Replace(registration, `2,`, `20e-1,`, 1), whole, false},
+		{"fractional slots", strings.Replace(registration, `2,`, `2.5,`, 1), directory.Registration{}, true},
+		{"negative slots", strings.Replace(registration, `2,`, `-0,`, 1), directory.Registration{}, true},
+		{"slots beyond int64", strings.Replace(registration, `2,`, `1e300,`, 1), directory.Registration{}, true},
+		{
+			"slots at the end of int64", strings.Replace(registration, `2,`, `9223372036854775807,`, 1),
+			directory.Registration{},
+			true,
+		},
+		{"slots beyond float64", strings.Replace(registration, `2,`, `1e400,`, 1), directory.Registration{}, true},
+		{"slots are NaN", strings.Replace(registration, `2,`, `NaN,`, 1), directory.Registration{}, true},
+		{
+			"slots of many digits", strings.Replace(registration, `2,`, strings.Repeat("9", 100_000)+`,`, 1),
+			directory.Registration{},
+			true,
+		},
+		{
+			"cold time beyond time.Duration", strings.Replace(registration, `1500`, `1e300`, 1),
+			directory.Registration{},
+			true,
+		},
+		{"cold time of years", strings.Replace(registration, `1500`, `1e12`, 1), directory.Registration{}, true},
+		{"negative cold time", strings.Replace(registration, `1500`, `-1`, 1), directory.Registration{}, true},
+		{"sequence too large", strings.Replace(registration, `4}`, `1e300}`, 1), directory.Registration{}, true},
+		{"negative sequence", strings.Replace(registration, `4}`, `-4}`, 1), directory.Registration{}, true},
+		{"unknown field nested deeply", nested(registration, 9000), whole, false},
+		{"unknown field nested too deeply", nested(registration, 1_000_000), directory.Registration{}, true},
+		{"nested objects", strings.Repeat(`{"a":`, 1_000_000), directory.Registration{}, true},
+		{
+			"state of a megabyte", strings.Replace(registration, "ready", strings.Repeat("x", 1<<20), 1),
+			directory.Registration{},
+			true,
+		},
+		{"list", "[" + registration + "]", directory.Registration{}, true},
+		{"null", "null", directory.Registration{}, true},
+		{"two values", registration + registration, directory.Registration{}, true},
 		{"not JSON", "\x00\x01", directory.Registration{}, true},
 		{"nothing", "", directory.Registration{}, true},
 	}
@@ -54,6 +116,9 @@
 			})
 			assert.Equal(t, err != nil, tt.fault, "%v", err)
 			assert.DeepEqual(t, got, tt.want)
+			if err != nil {
+				assert.Assert(t, len(err.Error()) < 400, "long error text: %.400s", err)
+			}
 		})
 	}
 }
@@ -67,6 +132,8 @@
 		{"servers/i-1", false},
 		{"servers/", true},
 		{"servers/i 1", true},
+		{"servers/" + registry.Key(strings.Repeat("i", 192)), false},
+		{"servers/" + registry.Key(strings.Repeat("i", 193)), true},
 		{"servers/i\r\nX: 1", true},
 	}
 	for _, tt := range tests {
@@ -110,6 +177,37 @@
 	})
 }
 
+// TestDecodeTableOutOfRange checks that numbers out of range are limited, to the same values on each architecture.
+func TestDecodeTableOutOfRange(t *testing.T) {
+	const day = 24 * time.Hour
+	tests := []struct {
+		name  string
+		route string
+		want  routing.Route
+	}{
+		{"huge times", `"timeout_ms":1e300,"target_latency_ms":1e300`, routing.Route{Timeout: day, TargetLatency: day, Attempts: 1}},
+		{"times at the end of int64", `"timeout_ms":9223372036854.775807`, routing.Route{Timeout: day, Attempts: 1}},
+		{"negative times", `"timeout_ms":-1e300,"target_latency_ms":-0`, routing.Route{Attempts: 1}},
+		{"fractional time", `"timeout_ms":0.5`, routing.Route{Timeout: 500 * time.Microsecond, Attempts: 1}},
+		{"huge share", `"min_success_share":1e300`, routing.Route{MinShare: 1, Attempts: 1}},
+		{"negative share", `"min_success_share":-1e300`, routing.Route{Attempts: 1}},
+		{"huge attempts", `"max_attempts":9223372036854775807`, routing.Route{Attempts: routing.MaxAttempts}},
+		{"negative attempts", `"max_attempts":-9223372036854775808`, routing.Route{Attempts: 1}},
+		{
+			"weights", `"traffic_split":[{"service":"a","weight":1e308},{"service":"b","weight":-1}]`,
+			routing.Route{Attempts: 1, Split: []routing.WeightedService{{Service: "a", Weight: maxWeight}, {Service: "b"}}},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			table, err := DecodeTable([]byte(`{"version":1,"routes":[{` + tt.route + `}],"limits":{"idle_timeout_ms":1e300}}`))
+			assert.NilError(t, err)
+			assert.DeepEqual(t, *table.Routes()[0], tt.want)
+			assert.Equal(t, table.Limits.IdleTimeout, day)
+		})
+	}
+}
+
 func TestDecodeTableFaults(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -118,12 +216,65 @@
 		{"nothing", ""},
 		{"missing version", `{"routes":[]}`},
 		{"version of the wrong type", `{"version":"7"}`},
+		{"negative version", `{"version":-7}`},
+		{"fractional version", `{"version":7.5}`},
+		{"version too large", `{"version":18446744073709551616}`},
+		{"version beyond float64", `{"version":1e400}`},
+		{"time beyond float64", `{"version":7,"routes":[{"timeout_ms":1e400}]}`},
+		{"time is NaN", `{"version":7,"routes":[{"timeout_ms":NaN}]}`},
+		{"attempts too large", `{"version":7,"routes":[{"max_attempts":9223372036854775808}]}`},
+		{"number of records beyond int64", `{"version":7,"routes":[{"top_k":1e300}]}`},
+		{"limit of many digits", `{"version":7,"limits":{"max_body_bytes":` + strings.Repeat("9", 100_000) + `}}`},
+		{"lists nested deeply", `{"version":7,"routes":` + strings.Repeat("[", 1_000_000)},
+		{"objects nested deeply", strings.Repeat(`{"version":`, 1_000_000)},
 		{"route of the wrong type", `{"version":7,"routes":[1]}`},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			_, err := DecodeTable([]byte(tt.content))
 			assert.Assert(t, err != nil)
+			assert.Assert(t, len(err.Error()) < 400, "long error text: %.400s", err)
 		})
 	}
 }
+
+// FuzzDecodeEndpoint checks that a registration that is accepted has values that the rest of the VM can calculate with.
+func FuzzDecodeEndpoint(f *testing.F) {
+	f.Add([]byte(registration))
+	f.Add([]byte(strings.Replace(registration, `2,`, `1e300,`, 1)))
+	f.Add([]byte(strings.Replace(registration, `1500`, `-0`, 1)))
+	f.Add([]byte(nested(registration, 100)))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		now := time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+		got, err := DecodeEndpoint(now, registry.Item{Key: "servers/i-1", Value: value})
+		if err != nil {
+			assert.Assert(t, len(err.Error()) < 400)
+			return
+		}
+		assert.Assert(t, got.Slots >= 1 && got.Slots <= maxSlots)
+		assert.Assert(t, !got.WarmAt.Before(now) && !got.WarmAt.After(now.Add(maxColdTime)))
+		assert.NilError(t, validateAddress(string(got.Address)))
+		assert.Assert(t, got.Service != "")
+	})
+}
+
+// FuzzDecodeTable checks that a table that is accepted has values that the rest of the VM can calculate with.
+func FuzzDecodeTable(f *testing.F) {
+	f.Add([]byte(`{"version":7,"routes":[{"name":"a","timeout_ms":1e300,"max_attempts":9,"gather":["x","x"]}]}`))
+	f.Add([]byte(`{"version":7,"routes":[{"traffic_split":[{"weight":-1}]}],"services":[{}],"limits":{"idle_timeout_ms":-0}}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		table, err := DecodeTable(value)
+		if err != nil {
+			assert.Assert(t, len(err.Error()) < 400)
+			return
+		}
+		for _, r := range table.Routes() {
+			assert.Assert(t, r.Timeout >= 0 && r.Timeout <= maxTime && r.TargetLatency >= 0 && r.TargetLatency <= maxTime)
+			assert.Assert(t, r.Attempts >= 1 && r.Attempts <= routing.MaxAttempts)
+			assert.Assert(t, r.MinShare >= 0 && r.MinShare <= 1)
+			for _, p := range r.Split {
+				assert.Assert(t, p.Weight >= 0 && p.Weight <= maxWeight)
+			}
+		}
+	})
+}
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -73,6 +73,24 @@
 	Deleted  bool          `json:"deleted"`
 }
 
+// UnmarshalJSON decodes an item. It returns no error for one that cannot be read, which would make the whole response
+// unreadable, but an item without a value, and without the key and the revision if those cannot be read either.
+func (i *item) UnmarshalJSON(data []byte) error {
+	type plain item
+	if json.Unmarshal(data, (*plain)(i)) == nil {
+		return nil
+	}
+	var w struct {
+		Key      json.RawMessage `json:"key"`
+		Revision json.RawMessage `json:"revision"`
+	}
+	*i = item{}
+	_ = json.Unmarshal(data, &w)
+	_ = json.Unmarshal(w.Key, &i.Key)
+	_ = json.Unmarshal(w.Revision, &i.Revision)
+	return nil
+}
+
 // page is the response to a read of several keys.
 type page struct {
 	era       unit.Era
@@ -106,13 +124,26 @@
 			all.Position = unit.Position{Era: p.era, Revision: p.Revision}
 		}
 		for _, i := range p.Items {
-			all.Items = append(all.Items, i.decode(p.era))
+			all.Items = append(all.Items, i.decode(unit.Position{Era: p.era, Revision: p.Revision}))
 		}
 		if !p.Truncated || len(p.Items) == 0 {
 			return all, nil
 		}
-		query.Set("after", p.Items[len(p.Items)-1].Key)
+		next := p.lastKey()
+		if next <= query.Get("after") {
+			return registry.Listing{}, errors.New("the store returned a page that does not continue the last one")
+		}
+		query.Set("after", next)
+	}
+}
+
+// lastKey returns the greatest key of the page, behind which the next page begins.
+func (p page) lastKey() string {
+	last := ""
+	for _, i := range p.Items {
+		last = max(last, i.Key)
 	}
+	return last
 }
 
 // page reads one page of keys.
@@ -143,17 +174,19 @@
 	}
 	all := registry.Listing{Position: unit.Position{Era: w.era, Revision: w.Revision}}
 	for _, e := range w.Events {
-		all.Items = append(all.Items, e.decode(w.era))
+		all.Items = append(all.Items, e.decode(all.Position))
 	}
 	return all, nil
 }
 
-// decode returns the item as read in that era.
-func (i item) decode(era unit.Era) registry.Item {
-	return registry.Item{
-		Position: unit.Position{Era: era, Revision: i.Revision},
-		Key:      registry.Key(i.Key), Value: i.Value, Deleted: i.Deleted,
+// decode returns the item of a response at that position. One without a readable revision gets that of the response,
+// which is not older.
+func (i item) decode(response unit.Position) registry.Item {
+	at := unit.Position{Era: response.Era, Revision: i.Revision}
+	if at.Revision == 0 {
+		at = response
 	}
+	return registry.Item{Position: at, Key: registry.Key(i.Key), Value: i.Value, Deleted: i.Deleted}
 }
 
 // decodeEra returns the era in the header of a response, 0 if it has none.
--- a/internal/serve/gateway/services.go
+++ b/internal/serve/gateway/services.go
@@ -11,6 +11,7 @@
 	"basilspan/internal/core/kernel"
 	"basilspan/internal/core/metric"
 	"basilspan/internal/core/registry"
+	"basilspan/internal/core/timerlag"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/link/leaf"
 	"basilspan/internal/link/peer"
@@ -84,6 +85,7 @@
 	if err := f.Err(); err != nil {
 		return err
 	}
+	timerlag.Install(loop, metrics, g.options.Log)
 	state := discovery.Install(loop, discovery.Options{
 		Node:           g.settings.Node,
 		Views:          g.views,
@@ -149,8 +151,10 @@
 			BatchDelay:    batch,
 		}
 	}
+	tables := follow(store.KeyTable, 0)
+	tables.PeerValues = fleetService.ListingsFromSeeds
 	return g.register(
-		follow(store.KeyTable, 0).Service(kernel.ServiceTables),
+		tables.Service(kernel.ServiceTables),
 		follow(store.PrefixEndpoints, endpointBatch).Service(kernel.ServiceEndpoints),
 	)
 }
