--- a/internal/link/peer/peer.go
+++ b/internal/link/peer/peer.go
@@ -2,8 +2,8 @@
 // call the methods of other VMs. docs/PROTOCOLS.md lists the methods.
 //
 // A call's context extends to the peer: callers send the remaining time with a call, which does not depend on either
-// VM's clock, and a call that is cancelled is cancelled at the peer. The time that a call waited to be read, because
-// the peer was paused, counts against the remaining time; QueueingDelay returns an estimate of it.
+// VM's clock, and a call that is cancelled is cancelled at the peer. The time that a call waited at the peer, because it
+// was paused or busy, counts against the remaining time; QueueingDelay returns an estimate of it.
 package peer
 
 import (
@@ -131,6 +131,9 @@
 	if err != nil {
 		return errors.Mark(err, ErrNotSent)
 	}
+	if ctx.Err() != nil {
+		return errors.Mark(errors.Wrapf(ctx.Err(), "send %s to peer %s", method, to), ErrNotSent)
+	}
 	id := jsonrpc2.ID{Num: l.lastCallID.Add(1)}
 	// A failed write may have sent some bytes, so from here on only a rejection by the peer counts as ErrNotSent.
 	waiter, err := conn.DispatchCall(ctx, string(method), params, jsonrpc2.PickID(id), jsonrpc2.Meta(l.newStamp()))
--- a/internal/policy/gather/machine.go
+++ b/internal/policy/gather/machine.go
@@ -56,14 +56,17 @@
 	lastOutcome Outcome
 }
 
-// Start returns the actions that send the first attempt of every shard. If so many shards have no endpoint that an
-// answer is impossible, it sends nothing and the verdict is VerdictFailed.
+// Start returns the actions that send the first attempt of every shard. It sends nothing if the request has ended
+// already, because it begins after its deadlines, or if so many shards have no endpoint that an answer is impossible; the
+// verdict is VerdictFailed then.
 func (m *Machine) Start(now time.Time) []Action {
 	m.actions = m.actions[:0]
-	m.shards = make([]shardState, m.Params.Shards)
+	m.initShards()
+	if m.updateVerdict(now); m.verdict != VerdictNone {
+		return nil
+	}
 	m.attempts = make([]Attempt, 0, m.Params.Shards+m.Params.Shards/4+1)
 	for i := range m.shards {
-		m.shards[i].reply = -1
 		m.send(now, i, ReasonFirst)
 	}
 	if len(m.attempts) < m.minShards() {
@@ -79,6 +82,14 @@
 	return m.actions
 }
 
+// initShards creates the states of the shards, which have no reply.
+func (m *Machine) initShards() {
+	m.shards = make([]shardState, m.Params.Shards)
+	for i := range m.shards {
+		m.shards[i].reply = -1
+	}
+}
+
 // failUnsent ends the request with VerdictFailed before any of its attempts has been sent. It drops the actions and
 // attempts that Start has prepared.
 func (m *Machine) failUnsent() {
@@ -127,9 +138,12 @@
 }
 
 // Cancel ends the request because the caller has disconnected, and returns the actions that abandon its open
-// attempts.
+// attempts. A request that is cancelled in place of Start sends nothing.
 func (m *Machine) Cancel() []Action {
 	m.actions = m.actions[:0]
+	if m.shards == nil {
+		m.initShards()
+	}
 	if m.verdict == VerdictNone {
 		m.finish(VerdictGone)
 	}
