Read the registry without waiting after an outage

What callers would see: after a restore of the registry in an outage, a VM goes on for up to three seconds more with what it knew before, and does not count the outage as over. Cause: the first read after failed ones was a watch that waits for changes, 3 s on the smallest deployments. If the registry has come back from a copy and no revision above the VM's has been given out since, nothing answers earlier, and the era is seen only then. Fix: after a failed read, the next one waits 10 ms for changes, as the reads do that catch up for a failed peer. One more read for each outage and prefix. The rows of TestFollower now say which watches wait ('watch') and which do not ('glance'), and are stricter by that.

--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -204,8 +204,12 @@
 	return began, f.read(ctx)
 }
 
-// read reads the registry once: a full listing at first, and then the changes since the last read.
+// read reads the registry once: a full listing at first, and then the changes since the last read. After a failed read
+// it does not wait for changes, since the registry may have been restored meanwhile, and only a response shows that.
 func (f *Follower) read(ctx context.Context) error {
+	if f.failures > 0 {
+		return f.catchUp(ctx)
+	}
 	if f.position.Revision == 0 {
 		return f.readAll(ctx)
 	}
@@ -318,7 +322,8 @@
 	return began, nil
 }
 
-// catchUp reads what the registry holds now, with a wait of at most catchUpWait for changes.
+// catchUp reads what the registry holds now: everything if this VM has no values yet, or the changes since the last
+// read, with a wait of at most catchUpWait.
 func (f *Follower) catchUp(ctx context.Context) error {
 	if f.position.Revision == 0 {
 		return f.readAll(ctx)
--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -24,7 +24,7 @@
 // script scripts the responses of a registry and its peers to each kind of call, in order: "" is an error, "410" is
 // ErrCompacted, "7" a response at revision 7 without changes and "7+" one with a change. "1/7" is revision 7 of era 1;
 // "full 7+" is a full listing from a peer. After the last response a call blocks until the end of the test. recorded
-// holds the calls and events seen so far.
+// holds the calls and events seen so far; a watch that hardly waits is a "glance".
 type script struct {
 	list, watch, relay, peers []string
 	// offers are the positions that peers offer after each listing.
@@ -93,8 +93,12 @@
 		List: func(ctx context.Context, _ Prefix) (Listing, error) {
 			return s.next(ctx, &s.list)
 		},
-		Watch: func(ctx context.Context, _ Prefix, after unit.Revision, _ time.Duration) (Listing, error) {
-			s.record("watch %d", after)
+		Watch: func(ctx context.Context, _ Prefix, after unit.Revision, wait time.Duration) (Listing, error) {
+			if wait == catchUpWait {
+				s.record("glance %d", after)
+			} else {
+				s.record("watch %d", after)
+			}
 			return s.next(ctx, &s.watch)
 		},
 		PeerListing: func(ctx context.Context, _ Prefix, _ unit.Position) (Listing, error) {
@@ -162,14 +166,14 @@
 		},
 		{
 			"registry outage", &script{list: []string{"5+"}, watch: []string{"", "", "7+"}}, RoleStandalone, 0,
-			"listed 5, watch 5, lost, watch 5, lost, watch 5, changed 7, watch 7",
+			"listed 5, watch 5, lost, glance 5, lost, glance 5, changed 7, watch 7",
 		},
 		{
 			"start during an outage", &script{list: []string{"", "5+"}}, RoleStandalone, 0, "lost, listed 5, watch 5",
 		},
 		{
 			"start during an outage, peer has values", &script{list: []string{""}, peers: []string{"4+"}}, RoleStandalone, 0,
-			"lost, listed 4 by a peer, watch 4",
+			"lost, listed 4 by a peer, glance 4",
 		},
 		{
 			"relaying VM", &script{list: []string{"5+"}, watch: []string{"7+"}}, RoleRelaying, 0,
@@ -181,11 +185,11 @@
 		},
 		{
 			"peer fails", &script{relay: []string{"5+", ""}, watch: []string{"7+"}}, RoleFollowing, 0,
-			"relay 0, listed 5, relay 5, watch 5, changed 7, relay 7",
+			"relay 0, listed 5, relay 5, glance 5, changed 7, relay 7",
 		},
 		{
 			"two peers fail", &script{relay: []string{"5+", "", ""}, watch: []string{"5", "7+"}}, RoleFollowing, 0,
-			"relay 0, listed 5, relay 5, watch 5, changed 5, relay 5, watch 5, changed 7, watch 7",
+			"relay 0, listed 5, relay 5, glance 5, changed 5, relay 5, watch 5, changed 7, watch 7",
 		},
 		{
 			"peer is cut off from the registry", &script{relay: []string{"5+"}, list: []string{"9+"}},
@@ -193,11 +197,11 @@
 		},
 		{
 			"peer is at an older revision", &script{relay: []string{"5+", "3"}, watch: []string{"9+"}}, RoleFollowing, 0,
-			"relay 0, listed 5, relay 5, watch 5, changed 9, relay 9",
+			"relay 0, listed 5, relay 5, glance 5, changed 9, relay 9",
 		},
 		{
 			"peer and registry fail, peer recovers first", &script{relay: []string{"5+", "", "9+"}, watch: []string{""}},
-			RoleFollowing, 0, "relay 0, listed 5, relay 5, watch 5, lost, relay 5, changed 9, relay 9",
+			RoleFollowing, 0, "relay 0, listed 5, relay 5, glance 5, lost, relay 5, changed 9, relay 9",
 		},
 		{
 			"watch answered after a restore, at a revision given out again",
@@ -209,6 +213,11 @@
 			&script{list: []string{"5+", "1/5+"}, watch: []string{"1/5"}}, RoleStandalone, 0,
 			"listed 5, watch 5, listed 1/5, watch 5",
 		},
+		{
+			"restored in an outage, at the same revision",
+			&script{list: []string{"5+", "1/5+"}, watch: []string{"", "1/5"}}, RoleStandalone, 0,
+			"listed 5, watch 5, lost, glance 5, listed 1/5, watch 5",
+		},
 		{
 			"revision taken back by a restore", &script{list: []string{"5+", "1/3+"}, watch: []string{"410", "1/4+"}},
 			RoleStandalone, 0, "listed 5, watch 5, listed 1/3, watch 3, changed 1/4, watch 4",
@@ -220,7 +229,7 @@
 		{
 			"watch answered from before the restore",
 			&script{list: []string{"1/5+"}, watch: []string{"9+", "1/6+"}}, RoleStandalone, 0,
-			"listed 1/5, watch 5, lost, watch 5, changed 1/6, watch 6",
+			"listed 1/5, watch 5, lost, glance 5, changed 1/6, watch 6",
 		},
 		{
 			"listing from before the restore",
@@ -234,15 +243,15 @@
 		{
 			"peer does not know of the restore",
 			&script{relay: []string{"full 1/5+", "9+"}, watch: []string{"1/6+"}}, RoleFollowing, 0,
-			"relay 0, listed 1/5, relay 1/5, watch 5, changed 1/6, relay 1/6",
+			"relay 0, listed 1/5, relay 1/5, glance 5, changed 1/6, relay 1/6",
 		},
 		{
 			"peer sends changes of a later era", &script{relay: []string{"5+", "1/7+"}, watch: []string{"1/6"}}, RoleFollowing, 0,
-			"relay 0, listed 5, relay 5, watch 5, relay 1/0",
+			"relay 0, listed 5, relay 5, glance 5, relay 1/0",
 		},
 		{
 			"peer's listing after a restore", &script{list: []string{"5+"}, watch: []string{"", "1/4"}, peers: []string{"1/3+"}},
-			RoleStandalone, 0, "listed 5, watch 5, lost, listed 1/3 by a peer, watch 3, changed 1/4, watch 4",
+			RoleStandalone, 0, "listed 5, watch 5, lost, listed 1/3 by a peer, glance 3, changed 1/4, watch 4",
 		},
 		{
 			"start after a restore, two peers know values",
