--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -184,7 +184,7 @@
 	r, err := s.DecodeEndpoint(now, item)
 	if err != nil {
 		s.Metrics.Add("endpoint.unreadable", 1)
-		s.Log.Warn("registration ignored", "key", item.Key, "revision", item.Revision, "error", err)
+		s.Log.Warn("registration ignored", "key", item.Key, "era", item.Era, "revision", item.Revision, "error", err)
 		return directory.Registration{}, false
 	}
 	return r, true
@@ -200,14 +200,15 @@
 		table, err := s.DecodeTable(item.Value)
 		if err != nil {
 			s.Metrics.Add("table.unreadable", 1)
-			s.Log.Error("routing table ignored", "revision", item.Revision, "in_force", s.tableVersion(), "error", err)
+			s.Log.Error("routing table ignored", "era", item.Era, "revision", item.Revision,
+				"in_force", s.tableVersion(), "error", err)
 			continue
 		}
 		if s.view.Table != nil && table.Version <= s.view.Table.Version {
 			continue
 		}
 		s.Log.Info("routing table in force", "version", table.Version, "before", s.tableVersion(),
-			"revision", item.Revision, "routes", len(table.Routes()))
+			"era", item.Era, "revision", item.Revision, "routes", len(table.Routes()))
 		s.view.Table = table
 		s.tableValue = item.Value
 		s.view.TableSince = now
