--- a/internal/serve/port/conn.go
+++ b/internal/serve/port/conn.go
@@ -35,7 +35,6 @@
 
 	raw      syscall.RawConn
 	listener *Listener
-	timeouts Timeouts
 	// ctx ends when the caller has closed the connection or this side does.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -87,7 +86,6 @@
 		Conn:     tcp,
 		raw:      raw,
 		listener: l,
-		timeouts: l.timeouts,
 		readable: make(chan struct{}, 1),
 		taken:    make(chan struct{}, 1),
 		watched:  make(chan struct{}),
@@ -142,7 +140,7 @@
 	}
 	n, err := c.Conn.Read(b)
 	if n > 0 && !c.received.Swap(true) {
-		c.readTimeout.Store(int64(c.timeouts.Read))
+		c.readTimeout.Store(int64(c.listener.timeouts.Read))
 	}
 	select {
 	case c.taken <- struct{}{}:
@@ -191,8 +189,8 @@
 
 // Write writes b within the write timeout. Hertz's standard transport sets no write deadline itself.
 func (c *Conn) Write(b []byte) (int, error) {
-	if c.timeouts.Write > 0 {
-		if err := c.SetWriteDeadline(time.Now().Add(c.timeouts.Write)); err != nil {
+	if c.listener.timeouts.Write > 0 {
+		if err := c.SetWriteDeadline(time.Now().Add(c.listener.timeouts.Write)); err != nil {
 			return 0, err
 		}
 	}
