Answer requests whose timeout passed while the process was paused

What callers saw: when an entry VM had been frozen for longer than a timeout of its callers' port, requests that had come meanwhile ended with their connection and no answer. On the VM of serve that is 10 s for a connection whose request is not read, on that of gateway 15 s between two bytes of a request, and the idle timeouts of 90 s and 3 minutes.

Cause: a timeout that passes during the pause expires as soon as the process goes on, before the poller has reported the input that waits in the socket. Read returned the timeout, Write gave up although the caller had made room, and the read timer of the guard closed the connection. Hertz's netpoll transport does the same. Class: a timeout that is taken for the silence of the other side, without a look at what the other side did.

Before, TestQueriesDuringLongFreezeAreAnswered failed in all rows with netpoll and in one of three rows with the standard transport; with the former logic put back, the first row of TestReadAfterPause failed with EOF and TestWriteAfterPause with a timeout.

Why this works: when the read timeout has passed, Read looks at the socket itself and takes what waits there. A write and the reading of a whole request go on for one second after their timeout; that second begins when the process goes on.

--- a/internal/serve/caller/caller_test.go
+++ b/internal/serve/caller/caller_test.go
@@ -335,3 +335,41 @@
 		}
 	}
 }
+
+// TestReadTimerAfterPause guards against a request that is cut because the read timeout passed while the process was
+// paused, although its bytes came meanwhile.
+func TestReadTimerAfterPause(t *testing.T) {
+	tests := []struct {
+		name string
+		// steps run in order before the timer ends.
+		steps []func(timer *readTimer)
+		want  bool
+	}{
+		{"the timeout has passed", nil, false},
+		{"the late timeout has passed too", []func(*readTimer){expireOnce}, true},
+		{"the request has been read", []func(*readTimer){(*readTimer).stop}, false},
+		{"the request has been read late", []func(*readTimer){expireOnce, (*readTimer).stop}, false},
+		{"another request is read", []func(*readTimer){expireOnce, restart}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			timer := &readTimer{}
+			timer.start(time.Hour, func() {})
+			defer timer.stop()
+			for _, step := range tt.steps {
+				step(timer)
+			}
+			assert.Equal(t, timer.expire(), tt.want)
+		})
+	}
+}
+
+// expireOnce ends the timer, as a step.
+func expireOnce(timer *readTimer) {
+	timer.expire()
+}
+
+// restart starts the timer for a new request, as a step.
+func restart(timer *readTimer) {
+	timer.restart(time.Hour)
+}
--- a/internal/serve/caller/guard.go
+++ b/internal/serve/caller/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,7 +27,7 @@
 	metrics *metric.Set
 	limit   int64
 	// readTimeout bounds the time from the first byte of a request, or from the opening of the connection for its first
-	// request, to the last byte.
+	// request, to the last byte, together with port.LateTimeout.
 	readTimeout time.Duration
 	open        atomic.Int64
 }
@@ -36,7 +37,12 @@
 
 // readTimer closes one connection when a request on it has not been read in time.
 type readTimer struct {
+	mu    sync.Mutex
 	timer *time.Timer
+	// reading reports whether the timer runs.
+	reading bool
+	// late reports whether the read timeout has passed and the timer runs for port.LateTimeout.
+	late bool
 }
 
 // options returns the server options that the guard needs.
@@ -54,12 +60,15 @@
 		accepted.Disconnect()
 		return ctx
 	}
-	t := &readTimer{timer: time.AfterFunc(g.readTimeout, func() {
-		g.metrics.Add(counterReadTimeout, 1)
-		accepted.Disconnect()
-	})}
+	t := &readTimer{}
+	t.start(g.readTimeout, func() {
+		if t.expire() {
+			g.metrics.Add(counterReadTimeout, 1)
+			accepted.Disconnect()
+		}
+	})
 	accepted.OnClose(func() {
-		t.timer.Stop()
+		t.stop()
 		g.open.Add(-1)
 	})
 	return context.WithValue(ctx, readTimerKey{}, t)
@@ -68,7 +77,7 @@
 // Start restarts the read timer. Hertz calls it, as a tracer, at the first bytes of a request.
 func (g *guard) Start(ctx context.Context, _ *app.RequestContext) context.Context {
 	if t, ok := ctx.Value(readTimerKey{}).(*readTimer); ok {
-		t.timer.Reset(g.readTimeout)
+		t.restart(g.readTimeout)
 	}
 	return ctx
 }
@@ -77,7 +86,7 @@
 // read.
 func (g *guard) stopReadTimer(ctx context.Context) {
 	if t, ok := ctx.Value(readTimerKey{}).(*readTimer); ok {
-		t.timer.Stop()
+		t.stop()
 	}
 }
 
@@ -86,3 +95,40 @@
 func (g *guard) Finish(ctx context.Context, _ *app.RequestContext) {
 	g.stopReadTimer(ctx)
 }
+
+// start starts the timer, which calls expired when it ends.
+func (t *readTimer) start(timeout time.Duration, expired func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reading = true
+	t.timer = time.AfterFunc(timeout, expired)
+}
+
+// restart starts the timer for a new request.
+func (t *readTimer) restart(timeout time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reading, t.late = true, false
+	t.timer.Reset(timeout)
+}
+
+// stop stops the timer.
+func (t *readTimer) stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reading = false
+	t.timer.Stop()
+}
+
+// expire is called when the timer ends. It reports whether the request is too late; the first time, it runs the timer
+// once more.
+func (t *readTimer) expire() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.reading || t.late {
+		return t.reading
+	}
+	t.late = true
+	t.timer.Reset(port.LateTimeout)
+	return false
+}
--- a/internal/serve/port/conn.go
+++ b/internal/serve/port/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"os"
@@ -13,8 +14,13 @@
 	"golang.org/x/sys/unix"
 )
 
-// maxDiscards is how many reads discardInput makes at most.
-const maxDiscards = 64
+const (
+	// LateTimeout is how long a connection may go on after its timeout. A timeout that passes while the process is
+	// paused expires as soon as the process goes on, before it takes up what the other side did meanwhile.
+	LateTimeout = time.Second
+	// maxDiscards is how many reads discardInput makes at most.
+	maxDiscards = 64
+)
 
 // Timeouts bound how long a connection may wait for its other side. Zero means no bound.
 type Timeouts struct {
@@ -22,7 +28,7 @@
 	Idle time.Duration
 	// Read bounds the wait for each further byte of the first request. Hertz sets it for the later ones.
 	Read time.Duration
-	// Write bounds each write.
+	// Write bounds each write, together with LateTimeout.
 	Write time.Duration
 }
 
@@ -77,7 +83,7 @@
 	return c.ctx
 }
 
-// newConn returns a connection and starts to watch it.
+// newConn returns a connection. The caller starts its watch.
 func newConn(tcp *net.TCPConn, l *Listener) (*Conn, error) {
 	raw, err := tcp.SyscallConn()
 	if err != nil {
@@ -97,7 +103,6 @@
 	c.readTimeout.Store(int64(l.timeouts.Idle))
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.ctx = context.WithValue(c.ctx, connKey{}, c)
-	go c.watch()
 	return c, nil
 }
 
@@ -151,7 +156,8 @@
 	return n, err
 }
 
-// await waits for input or the end of the connection, and returns false if neither came within the read timeout.
+// await waits for input or the end of the connection, and returns false if neither came within the read timeout. The
+// watch may not have noticed yet what came while the process was paused.
 func (c *Conn) await() bool {
 	select {
 	case <-c.readable:
@@ -166,8 +172,22 @@
 	case <-c.readable:
 		return true
 	case <-c.timer.C:
+	}
+	if !c.inputWaits() {
 		return false
 	}
+	<-c.readable
+	return true
+}
+
+// inputWaits reports whether input or the end of the input waits in the socket.
+func (c *Conn) inputWaits() bool {
+	var first [1]byte
+	var err error
+	controlErr := c.raw.Control(func(fd uintptr) {
+		_, _, err = unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return controlErr == nil && err == nil
 }
 
 // SetReadDeadline bounds the wait of each further Read by the time until t. It does not change that of a Read under
@@ -189,12 +209,24 @@
 	return c.SetWriteDeadline(t)
 }
 
-// Write writes b within the write timeout. Hertz's standard transport sets no write deadline itself.
+// Write writes b within the write timeout and LateTimeout. Hertz's standard transport sets no write deadline itself.
 func (c *Conn) Write(b []byte) (int, error) {
-	if c.timeouts.Write > 0 {
-		if err := c.SetWriteDeadline(time.Now().Add(c.timeouts.Write)); err != nil {
-			return 0, err
-		}
+	if c.timeouts.Write <= 0 {
+		return c.Conn.Write(b)
+	}
+	n, err := c.writeWithin(c.timeouts.Write, b)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		var late int
+		late, err = c.writeWithin(LateTimeout, b[n:])
+		n += late
+	}
+	return n, err
+}
+
+// writeWithin writes b within the timeout.
+func (c *Conn) writeWithin(timeout time.Duration, b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+		return 0, err
 	}
 	return c.Conn.Write(b)
 }
--- a/internal/serve/port/conn_test.go
+++ b/internal/serve/port/conn_test.go
@@ -17,21 +17,29 @@
 
 // pair returns both ends of a connection that a listener with these timeouts has accepted.
 func pair(t *testing.T, timeouts Timeouts) (accepted *Conn, caller *net.TCPConn) {
+	t.Helper()
+	accepted, caller, watch := unwatchedPair(t, timeouts)
+	watch()
+	return accepted, caller
+}
+
+// unwatchedPair is like pair, but the connection is watched only from the call of watch on.
+func unwatchedPair(t *testing.T, timeouts Timeouts) (accepted *Conn, caller *net.TCPConn, watch func()) {
 	t.Helper()
 	l, err := Listen("127.0.0.1:0", timeouts)
 	assert.NilError(t, err)
 	dialed, err := net.Dial("tcp", l.Addr().String())
 	assert.NilError(t, err)
-	conn, err := l.Accept()
+	accepted, err = l.acceptUnwatched()
 	assert.NilError(t, err)
 	assert.NilError(t, l.Close())
-	accepted, caller = conn.(*Conn), dialed.(*net.TCPConn)
+	caller = dialed.(*net.TCPConn)
 	t.Cleanup(func() {
 		assert.NilError(t, accepted.Close())
 		_ = caller.Close()
 		l.AwaitConns(waitTimeout)
 	})
-	return accepted, caller
+	return accepted, caller, func() { go accepted.watch() }
 }
 
 // TestContextEndsWithConnection guards against requests that go on for callers that have left: nobody reads from the
@@ -120,6 +128,60 @@
 	}
 }
 
+// TestReadAfterPause guards against a request that is cut because its timeout passed while the process was paused,
+// although its bytes came meanwhile.
+func TestReadAfterPause(t *testing.T) {
+	tests := []struct {
+		name string
+		// act is what the caller does before the timeout.
+		act     func(caller *net.TCPConn) error
+		want    string
+		wantErr error
+	}{
+		{"input has come", func(caller *net.TCPConn) error {
+			_, err := io.WriteString(caller, "request")
+			return err
+		}, "request", nil},
+		{"the caller has closed", (*net.TCPConn).Close, "", io.EOF},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			accepted, caller, watch := unwatchedPair(t, Timeouts{Idle: time.Millisecond})
+			assert.NilError(t, tt.act(caller))
+			for !accepted.inputWaits() {
+				time.Sleep(time.Millisecond)
+			}
+			time.AfterFunc(50*time.Millisecond, watch)
+			b := make([]byte, 100)
+			n, err := accepted.Read(b)
+			assert.Equal(t, err, tt.wantErr)
+			assert.Equal(t, string(b[:n]), tt.want)
+			if tt.wantErr != nil {
+				return
+			}
+			assert.NilError(t, accepted.SetReadDeadline(time.Now().Add(time.Millisecond)))
+			_, err = accepted.Read(b)
+			assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+		})
+	}
+}
+
+// TestWriteAfterPause guards against a response that is cut because its timeout passed while the process was paused,
+// although the caller has made room meanwhile.
+func TestWriteAfterPause(t *testing.T) {
+	accepted, caller := pair(t, Timeouts{Write: 20 * time.Millisecond})
+	response := make([]byte, 32<<20)
+	received := make(chan int64, 1)
+	time.AfterFunc(100*time.Millisecond, func() {
+		n, _ := io.CopyN(io.Discard, caller, int64(len(response)))
+		received <- n
+	})
+	n, err := accepted.Write(response)
+	assert.NilError(t, err)
+	assert.Equal(t, n, len(response))
+	assert.Equal(t, <-received, int64(len(response)))
+}
+
 // TestWriteTimeout guards against a caller that does not read its response and holds the connection for ever.
 func TestWriteTimeout(t *testing.T) {
 	accepted, _ := pair(t, Timeouts{Write: 20 * time.Millisecond})
--- a/internal/serve/port/listener.go
+++ b/internal/serve/port/listener.go
@@ -32,6 +32,16 @@
 
 // Accept returns the next connection, a *Conn. It returns an error only after Close; hertz stops serving at any error.
 func (l *Listener) Accept() (net.Conn, error) {
+	conn, err := l.acceptUnwatched()
+	if err != nil {
+		return nil, err
+	}
+	go conn.watch()
+	return conn, nil
+}
+
+// acceptUnwatched returns the next connection without starting its watch.
+func (l *Listener) acceptUnwatched() (*Conn, error) {
 	for {
 		tcp, err := l.tcp.AcceptTCP()
 		if errors.Is(err, net.ErrClosed) {
--- a/internal/standin/proc/freeze_test.go
+++ b/internal/standin/proc/freeze_test.go
@@ -1,8 +1,12 @@
 package proc
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -84,6 +88,54 @@
 	assert.Equal(t, thawed.GetStatus("/ready"), http.StatusOK)
 }
 
+// TestQueriesDuringLongFreezeAreAnswered guards against queries that are cut because a timeout of their connection passed
+// while the entry VM was frozen, although their bytes came meanwhile.
+func TestQueriesDuringLongFreezeAreAnswered(t *testing.T) {
+	// longFreezeTime is longer than an entry VM's read timeout.
+	const longFreezeTime = 11 * time.Second
+	tests := []struct {
+		name string
+		// before is how many bytes of the query are sent before the freeze.
+		before int
+	}{
+		{"a new connection", 0},
+		{"a part of the headers is read", 10},
+		{"all but the last byte is read", -1},
+	}
+	d := Start(t, Settings{Example: example.AlWadi, EntryVMs: 1})
+	thawed := d.Nodes[0]
+	var conns []net.Conn
+	var rests []string
+	for _, tt := range tests {
+		conn, err := net.Dial("tcp", string(thawed.Caller))
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+		body := `{"id": "q", "search": "order-track", "rank": "fitter", "timeout": 20000, "body": ""}`
+		query := "POST /query HTTP/1.1\r\nHost: x\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+		before := (tt.before + len(query)) % len(query)
+		_, err = io.WriteString(conn, query[:before])
+		assert.NilError(t, err)
+		conns, rests = append(conns, conn), append(rests, query[before:])
+	}
+	time.Sleep(200 * time.Millisecond)
+	thawed.Freeze()
+	for i, rest := range rests {
+		_, err := io.WriteString(conns[i], rest)
+		assert.NilError(t, err)
+	}
+	time.Sleep(longFreezeTime)
+	thawed.Thaw()
+	for i, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			assert.NilError(t, conns[i].SetReadDeadline(time.Now().Add(balancedTimeout)))
+			resp, err := http.ReadResponse(bufio.NewReader(conns[i]), nil)
+			assert.NilError(t, err)
+			assert.NilError(t, resp.Body.Close())
+			assert.Equal(t, resp.StatusCode, http.StatusOK)
+		})
+	}
+}
+
 // sendQueries sends queries to one entry VM and waits for the responses.
 func sendQueries(n *Node, run string) load.Row {
 	return load.Run(context.Background(), load.Settings{
