Bound the encoding of a body's chunks

An endpoint that sends chunks of three bytes without end held its caller until the deadline.

Cause: a body ended at 16 MB with the encoding of its chunks, whatever its size without it. That is two million tiny chunks, whose decoding costs a small VM far more processor time than 16 MB do.

Fix: the encoding may take 256 KB more than the body, counted as the body is read. Chunks of 256 bytes still reach the limit of 8 MB.

--- a/internal/link/leaf/reader.go
+++ b/internal/link/leaf/reader.go
@@ -13,8 +13,9 @@
 	MaxHeadBytes = 64 << 10
 	// MaxBodyBytes is the size of the largest body of a reply that is read, in bytes, without the encoding of chunks.
 	MaxBodyBytes = 8 << 20
-	// maxEncodedBodyBytes bounds a body with the encoding of its chunks.
-	maxEncodedBodyBytes = 2 * MaxBodyBytes
+	// MaxChunkOverhead is how many bytes the encoding of a body's chunks may take. It bounds the work for a body of tiny
+	// chunks.
+	MaxChunkOverhead = 256 << 10
 	// readBufferSize is the size of a connection's read buffer in bytes. It holds a typical reply.
 	readBufferSize = 4096
 )
@@ -27,6 +28,8 @@
 type Reader struct {
 	*bufio.Reader
 	source *boundedSource
+	// bodyStart is the offset in the connection at which the body begins.
+	bodyStart int64
 }
 
 // NewReader returns a reader of the source, in which a head is expected first.
@@ -44,7 +47,18 @@
 
 // BeginBody starts the bound on the size of a body, after its head was read.
 func (r *Reader) BeginBody() {
-	r.source.left = maxEncodedBodyBytes
+	r.source.left = MaxBodyBytes + MaxChunkOverhead
+	r.bodyStart = r.offset()
+}
+
+// BodyBytes returns how many bytes of the connection the body has taken so far, with the encoding of its chunks.
+func (r *Reader) BodyBytes() int64 {
+	return r.offset() - r.bodyStart
+}
+
+// offset returns how many bytes of the connection have been taken from the reader.
+func (r *Reader) offset() int64 {
+	return r.source.total - int64(r.Buffered())
 }
 
 // Err returns the error that ended the reads from the connection, or nil if there is none. Parsers may replace it by
@@ -58,7 +72,9 @@
 type boundedSource struct {
 	source io.Reader
 	left   int64
-	err    error
+	// total is the number of bytes read so far.
+	total int64
+	err   error
 }
 
 func (s *boundedSource) Read(p []byte) (n int, err error) {
@@ -71,5 +87,6 @@
 	}
 	n, s.err = s.source.Read(p[:min(int64(len(p)), s.left)])
 	s.left -= int64(n)
+	s.total += int64(n)
 	return n, s.err
 }
--- a/internal/platform/leaf/leaf.go
+++ b/internal/platform/leaf/leaf.go
@@ -108,7 +108,7 @@
 		return leaf.Reply{}, errors.Wrap(readError(r, err), "header")
 	}
 	r.BeginBody()
-	body, err := readBody(resp, method)
+	body, err := readBody(r, resp, method)
 	if err != nil {
 		return leaf.Reply{}, errors.Wrap(readError(r, err), "body")
 	}
@@ -146,7 +146,7 @@
 
 // readBody reads the complete body of a reply to a request with the given method. It leaves the body open, since
 // closing one that failed would read on to its end.
-func readBody(resp *http.Response, method string) ([]byte, error) {
+func readBody(r *leaf.Reader, resp *http.Response, method string) ([]byte, error) {
 	switch n := resp.ContentLength; {
 	case method == http.MethodHead:
 		// The length is that of the body that a GET would return.
@@ -158,13 +158,30 @@
 		_, err := io.ReadFull(resp.Body, body)
 		return body, err
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, leaf.MaxBodyBytes+1))
+	body, err := io.ReadAll(io.LimitReader(&chunkedBody{reader: r, body: resp.Body}, leaf.MaxBodyBytes+1))
 	if err == nil && len(body) > leaf.MaxBodyBytes {
 		return nil, leaf.ErrOversized
 	}
 	return body, err
 }
 
+// chunkedBody reads a body and bounds the overhead of its chunks.
+type chunkedBody struct {
+	reader *leaf.Reader
+	body   io.Reader
+	// n is the number of bytes read without the encoding of the chunks.
+	n int64
+}
+
+func (c *chunkedBody) Read(p []byte) (int, error) {
+	n, err := c.body.Read(p)
+	c.n += int64(n)
+	if c.reader.BodyBytes()-c.n > leaf.MaxChunkOverhead {
+		return n, leaf.ErrOversized
+	}
+	return n, err
+}
+
 // readError returns why a reply could not be read: the failure of the connection if there is one, and otherwise err. It
 // keeps only the beginning of a long text.
 func readError(r *leaf.Reader, err error) error {
