Hedge attempts before latencies are known

What callers saw: a VM of serve refused up to 66 of its 75 queries at once with code 208 for 20 s, their timeout.

The test now prints its counts when it fails.

Cause: counters of failed runs, on the VM that refused: one or two queries answered, eight ended at their timeout of 20 s, 65 refused, no hedge. The hedge delay is a quantile of the latencies and there was none before 50 samples. On a busy machine the first queries come in a burst, eight of them, as many as may run at once, reach the endpoint that hangs, and no sample is added any more. The gate then rightly refuses what would wait longer than its deadline.

Fix: before latencies are known, attempts are hedged after 500 ms. The budget and the bound on pending shards hold as before. The row of TestReserveHedgeAfter that asked for no delay said that there is nothing to take a quantile of; it now asks for the initial delay, exactly.

--- a/internal/policy/health/tracker.go
+++ b/internal/policy/health/tracker.go
@@ -19,6 +19,9 @@
 	// restartQuantile is the quantile that is used as the expected duration of a whole query when it may be
 	// restarted.
 	restartQuantile = 0.99
+	// initialHedgeDelay is the hedge delay while there are too few samples for a quantile. Without one, attempts at an
+	// endpoint that never replies would hold all queries that may run at once until their deadlines.
+	initialHedgeDelay = 500 * time.Millisecond
 	// deadlineFailureRatio is the ratio of an attempt's duration to the hedge delay above which a missed deadline
 	// counts as the endpoint's failure. Below it, the caller's deadline was too short.
 	deadlineFailureRatio = 2
@@ -54,7 +57,7 @@
 
 // Reservation holds the extra attempts reserved for one query and the times that decide when they are sent.
 type Reservation struct {
-	// HedgeAfter is the age at which an attempt is hedged; 0 means that there are too few samples.
+	// HedgeAfter is the age at which an attempt is hedged.
 	HedgeAfter time.Duration
 	// Allowance is the number of hedges and retries that are reserved for the query.
 	Allowance int
@@ -159,11 +162,19 @@
 	s := t.search(search)
 	s.latencies.decay(now)
 	reservation := Reservation{Allowance: s.budget.reserve(shards, s.latencies.isSlow())}
-	reservation.HedgeAfter, _ = s.latencies.quantile(hedgeQuantile)
+	reservation.HedgeAfter = s.hedgeDelay()
 	reservation.ExpectedDuration, _ = s.latencies.quantile(restartQuantile)
 	return reservation
 }
 
+// hedgeDelay returns the age at which an attempt of the search is hedged.
+func (s *searchState) hedgeDelay() time.Duration {
+	if after, ok := s.latencies.quantile(hedgeQuantile); ok {
+		return after
+	}
+	return initialHedgeDelay
+}
+
 // Refund puts back the n extra attempts that a query has reserved with Reserve and not used, when the query has ended.
 func (t *Tracker) Refund(search unit.SearchName, n int) {
 	t.search(search).budget.refund(n)
--- a/internal/policy/health/tracker_test.go
+++ b/internal/policy/health/tracker_test.go
@@ -188,14 +188,14 @@
 }
 
 // TestReserveHedgeAfter checks that the hedge delay is a high quantile of the latencies, so that only a few attempts
-// are hedged.
+// are hedged, and that there is one before latencies are known: without it an endpoint that hangs blocks a new VM.
 func TestReserveHedgeAfter(t *testing.T) {
 	tests := []struct {
 		name  string
 		slow  int
 		after time.Duration
 	}{
-		{"too little is known", -1, 0},
+		{"too little is known", -1, initialHedgeDelay},
 		{"all equally fast", 0, 5 * ms},
 		{"a few slow ones are hedged", 2, 5 * ms},
 		{"many slow ones raise the delay", 50, 100 * ms},
--- a/internal/standin/proc/answer_test.go
+++ b/internal/standin/proc/answer_test.go
@@ -289,5 +289,5 @@
 		Run:            "faults",
 	})
 	assert.Equal(t, rows[0].Invalid, int64(0))
-	assert.Equal(t, rows[0].Whole+rows[0].Partial, rows[0].Sent)
+	assert.Equal(t, rows[0].Whole+rows[0].Partial, rows[0].Sent, "%+v", rows[0])
 }
