Answer no search without a part

What callers would see: 200 with an empty body and all shards missing, on a route whose table has no min_success_share, when no endpoint had replied at the partial deadline, or when the VM stopped.

Cause: the required number of shards was the share of them rounded up, so none for a share of 0. That is meant for the portions that other VMs serve, which return what they have.

Fix: what a caller's request requires covers at least one shard. Portions are as before.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -217,7 +217,7 @@
 		Deadline:         timing.Deadline(q.Arrived),
 	}
 	if route.Gathers() {
-		params.MinShare = route.MinShare
+		params.MinShare = gather.RequiredShare(route.MinShare, shards)
 		params.PartialDeadline = timing.PartialDeadline(caller, d.finishLag.UpperEstimate())
 	}
 	return params
--- a/internal/policy/gather/machine.go
+++ b/internal/policy/gather/machine.go
@@ -353,6 +353,12 @@
 	return MinShards(m.Params.MinShare, len(m.shards))
 }
 
+// RequiredShare returns the smallest share of the shards for an answer to a caller. It covers at least one shard, also on
+// a route that requires none: an answer without any would look like a success.
+func RequiredShare(share unit.Share, shards int) unit.Share {
+	return max(share, 1/unit.Share(max(shards, 1)))
+}
+
 // MinShards returns the share of the shards as a number of shards, rounded up.
 func MinShards(share unit.Share, shards int) int {
 	// The share is a decimal fraction: without the tolerance, 0.89 of 100 could come out as 90.
