Wait for a full pipe before looking for a blocked writer

TestFullPipeBlocksNoThread failed once beside other work, in its first row: no goroutine was found in a system call. Its first dump could come before the writer had filled the pipe, and a goroutine counts only if it is in each of five dumps.

--- a/internal/cmd/stream/pipe_test.go
+++ b/internal/cmd/stream/pipe_test.go
@@ -6,7 +6,9 @@
 	"os"
 	"syscall"
 	"testing"
+	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"basilspan/internal/standin/blocked"
@@ -36,6 +38,7 @@
 				_ = f.Close()
 				wrote <- err
 			}()
+			awaitFull(t, fds[0])
 			assert.Equal(t, len(blocked.InSystemCall()), tt.blocked)
 			got, err := io.ReadAll(r)
 			assert.NilError(t, err)
@@ -46,6 +49,21 @@
 	}
 }
 
+// awaitFull waits until the pipe with this read end holds as many bytes as it can, so that its writer has to wait.
+func awaitFull(t *testing.T, fd int) {
+	t.Helper()
+	size, err := unix.FcntlInt(uintptr(fd), unix.F_GETPIPE_SZ, 0)
+	assert.NilError(t, err)
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		n, err := unix.IoctlGetInt(fd, unix.TIOCINQ)
+		assert.NilError(t, err)
+		if n == size {
+			return
+		}
+		assert.Assert(t, time.Now().Before(end), "%d of %d bytes in the pipe", n, size)
+	}
+}
+
 // TestPolledKeepsOthers checks that a writer that is no pipe is returned as it is.
 func TestPolledKeepsOthers(t *testing.T) {
 	regular, err := os.CreateTemp(t.TempDir(), "out")
