Run single restores of the registry with real processes

Cause: the soak's restores among other faults did not show the fault they are for. Change: before a restore the endpoints publish once more, so that its revisions are given out again, and every second restore has a new table and the endpoints published while the registry is still away. TestRestore plays single restores, with a VM that is frozen or starts meanwhile, and leaves the time after them that it takes to miss a change.

--- a/internal/standin/soak/deployment.go
+++ b/internal/standin/soak/deployment.go
@@ -34,6 +34,8 @@
 	movedServiceCount = 8
 	// hostName is the host of all routes.
 	hostName = "soak"
+	// tableKey is the registry key of the routing table.
+	tableKey = "op/config"
 )
 
 // defaultBounds are the bounds that the runs are checked against. The times are those of the platform's smallest
@@ -142,8 +144,8 @@
 	}
 }
 
-// publish writes a value to the registry, and unpublish deletes one. publishAgain repeats the last of each key, since a
-// restore of the registry may have taken it back.
+// publish writes a value to the registry, and unpublish deletes one. publishAgain repeats the last of each key, the table
+// last, since a restore of the registry may have taken it back.
 func (dep *deployment) publish(key, value string) {
 	dep.publishMu.Lock()
 	defer dep.publishMu.Unlock()
@@ -159,16 +161,22 @@
 }
 
 func (dep *deployment) publishAgain() {
+	dep.publishEndpointsAgain()
+	dep.publishMu.Lock()
+	defer dep.publishMu.Unlock()
+	dep.store.Put(tableKey, dep.published[tableKey])
+}
+
+func (dep *deployment) publishEndpointsAgain() {
 	dep.publishMu.Lock()
 	defer dep.publishMu.Unlock()
 	for _, e := range dep.endpoints {
-		if _, ok := dep.published[e.Key()]; !ok {
+		if value, ok := dep.published[e.Key()]; ok {
+			dep.store.Put(e.Key(), value)
+		} else {
 			dep.store.Delete(e.Key())
 		}
 	}
-	for key, value := range dep.published {
-		dep.store.Put(key, value)
-	}
 }
 
 // register writes the registration of an endpoint, with its relay's address and the given state.
@@ -201,7 +209,7 @@
 			Version: v, Published: time.Now(), Shards: tableShards(v), MovedService: movedService(v),
 		})
 	})
-	dep.publish("op/config", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[],"limits":{}}`, v,
+	dep.publish(tableKey, fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[],"limits":{}}`, v,
 		strings.Join(routes, ",")))
 }
 
--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -58,7 +58,7 @@
 	case KindCompact:
 		dep.store.Compact()
 	case KindRestore:
-		return dep.restoreRegistry(f.For)
+		return dep.restoreRegistry(f)
 	case KindRegistryLink:
 		return dep.disruptLink(v.registryLink, f, dep.recordVMFault(v.number))
 	case KindPeerLink:
@@ -134,19 +134,28 @@
 	}
 }
 
-// restoreRegistry copies the registry. The returned function waits for age, lets the registry come back from the copy,
-// and publishes again what it has lost.
-func (dep *deployment) restoreRegistry(age time.Duration) func() {
+// restoreRegistry copies the registry. The returned function waits for the fault's duration, lets the registry come back
+// from the copy, and publishes again what it has lost: half a second later or, as the fault's variant selects, before
+// the entry VMs can read it, behind a new table.
+func (dep *deployment) restoreRegistry(f Fault) func() {
 	copied := dep.store.Copy()
+	// Without changes after the copy, no revision would be given out twice.
+	dep.publishAgain()
 	return func() {
-		time.Sleep(age)
+		time.Sleep(f.For)
 		ended := dep.recordSpan(func(h *History, s Span) { h.GlobalFaults = append(h.GlobalFaults, s) })
 		dep.store.SetFault(registry.Fault503)
 		time.Sleep(restoreDelay)
 		dep.store.Restore(copied)
-		dep.store.SetFault(registry.FaultNone)
-		time.Sleep(restoreDelay)
-		dep.publishAgain()
+		if f.Variant%2 == 0 {
+			dep.publishTable()
+			dep.publishEndpointsAgain()
+			dep.store.SetFault(registry.FaultNone)
+		} else {
+			dep.store.SetFault(registry.FaultNone)
+			time.Sleep(restoreDelay)
+			dep.publishAgain()
+		}
 		ended()
 	}
 }
--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -133,6 +133,7 @@
 	}
 	return []Fault{{
 		At: drawDuration(r, 0, length), For: drawDuration(r, minDuration, maxDuration), Kind: KindRestore,
+		Variant: r.IntN(1 << 16),
 	}}
 }
 
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -68,6 +68,38 @@
 	}
 }
 
+// TestRestore runs single restores of the registry, with the time after them that it takes to miss a change.
+func TestRestore(t *testing.T) {
+	tests := []struct {
+		name string
+		plan []Fault
+	}{
+		{"a table is published before the VMs read again", []Fault{{At: time.Second, For: time.Second, Kind: KindRestore}}},
+		{
+			"what was lost is published again after the VMs have read",
+			[]Fault{{At: time.Second, For: time.Second, Kind: KindRestore, Variant: 1}},
+		},
+		{
+			"a VM is frozen meanwhile", []Fault{
+				{At: time.Second, For: time.Second, Kind: KindRestore},
+				{At: 1500 * time.Millisecond, For: 2 * time.Second, Kind: KindFreeze, Target: 1},
+			},
+		},
+		{
+			"a VM starts meanwhile", []Fault{
+				{At: time.Second, For: time.Second, Kind: KindRestore, Variant: 1},
+				{At: 1900 * time.Millisecond, Kind: KindKill, Target: 1},
+			},
+		},
+	}
+	for n, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			runSeed(t, uint64(n), tt.plan)
+		})
+	}
+}
+
 // runSeed injects the faults of one seed and checks the history of the run.
 func runSeed(t *testing.T, seed uint64, plan []Fault) {
 	dep := newDeployment(t, *vms)
