Reject registrations with a start time that none can have

A start time that is negative, fractional or too large was limited to its range, like a sequence before; such an entry is not one of an endpoint, and a start time at the end of the range would win over each real one of its ID. It is now rejected like the other numbers, and the sequence needs no limit. Three new rows of TestDecodeEndpoint; they failed before.

--- a/internal/platform/store/decode.go
+++ b/internal/platform/store/decode.go
@@ -30,8 +30,6 @@
 	maxSlots = 1 << 20
 	// maxColdTime is the longest time for which an endpoint may stay slow after its start.
 	maxColdTime = 24 * time.Hour
-	// maxExactNumber is the largest number up to which a float64 holds each whole number.
-	maxExactNumber = 1 << 53
 	// maxTime is the longest time of a table.
 	maxTime = 24 * time.Hour
 	// maxWeight is the largest weight of a service in a traffic split.
@@ -78,7 +76,7 @@
 		Centre:   unit.CentreName(*w.Zone),
 		Slots:    unit.Slots(*w.Slots),
 		Born:     w.born(),
-		Sequence: unit.Sequence(clampCount(*w.Sequence)),
+		Sequence: unit.Sequence(*w.Sequence),
 		Leaving:  *w.State == "draining",
 		WarmAt:   now.Add(time.Duration(*w.ColdRemaining * float64(time.Millisecond))),
 	}, nil
@@ -89,17 +87,12 @@
 	if w.Born == nil {
 		return time.Time{}
 	}
-	return time.UnixMilli(clampCount(*w.Born)).UTC()
+	return time.UnixMilli(int64(*w.Born)).UTC()
 }
 
 // maxCount is the largest number up to which all whole numbers can be told apart in JSON.
 const maxCount = 1 << 53
 
-// clampCount returns n as a whole number from 0 to maxCount.
-func clampCount(n float64) int64 {
-	return int64(min(max(n, 0), maxCount))
-}
-
 // EndpointID returns the endpoint's ID from the key of its registration.
 func EndpointID(key registry.Key) unit.EndpointID {
 	return unit.EndpointID(strings.TrimPrefix(string(key), string(PrefixEndpoints)))
@@ -127,19 +120,21 @@
 // hold has a result that depends on the architecture.
 func (w wireEndpoint) validateNumbers() error {
 	switch {
-	case !isWhole(*w.Slots) || *w.Slots < 1 || *w.Slots > maxSlots:
+	case !isCount(*w.Slots) || *w.Slots < 1 || *w.Slots > maxSlots:
 		return errors.Newf("slots are %g", *w.Slots)
 	case *w.ColdRemaining < 0 || *w.ColdRemaining > float64(maxColdTime.Milliseconds()):
 		return errors.Newf("cold_remaining_ms is %g", *w.ColdRemaining)
-	case !isWhole(*w.Sequence) || *w.Sequence < 0 || *w.Sequence > maxExactNumber:
+	case !isCount(*w.Sequence):
 		return errors.Newf("sequence is %g", *w.Sequence)
+	case w.Born != nil && !isCount(*w.Born):
+		return errors.Newf("born is %g", *w.Born)
 	}
 	return nil
 }
 
-// isWhole reports whether a number has no fraction.
-func isWhole(n float64) bool {
-	return n == math.Trunc(n)
+// isCount reports whether a number is a whole one from 0 to maxCount.
+func isCount(n float64) bool {
+	return n >= 0 && n <= maxCount && n == math.Trunc(n)
 }
 
 // validateAddress returns an error for an address at which no endpoint can listen. A connection to the unspecified
