Wait in TestLateUnexpectedData until the pool has seen the late data

It was wrong: between the server's write and the pool's read, the next call may be sent on the old connection, and the late data then ends it as lost, as TestReplies demands ("data that is not a reply").

--- a/internal/link/leaf/leaf_test.go
+++ b/internal/link/leaf/leaf_test.go
@@ -244,8 +244,14 @@
 			sent := make(chan struct{})
 			go serveLate(listener, tt.late, sent)
 			p := newPool(t)
+			var counts countedNames
+			p.Count = counts.add
 			assert.Equal(t, string(call(t, p, s, "r0", 1).Reply.Body), "a")
 			<-sent
+			// Until the pool has seen the data, the next call may use the connection and be lost.
+			for counts.count("leaf.closed.surplus")+counts.count("leaf.closed.last") == 0 {
+				time.Sleep(time.Millisecond)
+			}
 			assert.Equal(t, string(call(t, p, s, "r1", 1).Reply.Body), "a")
 		})
 	}
