Space the reads of a registry that keeps answering 410

The follower listed anew at once after each ErrCompacted, and a listing that succeeded counted as the end of the trouble. Now only the first 410 since the last successful watch does that. Any further one is a failed read: it is posted, a peer is asked, the delay doubles whatever the listings in between, and the next read of the registry is a listing again, also if a peer had values. The first 410 after a restore is handled as fast as before.

--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -166,6 +166,8 @@
 	directUntil time.Time
 	// failures is the number of failed reads in a row.
 	failures int
+	// compactions is the number of reads since the last successful watch that ended with ErrCompacted.
+	compactions int
 }
 
 // Service returns the follower as a kernel service with that name.
@@ -173,25 +175,38 @@
 	return kernel.Background(name, f, f.run)
 }
 
-// run follows the prefix until ctx ends. After a failed read it takes a listing from a peer and backs off.
+// run follows the prefix until ctx ends. The first read that ends with ErrCompacted is followed by a listing at once; any
+// other one counts as failed.
 func (f *Follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		began, err := f.followThenRead(ctx)
 		switch {
 		case err == nil:
 			f.failures = 0
-		case errors.Is(err, ErrCompacted):
+		case errors.Is(err, ErrCompacted) && f.compactions == 0:
 			f.Log.Info("history compacted; listing anew", "prefix", f.Prefix)
 			f.position.Revision = 0
+			f.compactions = 1
 		case ctx.Err() == nil:
-			f.post(ctx, ReadFailed{Prefix: f.Prefix, Began: began, Err: err})
-			f.takePeerListing(ctx)
-			f.backOff(ctx)
-			f.failures++
+			f.handleFailure(ctx, began, err)
 		}
 	}
 }
 
+// handleFailure handles a failed read that began at began: it takes a listing from a peer and backs off. After
+// ErrCompacted the next read is a listing, and listings that succeed between such reads do not shorten the delay.
+func (f *Follower) handleFailure(ctx context.Context, began time.Time, err error) {
+	f.post(ctx, ReadFailed{Prefix: f.Prefix, Began: began, Err: err})
+	f.takePeerListing(ctx)
+	if errors.Is(err, ErrCompacted) {
+		f.position.Revision = 0
+		f.failures = max(f.failures, f.compactions-1)
+		f.compactions++
+	}
+	f.backOff(ctx)
+	f.failures++
+}
+
 // followThenRead follows peers for as long as the role and the peers allow it, and then reads the registry once. began
 // is when the last read of the registry began.
 func (f *Follower) followThenRead(ctx context.Context) (began time.Time, err error) {
@@ -257,6 +272,7 @@
 	if err != nil {
 		return err
 	}
+	f.compactions = 0
 	if changes.Era < f.position.Era {
 		return f.outdatedError(changes.Position)
 	}
@@ -302,7 +318,7 @@
 	for ctx.Err() == nil {
 		peerErr := f.takeUpdate(ctx)
 		if peerErr == nil {
-			failed, f.failures = 0, 0
+			failed, f.failures, f.compactions = 0, 0, 0
 			continue
 		}
 		if ctx.Err() != nil {
--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -164,6 +164,16 @@
 			"compacted history", &script{list: []string{"5+", "9+"}, watch: []string{"410"}}, RoleStandalone, 0,
 			"listed 5, watch 5, listed 9, watch 9",
 		},
+		{
+			"history compacted again before a watch succeeds",
+			&script{list: []string{"5+", "6+", "7+", "9+"}, watch: []string{"410", "410", "8+", "410"}}, RoleStandalone, 0,
+			"listed 5, watch 5, listed 6, watch 6, lost, listed 7, watch 7, changed 8, watch 8, listed 9, watch 9",
+		},
+		{
+			"history compacted again, peer has older history",
+			&script{list: []string{"5+", "6+", "8+"}, watch: []string{"410", "410"}, peers: []string{"7+"}}, RoleStandalone, 0,
+			"listed 5, watch 5, listed 6, watch 6, lost, listed 7 by a peer, listed 8, watch 8",
+		},
 		{
 			"registry outage", &script{list: []string{"5+"}, watch: []string{"", "", "7+"}}, RoleStandalone, 0,
 			"listed 5, watch 5, lost, glance 5, lost, glance 5, changed 7, watch 7",
