Take a 410 to a listing as an ordinary error

Nobody has seen it: a store that answers kv-range with 410 made the client report a compacted history, after which the follower lists again at once, although a listing asks for no history. Only kv-watch gives the status that meaning. A listing with 410 is a failed read now, with its delay. TestGoneListingIsNoCompaction failed before, row "list".

--- a/internal/platform/store/envelope_test.go
+++ b/internal/platform/store/envelope_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"basilspan/internal/core/registry"
@@ -142,3 +143,29 @@
 		})
 	}
 }
+
+// TestGoneListingIsNoCompaction guards against a follower that lists again at once because a listing got 410.
+func TestGoneListingIsNoCompaction(t *testing.T) {
+	tests := []struct {
+		name      string
+		read      func(ctx context.Context, c *Client) error
+		compacted bool
+	}{
+		{"list", func(ctx context.Context, c *Client) error {
+			_, err := c.List(ctx, PrefixEndpoints)
+			return err
+		}, false},
+		{"watch", func(ctx context.Context, c *Client) error {
+			_, err := c.Watch(ctx, PrefixEndpoints, 1, time.Second)
+			return err
+		}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newScriptedStore(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusGone) })
+			err := tt.read(t.Context(), c)
+			assert.Assert(t, err != nil)
+			assert.Equal(t, errors.Is(err, registry.ErrCompacted), tt.compacted)
+		})
+	}
+}
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -32,6 +32,9 @@
 	// keepAliveInterval and keepAliveProbes detect a dead connection between two responses.
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 2
+	// pathRange and pathWatch are the paths of the reads.
+	pathRange = "/api/kv-range"
+	pathWatch = "/api/kv-watch"
 	// headerEra is the header field with the registry's era. A store that was never restored may omit it.
 	headerEra = "Store-Era"
 )
@@ -152,7 +155,7 @@
 	defer cancel()
 	var p page
 	var err error
-	p.era, err = c.get(ctx, "/api/kv-range", query, &p)
+	p.era, err = c.get(ctx, pathRange, query, &p)
 	return p, err
 }
 
@@ -169,7 +172,7 @@
 	}
 	var w changes
 	var err error
-	if w.era, err = c.get(ctx, "/api/kv-watch", query, &w); err != nil {
+	if w.era, err = c.get(ctx, pathWatch, query, &w); err != nil {
 		return registry.Listing{}, err
 	}
 	all := registry.Listing{Position: unit.Position{Era: w.era, Revision: w.Revision}}
@@ -200,7 +203,7 @@
 }
 
 // get sends a GET request to the store, decodes the JSON response into the value that into points to and returns the
-// era of the response. It returns registry.ErrCompacted for status 410. Only ctx bounds how long it takes.
+// era of the response. It returns registry.ErrCompacted for status 410 of a watch. Only ctx bounds how long it takes.
 func (c *Client) get(ctx context.Context, path string, query url.Values, into any) (unit.Era, error) {
 	target := "http://" + string(c.address) + path + "?" + query.Encode()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
@@ -216,14 +219,14 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "read the store's response")
 	}
-	switch resp.StatusCode {
-	case http.StatusOK:
+	switch {
+	case resp.StatusCode == http.StatusOK:
 		era, err := decodeEra(resp.Header)
 		if err != nil {
 			return 0, err
 		}
 		return era, errors.Wrap(json.Unmarshal(body, into), "decode the store's response")
-	case http.StatusGone:
+	case resp.StatusCode == http.StatusGone && path == pathWatch:
 		return 0, registry.ErrCompacted
 	default:
 		return 0, errors.Newf("the store responded with status %d", resp.StatusCode)
