Leave a seed whose updates are refused

A VM logged "switching to another peer" and asked the same seed again: a seed that answers but is behind (earlier era or revision, or cut off from the registry) was refused twice, and the VM then read the registry itself for ten seconds. After that it asked the same seed again.

The refusal is the follower's, and the fleet, which chooses the seed, only moved on after a failed call or an answer without any data. Both now use the same check, Update.CheckFollows, and the fleet moves on as well if it fails or if a value cannot be decompressed. The follower still refuses on its own, since its Relay may be another function.

--- a/internal/core/fleet/listing.go
+++ b/internal/core/fleet/listing.go
@@ -83,8 +83,8 @@
 }
 
 // AwaitSeedChanges waits for the next changes that a seed learns of from the registry. Each VM follows one seed,
-// which is selected at random at first, and fails over to the next one when the seed does not respond or has no data
-// from the registry.
+// which is selected at random at first, and fails over to the next one when the seed does not respond, has no data from
+// the registry, or sends an update that does not follow on after.
 func (f *Fleet) AwaitSeedChanges(
 	ctx context.Context, prefix registry.Prefix, after unit.Position, wait time.Duration,
 ) (registry.Update, error) {
@@ -106,9 +106,15 @@
 		f.seedOffset.CompareAndSwap(offset, offset+1)
 		return registry.Update{}, errNothingNewer
 	}
-	confirmedAt := f.Now().Add(-time.Duration(w.Age) * time.Millisecond)
+	now := f.Now()
 	listing, err := w.decode()
-	return registry.Update{Listing: listing, Full: w.Full, ConfirmedAt: confirmedAt}, err
+	update := registry.Update{
+		Listing: listing, Full: w.Full, ConfirmedAt: now.Add(-time.Duration(w.Age) * time.Millisecond),
+	}
+	if err != nil || update.CheckFollows(now, after) != nil {
+		f.seedOffset.CompareAndSwap(offset, offset+1)
+	}
+	return update, err
 }
 
 // Role returns whether this VM reads the registry for itself, for others too, or relies on a seed. In a large
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -104,6 +104,20 @@
 	ConfirmedAt time.Time
 }
 
+// CheckFollows returns an error if a VM at the position after must not take the update at now: its values are older than
+// maxRelayAge or than that position, or it holds only changes although its era is another one.
+func (u Update) CheckFollows(now time.Time, after unit.Position) error {
+	age := now.Sub(u.ConfirmedAt)
+	if age > maxRelayAge || after.After(u.Position) {
+		return errors.Newf("the peer's values are out of date: era %d, revision %d, confirmed %v ago",
+			u.Era, u.Revision, age)
+	}
+	if !u.Full && u.Era != after.Era {
+		return errors.Newf("the peer's changes are of era %d, not %d", u.Era, after.Era)
+	}
+	return nil
+}
+
 // Offered is the event that a peer knows values that the registry may have lost in a restore. They have no position in
 // the registry's history any more, and count only if they show themselves that they are newer.
 type Offered struct {
@@ -347,8 +361,8 @@
 	return f.readChanges(ctx, catchUpWait)
 }
 
-// takeUpdate waits for one update from a peer and posts it. It returns an error if the peer fails, its values are older
-// than maxRelayAge or than this VM's own, or it sends only changes although its era is another one.
+// takeUpdate waits for one update from a peer and posts it. It returns an error if the peer fails or its update does not
+// follow on what this VM knows.
 func (f *Follower) takeUpdate(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, relayWait+relayResponseMargin)
 	defer cancel()
@@ -356,18 +370,14 @@
 	if err != nil {
 		return err
 	}
-	age := f.Now().Sub(update.ConfirmedAt)
-	if age > maxRelayAge || f.position.After(update.Position) {
-		return errors.Newf("the peer's values are out of date: era %d, revision %d, confirmed %v ago",
-			update.Era, update.Revision, age)
-	}
-	if !update.Full && update.Era != f.position.Era {
-		return errors.Newf("the peer's changes are of era %d, not %d", update.Era, f.position.Era)
+	now := f.Now()
+	if err := update.CheckFollows(now, f.position); err != nil {
+		return err
 	}
 	if update.Full {
 		f.post(ctx, Listed{Position: update.Position, Prefix: f.Prefix, Items: update.Items})
 	} else {
-		f.post(ctx, Changed{Position: update.Position, Prefix: f.Prefix, Items: update.Items, Age: age})
+		f.post(ctx, Changed{Position: update.Position, Prefix: f.Prefix, Items: update.Items, Age: now.Sub(update.ConfirmedAt)})
 	}
 	f.position = update.Position
 	return nil
