Send an offered routing table to VMs that follow already

A VM that starts after a restore lists the copy's table, and gets the newer one that its peers still know as an offer. VMs that had followed it before the offer kept the copy's table until the next change of the registry, which a route that was confirmed before the restore may wait for without end (CONFIG): the offer replaced the cached value at the same position, woke no waiting follower and added no history, so that nothing looked newer to them.

The cache now has an edition beside its position. It changes with each such replacement and wakes the waiting followers; followers send the edition of the last update, and one at another edition gets a full listing, once. A follower that changes its seed, or was not waiting at that moment, gets it with its next call. A follower of an older release sends no edition and is served as before, since it would read the listing again without a pause.

Weighed: followers that ask all seeds for offers after a full listing. That is a call to each seed for each VM, and misses an offer that a seed gets later.

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -81,9 +81,9 @@
 	return s.cache.listing(prefix)
 }
 
-// AwaitChanges waits until this VM knows something under a prefix that is newer than a position, or ctx ends, and
+// AwaitChanges waits until this VM knows something under a prefix that is newer than a cursor, or ctx ends, and
 // returns what is newer. Any goroutine may call it.
-func (s *State) AwaitChanges(ctx context.Context, prefix registry.Prefix, after unit.Position) registry.Update {
+func (s *State) AwaitChanges(ctx context.Context, prefix registry.Prefix, after registry.Cursor) registry.Update {
 	return s.cache.awaitChanges(ctx, prefix, after)
 }
 
@@ -153,7 +153,7 @@
 	s.applyTables(now, e.Items)
 	if s.tableVersion() != before {
 		s.Log.Info("newer routing table taken from a peer", "version", s.tableVersion(), "before", before)
-		s.cache.substitute(e.Prefix, registry.Key(s.TablePrefix), s.tableValue)
+		s.cache.substitute(now, e.Prefix, registry.Key(s.TablePrefix), s.tableValue)
 	}
 }
 
--- a/internal/core/discovery/discovery_test.go
+++ b/internal/core/discovery/discovery_test.go
@@ -135,7 +135,7 @@
 				return lines
 			}
 			assert.DeepEqual(t, relayed(s.CachedListing("table").Items), tt.want)
-			update := s.AwaitChanges(t.Context(), "table", at(9))
+			update := s.AwaitChanges(t.Context(), "table", registry.Cursor{Position: at(9)})
 			assert.Assert(t, update.Full)
 			assert.DeepEqual(t, relayed(update.Items), tt.want)
 		})
--- a/internal/core/discovery/relay_cache.go
+++ b/internal/core/discovery/relay_cache.go
@@ -31,6 +31,8 @@
 	// history holds the last changes of the era of position, oldest first, all later than historyStart.
 	history      []registry.Item
 	historyStart unit.Revision
+	// edition changes with each substitute. It is unlikely to be that of another VM.
+	edition registry.Edition
 	// changed is closed at the next change.
 	changed chan struct{}
 }
@@ -86,13 +88,16 @@
 	p.wake()
 }
 
-// substitute replaces the value of a key at the present position, for peers that do not have that position yet.
-func (c *relayCache) substitute(prefix registry.Prefix, key registry.Key, value []byte) {
+// substitute replaces the value of a key at the present position and begins a new edition, of which each peer gets a full
+// listing.
+func (c *relayCache) substitute(now time.Time, prefix registry.Prefix, key registry.Key, value []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.getOrCreate(prefix)
 	if p.items != nil {
 		p.items[key] = registry.Item{Position: p.position, Key: key, Value: value}
+		p.edition = registry.Edition(now.UnixNano())
+		p.wake()
 	}
 }
 
@@ -124,9 +129,9 @@
 	return registry.Listing{Position: p.position, Items: slices.Collect(maps.Values(p.items))}
 }
 
-// awaitChanges waits until there is something newer than a position or ctx ends, and returns what is newer, which may
+// awaitChanges waits until there is something newer than a cursor or ctx ends, and returns what is newer, which may
 // be nothing.
-func (c *relayCache) awaitChanges(ctx context.Context, prefix registry.Prefix, after unit.Position) registry.Update {
+func (c *relayCache) awaitChanges(ctx context.Context, prefix registry.Prefix, after registry.Cursor) registry.Update {
 	for {
 		update, changed := c.changesSince(prefix, after)
 		if len(update.Items) > 0 || update.Full {
@@ -141,15 +146,22 @@
 	}
 }
 
-// changesSince returns what is newer than a position now, and a channel that is closed at the next change. The update
-// is a full listing if the history does not reach back to that position.
-func (c *relayCache) changesSince(prefix registry.Prefix, after unit.Position) (registry.Update, <-chan struct{}) {
+// changesSince returns what is newer than a cursor now, and a channel that is closed at the next change. The update is a
+// full listing if the history does not reach back to its position, or if there is a newer edition.
+func (c *relayCache) changesSince(prefix registry.Prefix, after registry.Cursor) (registry.Update, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.getOrCreate(prefix)
-	update := registry.Update{Listing: registry.Listing{Position: p.position}, ConfirmedAt: p.confirmedAt}
+	update := registry.Update{
+		Listing: registry.Listing{Position: p.position}, Edition: p.edition, ConfirmedAt: p.confirmedAt,
+	}
+	substituted := p.edition != 0 && after.Edition != registry.EditionUnknown && after.Edition != p.edition
 	switch {
-	case !p.position.After(after):
+	case after.After(p.position):
+	case substituted:
+		update.Full = true
+		update.Items = slices.Collect(maps.Values(p.items))
+	case after.Position == p.position:
 	case after.Era != p.position.Era || after.Revision < p.historyStart:
 		update.Full = true
 		update.Items = slices.Collect(maps.Values(p.items))
--- a/internal/core/discovery/relay_cache_test.go
+++ b/internal/core/discovery/relay_cache_test.go
@@ -73,7 +73,7 @@
 			}
 			ctx, cancel := context.WithCancel(context.Background())
 			cancel()
-			update := cache.awaitChanges(ctx, "p/", at(tt.after))
+			update := cache.awaitChanges(ctx, "p/", registry.Cursor{Position: at(tt.after)})
 			var got []string
 			for _, i := range update.Items {
 				text := fmt.Sprint(i.Key, " ", i.Revision)
@@ -117,7 +117,7 @@
 			cache.applyChanges(start, registry.Changed{
 				Position: unit.Position{Era: 1, Revision: 7}, Prefix: "p/", Items: []registry.Item{put("p/c", 7)},
 			})
-			update, _ := cache.changesSince("p/", tt.after)
+			update, _ := cache.changesSince("p/", registry.Cursor{Position: tt.after})
 			var got []string
 			for _, i := range update.Items {
 				got = append(got, fmt.Sprint(i.Key, " ", i.Revision))
@@ -148,7 +148,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			update, _ := cache.changesSince("p/", at(tt.after))
+			update, _ := cache.changesSince("p/", registry.Cursor{Position: at(tt.after)})
 			assert.Equal(t, update.Full, tt.full)
 			assert.Equal(t, len(update.Items), tt.items)
 		})
@@ -160,7 +160,7 @@
 	cache := newRelayCache()
 	cache.replace(start, registry.Listed{Position: at(1), Prefix: "p/"})
 	got := make(chan registry.Update)
-	go func() { got <- cache.awaitChanges(context.Background(), "p/", at(1)) }()
+	go func() { got <- cache.awaitChanges(context.Background(), "p/", registry.Cursor{Position: at(1)}) }()
 	cache.applyChanges(start, registry.Changed{Position: at(2), Prefix: "p/", Items: []registry.Item{put("p/a", 2)}})
 	assert.Equal(t, len((<-got).Items), 1)
 }
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -67,7 +67,7 @@
 	KnownValues func(prefix registry.Prefix) registry.Listing
 	// AwaitChanges waits until this VM learns of values under a prefix that are newer than a position, or until ctx
 	// ends, and returns them.
-	AwaitChanges func(ctx context.Context, prefix registry.Prefix, after unit.Position) registry.Update
+	AwaitChanges func(ctx context.Context, prefix registry.Prefix, after registry.Cursor) registry.Update
 
 	loop       *kernel.Loop
 	census     *vmcount.Census
--- a/internal/core/fleet/listing.go
+++ b/internal/core/fleet/listing.go
@@ -52,14 +52,25 @@
 // Wait.
 type wireChangesQuery struct {
 	wireListingQuery
+	// Edition is that of the last response. Older releases have none.
+	Edition *registry.Edition `json:"edition,omitempty"`
 	// Wait is the longest wait in milliseconds.
 	Wait int64 `json:"wait"`
 }
 
+func (w wireChangesQuery) cursor() registry.Cursor {
+	cursor := registry.Cursor{Position: w.position(), Edition: registry.EditionUnknown}
+	if w.Edition != nil {
+		cursor.Edition = *w.Edition
+	}
+	return cursor
+}
+
 // wireChanges is the response to wireChangesQuery.
 type wireChanges struct {
 	wireListing
-	Full bool `json:"whole,omitempty"`
+	Full    bool             `json:"whole,omitempty"`
+	Edition registry.Edition `json:"edition,omitempty"`
 	// Age is the time in milliseconds since the registry last responded to the VM that sends this, -1 if it never
 	// has.
 	Age int64 `json:"age"`
@@ -71,11 +82,13 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(w.Wait)*time.Millisecond)
 	defer cancel()
 	defer context.AfterFunc(f.leaving, cancel)()
-	changes := f.AwaitChanges(ctx, registry.Prefix(w.Prefix), w.position())
+	changes := f.AwaitChanges(ctx, registry.Prefix(w.Prefix), w.cursor())
 	if f.leaving.Err() != nil {
 		return wireChanges{}, peer.RefusalError(errLeaving)
 	}
-	result := wireChanges{wireListing: f.encodeListing(changes.Listing), Full: changes.Full, Age: -1}
+	result := wireChanges{
+		wireListing: f.encodeListing(changes.Listing), Full: changes.Full, Edition: changes.Edition, Age: -1,
+	}
 	if !changes.ConfirmedAt.IsZero() {
 		result.Age = f.Now().Sub(changes.ConfirmedAt).Milliseconds()
 	}
@@ -86,7 +99,7 @@
 // which is selected at random at first, and fails over to the next one when the seed does not respond, has no data from
 // the registry, or sends an update that does not follow on after.
 func (f *Fleet) AwaitSeedChanges(
-	ctx context.Context, prefix registry.Prefix, after unit.Position, wait time.Duration,
+	ctx context.Context, prefix registry.Prefix, after registry.Cursor, wait time.Duration,
 ) (registry.Update, error) {
 	seeds := f.seeds()
 	if len(seeds) == 0 {
@@ -96,7 +109,7 @@
 	seed := seeds[int(offset)%len(seeds)]
 	var w wireChanges
 	query := wireChangesQuery{
-		wireListingQuery: newListingQuery(prefix, after), Wait: wait.Milliseconds(),
+		wireListingQuery: newListingQuery(prefix, after.Position), Edition: &after.Edition, Wait: wait.Milliseconds(),
 	}
 	if err := f.Call(ctx, seed, methodChanges, query, &w); err != nil {
 		f.seedOffset.CompareAndSwap(offset, offset+1)
@@ -109,9 +122,10 @@
 	now := f.Now()
 	listing, err := w.decode()
 	update := registry.Update{
-		Listing: listing, Full: w.Full, ConfirmedAt: now.Add(-time.Duration(w.Age) * time.Millisecond),
+		Listing: listing, Full: w.Full, Edition: w.Edition,
+		ConfirmedAt: now.Add(-time.Duration(w.Age) * time.Millisecond),
 	}
-	if err != nil || update.CheckFollows(now, after) != nil {
+	if err != nil || update.CheckFollows(now, after.Position) != nil {
 		f.seedOffset.CompareAndSwap(offset, offset+1)
 	}
 	return update, err
--- a/internal/core/fleet/listing_test.go
+++ b/internal/core/fleet/listing_test.go
@@ -7,6 +7,7 @@
 	"regexp"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -42,7 +43,7 @@
 				Self: vmcount.Caller{Centre: "z"},
 				Now:  time.Now,
 				Rand: func() float64 { return 0 },
-				AwaitChanges: func(ctx context.Context, _ registry.Prefix, _ unit.Position) registry.Update {
+				AwaitChanges: func(ctx context.Context, _ registry.Prefix, _ registry.Cursor) registry.Update {
 					close(waiting)
 					<-ctx.Done()
 					return registry.Update{ConfirmedAt: time.Now()}
@@ -106,8 +107,8 @@
 			seed := &Fleet{
 				Now:         time.Now,
 				KnownValues: func(registry.Prefix) registry.Listing { return known },
-				AwaitChanges: func(_ context.Context, _ registry.Prefix, after unit.Position) registry.Update {
-					assert.Equal(t, after, tt.after)
+				AwaitChanges: func(_ context.Context, _ registry.Prefix, after registry.Cursor) registry.Update {
+					assert.Equal(t, after.Position, tt.after)
 					return registry.Update{Listing: known, ConfirmedAt: time.Now()}
 				},
 			}
@@ -128,7 +129,7 @@
 			if tt.oldSeed {
 				return
 			}
-			update, err := f.AwaitSeedChanges(t.Context(), "p/", tt.after, time.Second)
+			update, err := f.AwaitSeedChanges(t.Context(), "p/", registry.Cursor{Position: tt.after}, time.Second)
 			assert.NilError(t, err)
 			assert.DeepEqual(t, update.Listing, known)
 		})
@@ -251,3 +252,43 @@
 		})
 	}
 }
+
+// TestEditionIsRelayed checks that a seed and its follower tell each other the edition, and that a follower of an older
+// release, which sends none, is not taken for one that has followed no other edition.
+func TestEditionIsRelayed(t *testing.T) {
+	const sent, relayed registry.Edition = 0, 7
+	tests := []struct {
+		name string
+		omit string
+		want registry.Edition
+	}{
+		{"same release", "", sent},
+		{"older release", `"edition":0,`, registry.EditionUnknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			seed := &Fleet{
+				Now: time.Now,
+				AwaitChanges: func(_ context.Context, _ registry.Prefix, after registry.Cursor) registry.Update {
+					assert.Equal(t, after.Edition, tt.want)
+					return registry.Update{Edition: relayed, ConfirmedAt: time.Now()}
+				},
+			}
+			seed.leaving, seed.leave = context.WithCancel(t.Context())
+			f := &Fleet{
+				Now: time.Now,
+				Call: func(ctx context.Context, _ unit.Address, method peer.Method, params, result any) error {
+					text, err := json.Marshal(params)
+					assert.NilError(t, err)
+					assert.Assert(t, strings.Contains(string(text), tt.omit))
+					text = []byte(strings.Replace(string(text), tt.omit, "", 1))
+					return callDirectly(ctx, seed, method, json.RawMessage(text), result, false)
+				},
+			}
+			f.SetSeeds([]unit.Address{"seed"})
+			update, err := f.AwaitSeedChanges(t.Context(), "p/", registry.Cursor{Edition: sent}, time.Second)
+			assert.NilError(t, err)
+			assert.Equal(t, update.Edition, relayed)
+		})
+	}
+}
--- a/internal/core/fleet/seedswitch_test.go
+++ b/internal/core/fleet/seedswitch_test.go
@@ -37,7 +37,7 @@
 					age = tt.age
 				}
 				seed := &Fleet{Now: time.Now}
-				seed.AwaitChanges = func(context.Context, registry.Prefix, unit.Position) registry.Update {
+				seed.AwaitChanges = func(context.Context, registry.Prefix, registry.Cursor) registry.Update {
 					return registry.Update{Listing: registry.Listing{Position: at}, ConfirmedAt: time.Now().Add(-age)}
 				}
 				seed.leaving, seed.leave = context.WithCancel(t.Context())
@@ -53,7 +53,7 @@
 			}
 			f.SetSeeds([]unit.Address{"behind", "ahead"})
 			for range 2 {
-				_, _ = f.AwaitSeedChanges(t.Context(), "p/", after, time.Second)
+				_, _ = f.AwaitSeedChanges(t.Context(), "p/", registry.Cursor{Position: after}, time.Second)
 			}
 			assert.DeepEqual(t, asked, []unit.Address{"behind", "ahead"})
 		})
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -94,9 +94,23 @@
 	Age time.Duration
 }
 
-// Update is what a peer knows that is newer than a revision.
+// Edition tells apart what a peer relays at one position. It changes when a value that another VM has offered takes the
+// place of the registry's, which has no position of its own. It is 0 until then.
+type Edition int64
+
+// EditionUnknown is the edition of a peer of a release that sends none.
+const EditionUnknown Edition = -1
+
+// Cursor is what a VM has caught up with at a peer.
+type Cursor struct {
+	unit.Position
+	Edition Edition
+}
+
+// Update is what a peer knows that is newer than a cursor.
 type Update struct {
 	Listing
+	Edition Edition
 	// Full reports that Items holds all values, not only the changes.
 	Full bool
 	// ConfirmedAt is when the registry was last known to hold nothing newer, on the clock of the VM that holds the
@@ -161,7 +175,7 @@
 	// nothing.
 	PeerValues func(ctx context.Context, prefix Prefix) []Listing
 	// Relay waits for the next update from a peer that reads the registry. Role determines whether to rely on it.
-	Relay func(ctx context.Context, prefix Prefix, after unit.Position, wait time.Duration) (Update, error)
+	Relay func(ctx context.Context, prefix Prefix, after Cursor, wait time.Duration) (Update, error)
 	Role  func() Role
 	// Rand returns a random number from 0 to 1, which spreads the retries of several VMs.
 	Rand func() float64
@@ -176,6 +190,8 @@
 
 	// position is the position that this VM has caught up with. Its revision is 0 while a listing is needed.
 	position unit.Position
+	// edition is that of the last update from a peer.
+	edition Edition
 	// directUntil is the end of the period in which this VM reads the registry itself, whatever its role.
 	directUntil time.Time
 	// failures is the number of failed reads in a row.
@@ -366,7 +382,7 @@
 func (f *Follower) takeUpdate(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, relayWait+relayResponseMargin)
 	defer cancel()
-	update, err := f.Relay(ctx, f.Prefix, f.position, relayWait)
+	update, err := f.Relay(ctx, f.Prefix, Cursor{Position: f.position, Edition: f.edition}, relayWait)
 	if err != nil {
 		return err
 	}
@@ -379,7 +395,7 @@
 	} else {
 		f.post(ctx, Changed{Position: update.Position, Prefix: f.Prefix, Items: update.Items, Age: now.Sub(update.ConfirmedAt)})
 	}
-	f.position = update.Position
+	f.position, f.edition = update.Position, update.Edition
 	return nil
 }
 
--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -114,8 +114,8 @@
 			}
 			return all
 		},
-		Relay: func(ctx context.Context, _ Prefix, after unit.Position, _ time.Duration) (Update, error) {
-			s.record("relay %s", text(after))
+		Relay: func(ctx context.Context, _ Prefix, after Cursor, _ time.Duration) (Update, error) {
+			s.record("relay %s", text(after.Position))
 			full := after.Revision == 0 || len(s.relay) > 0 && strings.HasPrefix(s.relay[0], fullPrefix)
 			l, err := s.next(ctx, &s.relay)
 			return Update{Listing: l, Full: full, ConfirmedAt: time.Now().Add(-age)}, err
@@ -314,3 +314,17 @@
 func count(lines string) int {
 	return strings.Count(lines, ",")
 }
+
+// TestEditionOfLastUpdate guards against a follower that is sent the same offered values again and again.
+func TestEditionOfLastUpdate(t *testing.T) {
+	var asked []Edition
+	f := (&script{}).follower(RoleFollowing, 0)
+	f.Relay = func(_ context.Context, _ Prefix, after Cursor, _ time.Duration) (Update, error) {
+		asked = append(asked, after.Edition)
+		return Update{Full: true, Edition: after.Edition + 7, ConfirmedAt: time.Now()}, nil
+	}
+	for range 3 {
+		assert.NilError(t, f.takeUpdate(t.Context()))
+	}
+	assert.DeepEqual(t, asked, []Edition{0, 7, 14})
+}
