Take a VM's first listing for no restore

For two seconds after its start, a VM used endpoints whose registration had vanished like any others instead of as a last resort, if the registry had ever been restored. The directory's era was 0 before the first listing, so a first listing of era 3 counted as a restore and so as the end of an outage. It now remembers whether it knows an era, from the first listing or registration on. TestFirstListingIsNoRestore failed before, row "restored before the start".

--- a/internal/policy/directory/directory.go
+++ b/internal/policy/directory/directory.go
@@ -101,9 +101,11 @@
 	unavailable bool
 	lastFailure time.Time
 	recovered   time.Time
-	// era is the era of the last listing, and eraSince is when it was first listed.
+	// era is the era of the last listing, and eraSince is when it was first listed. eraKnown is set from the first
+	// listing or registration on.
 	era      unit.Era
 	eraSince time.Time
+	eraKnown bool
 	// goneCount is the number of entries of endpoints that have gone.
 	goneCount int
 }
@@ -117,6 +119,7 @@
 // older than the known one. One that a restore of the registry has brought back, and that the endpoint has overtaken
 // since, is held back for restoreHold; Put reports whether it was.
 func (d *Directory) Put(r Registration) (heldBack bool) {
+	d.learnEra(r.Era)
 	known := d.entries[r.ID]
 	if known == nil {
 		d.entries[r.ID] = &entry{Registration: r}
@@ -152,6 +155,7 @@
 // Replace applies a complete listing of the registry in an era. Known registrations that it lacks are marked missing, or
 // removed if they were leaving. It returns how many registrations were held back.
 func (d *Directory) Replace(now time.Time, era unit.Era, all []Registration) (heldBack int) {
+	d.learnEra(era)
 	if era > d.era {
 		d.beginEra(now, era)
 	}
@@ -176,7 +180,14 @@
 	return heldBack
 }
 
-// beginEra records the first listing of an era. A restore counts as the end of an outage, also at a VM whose reads did
+// learnEra records the era in which this VM has begun to read the registry. Earlier restores are no outage to it.
+func (d *Directory) learnEra(era unit.Era) {
+	if !d.eraKnown {
+		d.era, d.eraKnown = era, true
+	}
+}
+
+// beginEra records the first listing of a later era. A restore counts as the end of an outage, also at a VM whose reads did
 // not fail meanwhile.
 func (d *Directory) beginEra(now time.Time, era unit.Era) {
 	d.era, d.eraSince = era, now
