Ignore registrations from before an endpoint's removal

Within one era the directory passed over an older registration only while the endpoint had not gone; and it did not keep the position of the removal, so that the very registration which was removed ended the grace period.

An entry now keeps the position of its latest removal, and a registration earlier than the entry or than its removal is ignored. A listing without the endpoint and a value that cannot be read leave no such position, since theirs may be later than that of a registration that follows. Across a restore, a registration of the later era is held back as before.

Six of the new rows of TestEndpoints failed before: the first five and "a registration of the copy, after its removal since the restore".

--- a/internal/policy/directory/directory.go
+++ b/internal/policy/directory/directory.go
@@ -66,6 +66,9 @@
 	Registration
 	// missingSince is when the registration was first found missing; it is zero while the registration exists.
 	missingSince time.Time
+	// removedAt is the position of the latest removal since. It is zero if only a listing or an unreadable value has shown
+	// it, whose position may be later than that of a registration that follows.
+	removedAt unit.Position
 	// nearOutage is set if the registration went missing during or shortly after an outage of the registry, and so may
 	// only have expired because the endpoint could not renew it.
 	nearOutage bool
@@ -116,8 +119,8 @@
 }
 
 // Put adds or replaces a registration and so ends a grace period of the endpoint. It ignores a registration that is
-// older than the known one. One that a restore of the registry has brought back, and that the endpoint has overtaken
-// since, is held back for restoreHold; Put reports whether it was.
+// older than the known one or its removal. One that a restore of the registry has brought back, and that the endpoint has
+// overtaken since, is held back for restoreHold; Put reports whether it was.
 func (d *Directory) Put(r Registration) (heldBack bool) {
 	d.learnEra(r.Era)
 	known := d.entries[r.ID]
@@ -125,13 +128,13 @@
 		d.entries[r.ID] = &entry{Registration: r}
 		return false
 	}
+	if known.After(r.Position) || known.removedAt.After(r.Position) {
+		return false
+	}
 	if known.Era < r.Era && known.stands(r) {
 		known.heldBack = &r
 		return true
 	}
-	if known.After(r.Position) && !known.gone() {
-		return false
-	}
 	d.remove(known)
 	d.entries[r.ID] = &entry{Registration: r}
 	return false
@@ -145,6 +148,9 @@
 		return
 	}
 	known.heldBack = nil
+	if at.After(known.removedAt) && !unreadable {
+		known.removedAt = at
+	}
 	if known.Leaving || unreadable {
 		d.markGone(now, known)
 		return
--- a/internal/policy/directory/directory_test.go
+++ b/internal/policy/directory/directory_test.go
@@ -207,6 +207,55 @@
 		{"registered", func(d *Directory) { d.Put(reg("a", "1", 1)) }, []string{"a"}},
 		{"leaving", func(d *Directory) { d.Put(reg("a", "1", 1)); d.Put(leaving("a", "1", 2)) }, nil},
 		{"an older registration", func(d *Directory) { d.Put(leaving("a", "1", 2)); d.Put(reg("a", "1", 1)) }, nil},
+		{"a registration from before it was leaving, after its removal", func(d *Directory) {
+			d.Put(leaving("a", "1", 20))
+			d.Remove(at(0), "a", first(25), false)
+			d.Replace(at(100), 0, []Registration{reg("a", "1", 10)})
+		}, nil},
+		{"a registration from before it was leaving, after a listing without it", func(d *Directory) {
+			d.Put(leaving("a", "1", 20))
+			d.Replace(at(0), 0, nil)
+			d.Put(reg("a", "1", 10))
+		}, nil},
+		{"its registration, after its removal", func(d *Directory) {
+			d.Put(reg("a", "1", 20))
+			d.Remove(at(0), "a", first(25), false)
+			d.Sweep(at(2000))
+			d.Put(reg("a", "1", 20))
+		}, nil},
+		{"its registration, in the grace period after its removal", func(d *Directory) {
+			d.Put(reg("a", "1", 20))
+			d.Remove(at(0), "a", first(25), false)
+			d.Put(reg("a", "1", 20))
+		}, []string{"a~"}},
+		{"its registration, in the grace period after the later of two removals", func(d *Directory) {
+			d.Put(reg("a", "1", 20))
+			d.Remove(at(0), "a", first(25), false)
+			d.Remove(at(0), "a", first(22), false)
+			d.Put(reg("a", "1", 23))
+		}, []string{"a~"}},
+		{"its registration, after an older listing without it", func(d *Directory) {
+			d.Put(leaving("a", "1", 20))
+			d.Replace(at(0), 0, nil)
+			d.Put(reg("a", "1", 21))
+		}, []string{"a"}},
+		{"registered after an unreadable value whose position is that of the response", func(d *Directory) {
+			d.Put(reg("a", "1", 20))
+			d.Remove(at(0), "a", first(40), true)
+			d.Put(reg("a", "1", 39))
+		}, []string{"a"}},
+		{"a registration of the copy, after its removal since the restore", func(d *Directory) {
+			d.Put(leaving("a", "1", 20))
+			d.Replace(at(0), 1, []Registration{afterRestore(reg("a", "1", 10))})
+			d.Remove(at(3000), "a", restored(12), false)
+			d.Put(afterRestore(reg("a", "1", 10)))
+			d.Sweep(at(10000))
+		}, nil},
+		{"registered again after its removal", func(d *Directory) {
+			d.Put(leaving("a", "1", 20))
+			d.Remove(at(0), "a", first(25), false)
+			d.Put(reg("a", "1", 26))
+		}, []string{"a"}},
 		{"vanished", func(d *Directory) {
 			d.Put(reg("a", "1", 1))
 			d.Remove(at(0), "a", first(2), false)
