Forget endpoints that have gone without a scan

Found in a review: once 4096 endpoints had gone within a minute, the control goroutine scanned all entries for the oldest at each further one. They are kept in the order in which they went now, and the first is taken off.

--- a/internal/policy/directory/directory.go
+++ b/internal/policy/directory/directory.go
@@ -109,8 +109,10 @@
 	era      unit.Era
 	eraSince time.Time
 	eraKnown bool
-	// goneCount is the number of entries of endpoints that have gone.
+	// goneCount is the number of entries of endpoints that have gone. goneOrder holds them in the order in which they went,
+	// and also some that have been removed since.
 	goneCount int
+	goneOrder []*entry
 }
 
 // New returns an empty directory. The VM has to be up to date within calm after an outage of the registry.
@@ -209,16 +211,32 @@
 	}
 	e.goneSince = now
 	d.goneCount++
-	if d.goneCount <= maxGone {
-		return
+	d.goneOrder = append(d.goneOrder, e)
+	for d.goneCount > maxGone {
+		d.forgetFirstGone()
+	}
+}
+
+// forgetFirstGone takes the first entry off goneOrder and forgets it, unless that has happened.
+func (d *Directory) forgetFirstGone() {
+	first := d.goneOrder[0]
+	d.goneOrder[0] = nil
+	d.goneOrder = d.goneOrder[1:]
+	if d.entries[first.ID] == first {
+		d.remove(first)
 	}
-	oldest := e
-	for _, other := range d.entries {
-		if other.gone() && other.goneSince.Before(oldest.goneSince) {
-			oldest = other
+}
+
+// forgetGone forgets the endpoints that went goneTime ago, up to the first whose registration is held back.
+func (d *Directory) forgetGone(now time.Time) {
+	for len(d.goneOrder) > 0 {
+		first := d.goneOrder[0]
+		current := d.entries[first.ID] == first
+		if current && (first.heldBack != nil || now.Before(first.goneSince.Add(goneTime))) {
+			return
 		}
+		d.forgetFirstGone()
 	}
-	d.remove(oldest)
 }
 
 // remove forgets an entry.
@@ -255,6 +273,7 @@
 // restoreHold, and reports whether there were any of either. It is called on every tick of the control goroutine.
 func (d *Directory) Sweep(now time.Time) bool {
 	changed := false
+	d.forgetGone(now)
 	for _, e := range d.entries {
 		switch {
 		case e.heldBack != nil && !now.Before(d.eraSince.Add(restoreHold)):
@@ -262,9 +281,6 @@
 			d.entries[e.ID] = &entry{Registration: *e.heldBack}
 			changed = true
 		case e.gone():
-			if e.heldBack == nil && !now.Before(e.goneSince.Add(goneTime)) {
-				d.remove(e)
-			}
 		case !e.missingSince.IsZero() && !now.Before(d.graceEnd(e)):
 			d.markGone(now, e)
 			changed = true
--- a/internal/policy/directory/directory_test.go
+++ b/internal/policy/directory/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -396,3 +397,49 @@
 		})
 	}
 }
+
+// TestGoneAreBounded checks that the endpoints that have gone first are forgotten first, and none that has come back.
+func TestGoneAreBounded(t *testing.T) {
+	const extra = 10
+	tests := []struct {
+		name string
+		// back is the number of the first endpoints that register again before the others have gone.
+		back int
+		want int
+	}{
+		{"none comes back", 0, maxGone},
+		{"some come back", 5, maxGone},
+		{"as many come back as are over the bound", extra, maxGone},
+		{"more come back", 2 * extra, maxGone - extra},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := New(4 * time.Second)
+			id := func(n int) unit.EndpointID { return unit.EndpointID(strconv.Itoa(n)) }
+			for n := range maxGone + extra {
+				d.Put(leaving(id(n), unit.Address(id(n)), 1))
+			}
+			for n := range maxGone {
+				d.Remove(at(n), id(n), first(2), false)
+			}
+			for n := range tt.back {
+				d.Put(leaving(id(n), unit.Address(id(n)), 3))
+			}
+			for n := range extra {
+				d.Remove(at(maxGone+n), id(maxGone+n), first(2), false)
+			}
+			assert.Equal(t, d.goneCount, tt.want)
+			assert.Equal(t, d.Len(), tt.back)
+			for n := range tt.back {
+				assert.Assert(t, d.entries[id(n)] != nil && !d.entries[id(n)].gone())
+			}
+			for n := tt.back; n < extra; n++ {
+				assert.Assert(t, d.entries[id(n)] == nil, "%d", n)
+			}
+			assert.Assert(t, d.entries[id(max(extra, tt.back))] != nil)
+			d.Sweep(at(maxGone + extra).Add(goneTime))
+			assert.Equal(t, d.goneCount, 0)
+			assert.Equal(t, len(d.goneOrder), 0)
+		})
+	}
+}
