Do not restart a listing whose pages lack the era in part

The client now tells a missing era from era 0, and a listing with both kinds of pages is a failed read, so that the follower's delay spaces the next one. Pages of two eras still begin the listing again: that is a restore.

--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -74,6 +74,8 @@
 	// Position is the position from which a watch continues.
 	unit.Position
 	Items []Item
+	// EraMissing reports that the registry sent no era. That of the positions is 0 then.
+	EraMissing bool
 }
 
 // Listed is the event that all values of a prefix were read.
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -94,9 +94,15 @@
 	return nil
 }
 
+// era is the era in the header of a response, 0 if it is missing.
+type era struct {
+	unit.Era
+	missing bool
+}
+
 // page is the response to a read of several keys.
 type page struct {
-	era       unit.Era
+	era       era
 	Items     []item        `json:"items"`
 	Truncated bool          `json:"truncated"`
 	Revision  unit.Revision `json:"at"`
@@ -104,7 +110,7 @@
 
 // changes is the response to a watch.
 type changes struct {
-	era      unit.Era
+	era      era
 	Events   []item        `json:"events"`
 	Revision unit.Revision `json:"at"`
 }
@@ -120,14 +126,18 @@
 		if err != nil {
 			return registry.Listing{}, err
 		}
-		if !first && p.era != all.Era {
+		if !first && p.era.missing != all.EraMissing {
+			return registry.Listing{}, errors.Newf("the store returned some pages without the header field %s", headerEra)
+		}
+		if !first && p.era.Era != all.Era {
 			return c.List(ctx, prefix)
 		}
+		at := unit.Position{Era: p.era.Era, Revision: p.Revision}
 		if first {
-			all.Position = unit.Position{Era: p.era, Revision: p.Revision}
+			all.Position, all.EraMissing = at, p.era.missing
 		}
 		for _, i := range p.Items {
-			all.Items = append(all.Items, i.decode(unit.Position{Era: p.era, Revision: p.Revision}))
+			all.Items = append(all.Items, i.decode(at))
 		}
 		if !p.Truncated || len(p.Items) == 0 {
 			return all, nil
@@ -175,7 +185,9 @@
 	if w.era, err = c.get(ctx, pathWatch, query, &w); err != nil {
 		return registry.Listing{}, err
 	}
-	all := registry.Listing{Position: unit.Position{Era: w.era, Revision: w.Revision}}
+	all := registry.Listing{
+		Position: unit.Position{Era: w.era.Era, Revision: w.Revision}, EraMissing: w.era.missing,
+	}
 	for _, e := range w.Events {
 		all.Items = append(all.Items, e.decode(all.Position))
 	}
@@ -192,43 +204,43 @@
 	return registry.Item{Position: at, Key: registry.Key(i.Key), Value: i.Value, Deleted: i.Deleted}
 }
 
-// decodeEra returns the era in the header of a response, 0 if it has none.
-func decodeEra(h http.Header) (unit.Era, error) {
+// decodeEra returns the era in the header of a response.
+func decodeEra(h http.Header) (era, error) {
 	text := h.Get(headerEra)
 	if text == "" {
-		return 0, nil
+		return era{missing: true}, nil
 	}
 	n, err := strconv.ParseUint(text, 10, 64)
-	return unit.Era(n), errors.Wrapf(err, "parse the header field %s", headerEra)
+	return era{Era: unit.Era(n)}, errors.Wrapf(err, "parse the header field %s", headerEra)
 }
 
 // get sends a GET request to the store, decodes the JSON response into the value that into points to and returns the
 // era of the response. It returns registry.ErrCompacted for status 410 of a watch. Only ctx bounds how long it takes.
-func (c *Client) get(ctx context.Context, path string, query url.Values, into any) (unit.Era, error) {
+func (c *Client) get(ctx context.Context, path string, query url.Values, into any) (era, error) {
 	target := "http://" + string(c.address) + path + "?" + query.Encode()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
-		return 0, errors.Wrap(err, "build the request to the store")
+		return era{}, errors.Wrap(err, "build the request to the store")
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return 0, errors.Wrap(err, "send the request to the store")
+		return era{}, errors.Wrap(err, "send the request to the store")
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	if err != nil {
-		return 0, errors.Wrap(err, "read the store's response")
+		return era{}, errors.Wrap(err, "read the store's response")
 	}
 	switch {
 	case resp.StatusCode == http.StatusOK:
-		era, err := decodeEra(resp.Header)
+		e, err := decodeEra(resp.Header)
 		if err != nil {
-			return 0, err
+			return era{}, err
 		}
-		return era, errors.Wrap(json.Unmarshal(body, into), "decode the store's response")
+		return e, errors.Wrap(json.Unmarshal(body, into), "decode the store's response")
 	case resp.StatusCode == http.StatusGone && path == pathWatch:
-		return 0, registry.ErrCompacted
+		return era{}, registry.ErrCompacted
 	default:
-		return 0, errors.Newf("the store responded with status %d", resp.StatusCode)
+		return era{}, errors.Newf("the store responded with status %d", resp.StatusCode)
 	}
 }
