Read on when the registry no longer sends its era

A VM that knew an era took a response without Store-Era for one from before the restore. If the store, or a proxy in between, no longer sent the header, each read failed until the VM was started again: it served by what it knew, and the log said "registry lost" as in an outage.

A missing era is now told from era 0. While one is known, responses without it are refused for five seconds, longer than a response from before a restore can take. Then they count as of the known era, if their revision is not before the latest one that the VM has caught up with, also across a 410. So positions never go back, and a store that was restored meanwhile without saying so is followed once its revisions have caught up, which each write brings nearer. Assuming the era at once would mix two histories at each late response; counting a lower revision as a new era would make up eras that peers then compare.

The log says "registry sends no era" once, and registry.era.missing counts the refused reads.

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"basilspan/internal/core/fleet"
 	"basilspan/internal/core/kernel"
 	"basilspan/internal/core/metric"
@@ -240,6 +242,9 @@
 // logged.
 func (s *State) onReadFailed(now time.Time, e registry.ReadFailed) {
 	s.Metrics.Add("registry.failed", 1)
+	if errors.Is(e.Err, registry.ErrEraMissing) {
+		s.Metrics.Add("registry.era.missing", 1)
+	}
 	if e.Prefix == s.EndpointPrefix {
 		s.directory.RecordRegistryFailure(e.Began)
 	}
--- a/internal/core/discovery/discovery_test.go
+++ b/internal/core/discovery/discovery_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"basilspan/internal/core/kernel"
@@ -169,3 +170,23 @@
 		})
 	}
 }
+
+// TestReadsWithoutEraAreCounted checks that a read that failed for lack of an era is told from other failures.
+func TestReadsWithoutEraAreCounted(t *testing.T) {
+	tests := []struct {
+		name string
+		err  error
+		want int64
+	}{
+		{"no era", errors.Wrap(registry.ErrEraMissing, "era 1 is known"), 1},
+		{"another failure", errors.New("status 503"), 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newState(&strings.Builder{})
+			s.onReadFailed(start, registry.ReadFailed{Prefix: "table", Began: start, Err: tt.err})
+			assert.Equal(t, s.Metrics.Get("registry.failed"), int64(1))
+			assert.Equal(t, s.Metrics.Get("registry.era.missing"), tt.want)
+		})
+	}
+}
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -46,6 +46,9 @@
 	maxPeerFailures = 2
 	// catchUpWait is how long a read that only catches up waits for a change.
 	catchUpWait = 10 * time.Millisecond
+	// eraMissingTime is how long responses without an era are refused by a VM that knows one. None from before a restore
+	// takes that long.
+	eraMissingTime = 5 * time.Second
 	// directReadPeriod is how long this VM reads the registry itself before it relies on peers again.
 	directReadPeriod = 10 * time.Second
 )
@@ -54,6 +57,9 @@
 // its history was compacted or a restore has taken back the revision.
 var ErrCompacted = errors.New("the registry has compacted the changes since the requested revision")
 
+// ErrEraMissing is the failure of a read whose response has no era although one is known.
+var ErrEraMissing = errors.New("the response lacks the registry's era")
+
 // Key names one published value.
 type Key string
 
@@ -198,6 +204,10 @@
 	directUntil time.Time
 	// failures is the number of failed reads in a row.
 	failures int
+	// reached is the latest position that was given up for a new listing.
+	reached unit.Position
+	// eraMissingSince is when the registry began to send no era although one is known; it is zero while it sends it.
+	eraMissingSince time.Time
 	// compactions is the number of reads since the last successful watch that ended with ErrCompacted.
 	compactions int
 }
@@ -217,7 +227,7 @@
 			f.failures = 0
 		case errors.Is(err, ErrCompacted) && f.compactions == 0:
 			f.Log.Info("history compacted; listing anew", "prefix", f.Prefix)
-			f.position.Revision = 0
+			f.requireListing()
 			f.compactions = 1
 		case ctx.Err() == nil:
 			f.handleFailure(ctx, began, err)
@@ -231,7 +241,7 @@
 	f.post(ctx, ReadFailed{Prefix: f.Prefix, Began: began, Err: err})
 	f.takePeerListing(ctx)
 	if errors.Is(err, ErrCompacted) {
-		f.position.Revision = 0
+		f.requireListing()
 		f.failures = max(f.failures, f.compactions-1)
 		f.compactions++
 	}
@@ -239,6 +249,20 @@
 	f.failures++
 }
 
+// requireListing makes the next read of the registry a listing.
+func (f *Follower) requireListing() {
+	f.reached = f.latest()
+	f.position.Revision = 0
+}
+
+// latest returns the latest position that this VM has caught up with.
+func (f *Follower) latest() unit.Position {
+	if f.reached.After(f.position) {
+		return f.reached
+	}
+	return f.position
+}
+
 // followThenRead follows peers for as long as the role and the peers allow it, and then reads the registry once. began
 // is when the last read of the registry began.
 func (f *Follower) followThenRead(ctx context.Context) (began time.Time, err error) {
@@ -283,8 +307,8 @@
 	if err != nil {
 		return err
 	}
-	if listing.Era < f.position.Era {
-		return f.outdatedError(listing.Position)
+	if err := f.checkEra(&listing); err != nil {
+		return err
 	}
 	f.post(ctx, Listed{Position: listing.Position, Prefix: f.Prefix, Items: listing.Items})
 	f.position = listing.Position
@@ -305,8 +329,8 @@
 		return err
 	}
 	f.compactions = 0
-	if changes.Era < f.position.Era {
-		return f.outdatedError(changes.Position)
+	if err := f.checkEra(&changes); err != nil {
+		return err
 	}
 	if changes.Era > f.position.Era {
 		f.position = unit.Position{Era: changes.Era}
@@ -320,9 +344,38 @@
 	return nil
 }
 
-// outdatedError returns the error that a response is from before a restore that this VM knows of.
-func (f *Follower) outdatedError(p unit.Position) error {
-	return errors.Newf("the response is from era %d of the registry, before era %d", p.Era, f.position.Era)
+// checkEra returns an error if a response of the registry is from before a restore that this VM knows of.
+func (f *Follower) checkEra(l *Listing) error {
+	if l.EraMissing && f.position.Era > 0 {
+		return f.assumeEra(l)
+	}
+	f.eraMissingSince = time.Time{}
+	if l.Era < f.position.Era {
+		return errors.Newf("the response is from era %d of the registry, before era %d", l.Era, f.position.Era)
+	}
+	return nil
+}
+
+// assumeEra gives a response without an era the known one. It returns an error while the registry may only be behind, for
+// eraMissingTime, and if the revision shows that the response does not follow on what this VM knows.
+func (f *Follower) assumeEra(l *Listing) error {
+	now := f.Now()
+	if f.eraMissingSince.IsZero() {
+		f.eraMissingSince = now
+		f.Log.Warn("registry sends no era", "prefix", f.Prefix, "era", f.position.Era, "at", f.position.Revision)
+	}
+	if now.Before(f.eraMissingSince.Add(eraMissingTime)) {
+		return errors.Wrapf(ErrEraMissing, "era %d is known", f.position.Era)
+	}
+	assumed := unit.Position{Era: f.position.Era, Revision: l.Revision}
+	if latest := f.latest(); latest.After(assumed) {
+		return errors.Wrapf(ErrEraMissing, "revision %d is before %d of era %d", l.Revision, latest.Revision, latest.Era)
+	}
+	l.Position = assumed
+	for i := range l.Items {
+		l.Items[i].Era = assumed.Era
+	}
+	return nil
 }
 
 // watch calls Watch for changes after the revision of the last read, with a timeout a little over its wait.
@@ -351,6 +404,7 @@
 		peerErr := f.takeUpdate(ctx)
 		if peerErr == nil {
 			failed, f.failures, f.compactions = 0, 0, 0
+			f.eraMissingSince = time.Time{}
 			continue
 		}
 		if ctx.Err() != nil {
