--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"basilspan/internal/core/fleet"
 	"basilspan/internal/core/kernel"
 	"basilspan/internal/core/metric"
@@ -81,9 +83,9 @@
 	return s.cache.listing(prefix)
 }
 
-// AwaitChanges waits until this VM knows something under a prefix that is newer than a position, or ctx ends, and
+// AwaitChanges waits until this VM knows something under a prefix that is newer than a cursor, or ctx ends, and
 // returns what is newer. Any goroutine may call it.
-func (s *State) AwaitChanges(ctx context.Context, prefix registry.Prefix, after unit.Position) registry.Update {
+func (s *State) AwaitChanges(ctx context.Context, prefix registry.Prefix, after registry.Cursor) registry.Update {
 	return s.cache.awaitChanges(ctx, prefix, after)
 }
 
@@ -153,7 +155,7 @@
 	s.applyTables(now, e.Items)
 	if s.tableVersion() != before {
 		s.Log.Info("newer routing table taken from a peer", "version", s.tableVersion(), "before", before)
-		s.cache.substitute(e.Prefix, registry.Key(s.TablePrefix), s.tableValue)
+		s.cache.substitute(now, e.Prefix, registry.Key(s.TablePrefix), s.tableValue)
 	}
 }
 
@@ -240,6 +242,9 @@
 // logged.
 func (s *State) onReadFailed(now time.Time, e registry.ReadFailed) {
 	s.Metrics.Add("registry.failed", 1)
+	if errors.Is(e.Err, registry.ErrEraMissing) {
+		s.Metrics.Add("registry.era.missing", 1)
+	}
 	if e.Prefix == s.EndpointPrefix {
 		s.directory.RecordRegistryFailure(e.Began)
 	}
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -46,6 +46,9 @@
 	maxPeerFailures = 2
 	// catchUpWait is how long a read that only catches up waits for a change.
 	catchUpWait = 10 * time.Millisecond
+	// eraMissingTime is how long responses without an era are refused by a VM that knows one. None from before a restore
+	// takes that long.
+	eraMissingTime = 5 * time.Second
 	// directReadPeriod is how long this VM reads the registry itself before it relies on peers again.
 	directReadPeriod = 10 * time.Second
 )
@@ -54,6 +57,9 @@
 // its history was compacted or a restore has taken back the revision.
 var ErrCompacted = errors.New("the registry has compacted the changes since the requested revision")
 
+// ErrEraMissing is the failure of a read whose response has no era although one is known.
+var ErrEraMissing = errors.New("the response lacks the registry's era")
+
 // Key names one published value.
 type Key string
 
@@ -74,6 +80,8 @@
 	// Position is the position from which a watch continues.
 	unit.Position
 	Items []Item
+	// EraMissing reports that the registry sent no era. That of the positions is 0 then.
+	EraMissing bool
 }
 
 // Listed is the event that all values of a prefix were read.
@@ -94,9 +102,23 @@
 	Age time.Duration
 }
 
-// Update is what a peer knows that is newer than a revision.
+// Edition tells apart what a peer relays at one position. It changes when a value that another VM has offered takes the
+// place of the registry's, which has no position of its own. It is 0 until then.
+type Edition int64
+
+// EditionUnknown is the edition of a peer of a release that sends none.
+const EditionUnknown Edition = -1
+
+// Cursor is what a VM has caught up with at a peer.
+type Cursor struct {
+	unit.Position
+	Edition Edition
+}
+
+// Update is what a peer knows that is newer than a cursor.
 type Update struct {
 	Listing
+	Edition Edition
 	// Full reports that Items holds all values, not only the changes.
 	Full bool
 	// ConfirmedAt is when the registry was last known to hold nothing newer, on the clock of the VM that holds the
@@ -104,6 +126,20 @@
 	ConfirmedAt time.Time
 }
 
+// CheckFollows returns an error if a VM at the position after must not take the update at now: its values are older than
+// maxRelayAge or than that position, or it holds only changes although its era is another one.
+func (u Update) CheckFollows(now time.Time, after unit.Position) error {
+	age := now.Sub(u.ConfirmedAt)
+	if age > maxRelayAge || after.After(u.Position) {
+		return errors.Newf("the peer's values are out of date: era %d, revision %d, confirmed %v ago",
+			u.Era, u.Revision, age)
+	}
+	if !u.Full && u.Era != after.Era {
+		return errors.Newf("the peer's changes are of era %d, not %d", u.Era, after.Era)
+	}
+	return nil
+}
+
 // Offered is the event that a peer knows values that the registry may have lost in a restore. They have no position in
 // the registry's history any more, and count only if they show themselves that they are newer.
 type Offered struct {
@@ -147,7 +183,7 @@
 	// nothing.
 	PeerValues func(ctx context.Context, prefix Prefix) []Listing
 	// Relay waits for the next update from a peer that reads the registry. Role determines whether to rely on it.
-	Relay func(ctx context.Context, prefix Prefix, after unit.Position, wait time.Duration) (Update, error)
+	Relay func(ctx context.Context, prefix Prefix, after Cursor, wait time.Duration) (Update, error)
 	Role  func() Role
 	// Rand returns a random number from 0 to 1, which spreads the retries of several VMs.
 	Rand func() float64
@@ -162,10 +198,18 @@
 
 	// position is the position that this VM has caught up with. Its revision is 0 while a listing is needed.
 	position unit.Position
+	// edition is that of the last update from a peer.
+	edition Edition
 	// directUntil is the end of the period in which this VM reads the registry itself, whatever its role.
 	directUntil time.Time
 	// failures is the number of failed reads in a row.
 	failures int
+	// reached is the latest position that was given up for a new listing.
+	reached unit.Position
+	// eraMissingSince is when the registry began to send no era although one is known; it is zero while it sends it.
+	eraMissingSince time.Time
+	// compactions is the number of reads since the last successful watch that ended with ErrCompacted.
+	compactions int
 }
 
 // Service returns the follower as a kernel service with that name.
@@ -173,25 +217,52 @@
 	return kernel.Background(name, f, f.run)
 }
 
-// run follows the prefix until ctx ends. After a failed read it takes a listing from a peer and backs off.
+// run follows the prefix until ctx ends. The first read that ends with ErrCompacted is followed by a listing at once; any
+// other one counts as failed.
 func (f *Follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		began, err := f.followThenRead(ctx)
 		switch {
 		case err == nil:
 			f.failures = 0
-		case errors.Is(err, ErrCompacted):
+		case errors.Is(err, ErrCompacted) && f.compactions == 0:
 			f.Log.Info("history compacted; listing anew", "prefix", f.Prefix)
-			f.position.Revision = 0
+			f.requireListing()
+			f.compactions = 1
 		case ctx.Err() == nil:
-			f.post(ctx, ReadFailed{Prefix: f.Prefix, Began: began, Err: err})
-			f.takePeerListing(ctx)
-			f.backOff(ctx)
-			f.failures++
+			f.handleFailure(ctx, began, err)
 		}
 	}
 }
 
+// handleFailure handles a failed read that began at began: it takes a listing from a peer and backs off. After
+// ErrCompacted the next read is a listing, and listings that succeed between such reads do not shorten the delay.
+func (f *Follower) handleFailure(ctx context.Context, began time.Time, err error) {
+	f.post(ctx, ReadFailed{Prefix: f.Prefix, Began: began, Err: err})
+	f.takePeerListing(ctx)
+	if errors.Is(err, ErrCompacted) {
+		f.requireListing()
+		f.failures = max(f.failures, f.compactions-1)
+		f.compactions++
+	}
+	f.backOff(ctx)
+	f.failures++
+}
+
+// requireListing makes the next read of the registry a listing.
+func (f *Follower) requireListing() {
+	f.reached = f.latest()
+	f.position.Revision = 0
+}
+
+// latest returns the latest position that this VM has caught up with.
+func (f *Follower) latest() unit.Position {
+	if f.reached.After(f.position) {
+		return f.reached
+	}
+	return f.position
+}
+
 // followThenRead follows peers for as long as the role and the peers allow it, and then reads the registry once. began
 // is when the last read of the registry began.
 func (f *Follower) followThenRead(ctx context.Context) (began time.Time, err error) {
@@ -236,8 +307,8 @@
 	if err != nil {
 		return err
 	}
-	if listing.Era < f.position.Era {
-		return f.outdatedError(listing.Position)
+	if err := f.checkEra(&listing); err != nil {
+		return err
 	}
 	f.post(ctx, Listed{Position: listing.Position, Prefix: f.Prefix, Items: listing.Items})
 	f.position = listing.Position
@@ -257,8 +328,9 @@
 	if err != nil {
 		return err
 	}
-	if changes.Era < f.position.Era {
-		return f.outdatedError(changes.Position)
+	f.compactions = 0
+	if err := f.checkEra(&changes); err != nil {
+		return err
 	}
 	if changes.Era > f.position.Era {
 		f.position = unit.Position{Era: changes.Era}
@@ -272,9 +344,38 @@
 	return nil
 }
 
-// outdatedError returns the error that a response is from before a restore that this VM knows of.
-func (f *Follower) outdatedError(p unit.Position) error {
-	return errors.Newf("the response is from era %d of the registry, before era %d", p.Era, f.position.Era)
+// checkEra returns an error if a response of the registry is from before a restore that this VM knows of.
+func (f *Follower) checkEra(l *Listing) error {
+	if l.EraMissing && f.position.Era > 0 {
+		return f.assumeEra(l)
+	}
+	f.eraMissingSince = time.Time{}
+	if l.Era < f.position.Era {
+		return errors.Newf("the response is from era %d of the registry, before era %d", l.Era, f.position.Era)
+	}
+	return nil
+}
+
+// assumeEra gives a response without an era the known one. It returns an error while the registry may only be behind, for
+// eraMissingTime, and if the revision shows that the response does not follow on what this VM knows.
+func (f *Follower) assumeEra(l *Listing) error {
+	now := f.Now()
+	if f.eraMissingSince.IsZero() {
+		f.eraMissingSince = now
+		f.Log.Warn("registry sends no era", "prefix", f.Prefix, "era", f.position.Era, "at", f.position.Revision)
+	}
+	if now.Before(f.eraMissingSince.Add(eraMissingTime)) {
+		return errors.Wrapf(ErrEraMissing, "era %d is known", f.position.Era)
+	}
+	assumed := unit.Position{Era: f.position.Era, Revision: l.Revision}
+	if latest := f.latest(); latest.After(assumed) {
+		return errors.Wrapf(ErrEraMissing, "revision %d is before %d of era %d", l.Revision, latest.Revision, latest.Era)
+	}
+	l.Position = assumed
+	for i := range l.Items {
+		l.Items[i].Era = assumed.Era
+	}
+	return nil
 }
 
 // watch calls Watch for changes after the revision of the last read, with a timeout a little over its wait.
@@ -302,7 +403,8 @@
 	for ctx.Err() == nil {
 		peerErr := f.takeUpdate(ctx)
 		if peerErr == nil {
-			failed, f.failures = 0, 0
+			failed, f.failures, f.compactions = 0, 0, 0
+			f.eraMissingSince = time.Time{}
 			continue
 		}
 		if ctx.Err() != nil {
@@ -331,29 +433,25 @@
 	return f.readChanges(ctx, catchUpWait)
 }
 
-// takeUpdate waits for one update from a peer and posts it. It returns an error if the peer fails, its values are older
-// than maxRelayAge or than this VM's own, or it sends only changes although its era is another one.
+// takeUpdate waits for one update from a peer and posts it. It returns an error if the peer fails or its update does not
+// follow on what this VM knows.
 func (f *Follower) takeUpdate(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, relayWait+relayResponseMargin)
 	defer cancel()
-	update, err := f.Relay(ctx, f.Prefix, f.position, relayWait)
+	update, err := f.Relay(ctx, f.Prefix, Cursor{Position: f.position, Edition: f.edition}, relayWait)
 	if err != nil {
 		return err
 	}
-	age := f.Now().Sub(update.ConfirmedAt)
-	if age > maxRelayAge || f.position.After(update.Position) {
-		return errors.Newf("the peer's values are out of date: era %d, revision %d, confirmed %v ago",
-			update.Era, update.Revision, age)
-	}
-	if !update.Full && update.Era != f.position.Era {
-		return errors.Newf("the peer's changes are of era %d, not %d", update.Era, f.position.Era)
+	now := f.Now()
+	if err := update.CheckFollows(now, f.position); err != nil {
+		return err
 	}
 	if update.Full {
 		f.post(ctx, Listed{Position: update.Position, Prefix: f.Prefix, Items: update.Items})
 	} else {
-		f.post(ctx, Changed{Position: update.Position, Prefix: f.Prefix, Items: update.Items, Age: age})
+		f.post(ctx, Changed{Position: update.Position, Prefix: f.Prefix, Items: update.Items, Age: now.Sub(update.ConfirmedAt)})
 	}
-	f.position = update.Position
+	f.position, f.edition = update.Position, update.Edition
 	return nil
 }
 
--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -114,8 +114,8 @@
 			}
 			return all
 		},
-		Relay: func(ctx context.Context, _ Prefix, after unit.Position, _ time.Duration) (Update, error) {
-			s.record("relay %s", text(after))
+		Relay: func(ctx context.Context, _ Prefix, after Cursor, _ time.Duration) (Update, error) {
+			s.record("relay %s", text(after.Position))
 			full := after.Revision == 0 || len(s.relay) > 0 && strings.HasPrefix(s.relay[0], fullPrefix)
 			l, err := s.next(ctx, &s.relay)
 			return Update{Listing: l, Full: full, ConfirmedAt: time.Now().Add(-age)}, err
@@ -164,6 +164,16 @@
 			"compacted history", &script{list: []string{"5+", "9+"}, watch: []string{"410"}}, RoleStandalone, 0,
 			"listed 5, watch 5, listed 9, watch 9",
 		},
+		{
+			"history compacted again before a watch succeeds",
+			&script{list: []string{"5+", "6+", "7+", "9+"}, watch: []string{"410", "410", "8+", "410"}}, RoleStandalone, 0,
+			"listed 5, watch 5, listed 6, watch 6, lost, listed 7, watch 7, changed 8, watch 8, listed 9, watch 9",
+		},
+		{
+			"history compacted again, peer has older history",
+			&script{list: []string{"5+", "6+", "8+"}, watch: []string{"410", "410"}, peers: []string{"7+"}}, RoleStandalone, 0,
+			"listed 5, watch 5, listed 6, watch 6, lost, listed 7 by a peer, listed 8, watch 8",
+		},
 		{
 			"registry outage", &script{list: []string{"5+"}, watch: []string{"", "", "7+"}}, RoleStandalone, 0,
 			"listed 5, watch 5, lost, glance 5, lost, glance 5, changed 7, watch 7",
@@ -304,3 +314,17 @@
 func count(lines string) int {
 	return strings.Count(lines, ",")
 }
+
+// TestEditionOfLastUpdate guards against a follower that is sent the same offered values again and again.
+func TestEditionOfLastUpdate(t *testing.T) {
+	var asked []Edition
+	f := (&script{}).follower(RoleFollowing, 0)
+	f.Relay = func(_ context.Context, _ Prefix, after Cursor, _ time.Duration) (Update, error) {
+		asked = append(asked, after.Edition)
+		return Update{Full: true, Edition: after.Edition + 7, ConfirmedAt: time.Now()}, nil
+	}
+	for range 3 {
+		assert.NilError(t, f.takeUpdate(t.Context()))
+	}
+	assert.DeepEqual(t, asked, []Edition{0, 7, 14})
+}
--- a/internal/policy/directory/directory.go
+++ b/internal/policy/directory/directory.go
@@ -66,6 +66,9 @@
 	Registration
 	// missingSince is when the registration was first found missing; it is zero while the registration exists.
 	missingSince time.Time
+	// removedAt is the position of the latest removal since. It is zero if only a listing or an unreadable value has shown
+	// it, whose position may be later than that of a registration that follows.
+	removedAt unit.Position
 	// nearOutage is set if the registration went missing during or shortly after an outage of the registry, and so may
 	// only have expired because the endpoint could not renew it.
 	nearOutage bool
@@ -101,11 +104,15 @@
 	unavailable bool
 	lastFailure time.Time
 	recovered   time.Time
-	// era is the era of the last listing, and eraSince is when it was first listed.
+	// era is the era of the last listing, and eraSince is when it was first listed. eraKnown is set from the first
+	// listing or registration on.
 	era      unit.Era
 	eraSince time.Time
-	// goneCount is the number of entries of endpoints that have gone.
+	eraKnown bool
+	// goneCount is the number of entries of endpoints that have gone. goneOrder holds them in the order in which they went,
+	// and also some that have been removed since.
 	goneCount int
+	goneOrder []*entry
 }
 
 // New returns an empty directory. The VM has to be up to date within calm after an outage of the registry.
@@ -114,21 +121,22 @@
 }
 
 // Put adds or replaces a registration and so ends a grace period of the endpoint. It ignores a registration that is
-// older than the known one. One that a restore of the registry has brought back, and that the endpoint has overtaken
-// since, is held back for restoreHold; Put reports whether it was.
+// older than the known one or its removal. One that a restore of the registry has brought back, and that the endpoint has
+// overtaken since, is held back for restoreHold; Put reports whether it was.
 func (d *Directory) Put(r Registration) (heldBack bool) {
+	d.learnEra(r.Era)
 	known := d.entries[r.ID]
 	if known == nil {
 		d.entries[r.ID] = &entry{Registration: r}
 		return false
 	}
+	if known.After(r.Position) || known.removedAt.After(r.Position) {
+		return false
+	}
 	if known.Era < r.Era && known.stands(r) {
 		known.heldBack = &r
 		return true
 	}
-	if known.After(r.Position) && !known.gone() {
-		return false
-	}
 	d.remove(known)
 	d.entries[r.ID] = &entry{Registration: r}
 	return false
@@ -142,6 +150,9 @@
 		return
 	}
 	known.heldBack = nil
+	if at.After(known.removedAt) && !unreadable {
+		known.removedAt = at
+	}
 	if known.Leaving || unreadable {
 		d.markGone(now, known)
 		return
@@ -152,6 +163,7 @@
 // Replace applies a complete listing of the registry in an era. Known registrations that it lacks are marked missing, or
 // removed if they were leaving. It returns how many registrations were held back.
 func (d *Directory) Replace(now time.Time, era unit.Era, all []Registration) (heldBack int) {
+	d.learnEra(era)
 	if era > d.era {
 		d.beginEra(now, era)
 	}
@@ -176,7 +188,14 @@
 	return heldBack
 }
 
-// beginEra records the first listing of an era. A restore counts as the end of an outage, also at a VM whose reads did
+// learnEra records the era in which this VM has begun to read the registry. Earlier restores are no outage to it.
+func (d *Directory) learnEra(era unit.Era) {
+	if !d.eraKnown {
+		d.era, d.eraKnown = era, true
+	}
+}
+
+// beginEra records the first listing of a later era. A restore counts as the end of an outage, also at a VM whose reads did
 // not fail meanwhile.
 func (d *Directory) beginEra(now time.Time, era unit.Era) {
 	d.era, d.eraSince = era, now
@@ -192,16 +211,32 @@
 	}
 	e.goneSince = now
 	d.goneCount++
-	if d.goneCount <= maxGone {
-		return
+	d.goneOrder = append(d.goneOrder, e)
+	for d.goneCount > maxGone {
+		d.forgetFirstGone()
 	}
-	oldest := e
-	for _, other := range d.entries {
-		if other.gone() && other.goneSince.Before(oldest.goneSince) {
-			oldest = other
+}
+
+// forgetFirstGone takes the first entry off goneOrder and forgets it, unless that has happened.
+func (d *Directory) forgetFirstGone() {
+	first := d.goneOrder[0]
+	d.goneOrder[0] = nil
+	d.goneOrder = d.goneOrder[1:]
+	if d.entries[first.ID] == first {
+		d.remove(first)
+	}
+}
+
+// forgetGone forgets the endpoints that went goneTime ago, up to the first whose registration is held back.
+func (d *Directory) forgetGone(now time.Time) {
+	for len(d.goneOrder) > 0 {
+		first := d.goneOrder[0]
+		current := d.entries[first.ID] == first
+		if current && (first.heldBack != nil || now.Before(first.goneSince.Add(goneTime))) {
+			return
 		}
+		d.forgetFirstGone()
 	}
-	d.remove(oldest)
 }
 
 // remove forgets an entry.
@@ -238,6 +273,7 @@
 // restoreHold, and reports whether there were any of either. It is called on every tick of the control goroutine.
 func (d *Directory) Sweep(now time.Time) bool {
 	changed := false
+	d.forgetGone(now)
 	for _, e := range d.entries {
 		switch {
 		case e.heldBack != nil && !now.Before(d.eraSince.Add(restoreHold)):
@@ -245,9 +281,6 @@
 			d.entries[e.ID] = &entry{Registration: *e.heldBack}
 			changed = true
 		case e.gone():
-			if e.heldBack == nil && !now.Before(e.goneSince.Add(goneTime)) {
-				d.remove(e)
-			}
 		case !e.missingSince.IsZero() && !now.Before(d.graceEnd(e)):
 			d.markGone(now, e)
 			changed = true
--- a/internal/policy/directory/directory_test.go
+++ b/internal/policy/directory/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -207,6 +208,55 @@
 		{"registered", func(d *Directory) { d.Put(reg("a", "1", 1)) }, []string{"a"}},
 		{"leaving", func(d *Directory) { d.Put(reg("a", "1", 1)); d.Put(leaving("a", "1", 2)) }, nil},
 		{"an older registration", func(d *Directory) { d.Put(leaving("a", "1", 2)); d.Put(reg("a", "1", 1)) }, nil},
+		{"a registration from before it was leaving, after its removal", func(d *Directory) {
+			d.Put(leaving("a", "1", 20))
+			d.Remove(at(0), "a", first(25), false)
+			d.Replace(at(100), 0, []Registration{reg("a", "1", 10)})
+		}, nil},
+		{"a registration from before it was leaving, after a listing without it", func(d *Directory) {
+			d.Put(leaving("a", "1", 20))
+			d.Replace(at(0), 0, nil)
+			d.Put(reg("a", "1", 10))
+		}, nil},
+		{"its registration, after its removal", func(d *Directory) {
+			d.Put(reg("a", "1", 20))
+			d.Remove(at(0), "a", first(25), false)
+			d.Sweep(at(2000))
+			d.Put(reg("a", "1", 20))
+		}, nil},
+		{"its registration, in the grace period after its removal", func(d *Directory) {
+			d.Put(reg("a", "1", 20))
+			d.Remove(at(0), "a", first(25), false)
+			d.Put(reg("a", "1", 20))
+		}, []string{"a~"}},
+		{"its registration, in the grace period after the later of two removals", func(d *Directory) {
+			d.Put(reg("a", "1", 20))
+			d.Remove(at(0), "a", first(25), false)
+			d.Remove(at(0), "a", first(22), false)
+			d.Put(reg("a", "1", 23))
+		}, []string{"a~"}},
+		{"its registration, after an older listing without it", func(d *Directory) {
+			d.Put(leaving("a", "1", 20))
+			d.Replace(at(0), 0, nil)
+			d.Put(reg("a", "1", 21))
+		}, []string{"a"}},
+		{"registered after an unreadable value whose position is that of the response", func(d *Directory) {
+			d.Put(reg("a", "1", 20))
+			d.Remove(at(0), "a", first(40), true)
+			d.Put(reg("a", "1", 39))
+		}, []string{"a"}},
+		{"a registration of the copy, after its removal since the restore", func(d *Directory) {
+			d.Put(leaving("a", "1", 20))
+			d.Replace(at(0), 1, []Registration{afterRestore(reg("a", "1", 10))})
+			d.Remove(at(3000), "a", restored(12), false)
+			d.Put(afterRestore(reg("a", "1", 10)))
+			d.Sweep(at(10000))
+		}, nil},
+		{"registered again after its removal", func(d *Directory) {
+			d.Put(leaving("a", "1", 20))
+			d.Remove(at(0), "a", first(25), false)
+			d.Put(reg("a", "1", 26))
+		}, []string{"a"}},
 		{"vanished", func(d *Directory) {
 			d.Put(reg("a", "1", 1))
 			d.Remove(at(0), "a", first(2), false)
@@ -347,3 +397,49 @@
 		})
 	}
 }
+
+// TestGoneAreBounded checks that the endpoints that have gone first are forgotten first, and none that has come back.
+func TestGoneAreBounded(t *testing.T) {
+	const extra = 10
+	tests := []struct {
+		name string
+		// back is the number of the first endpoints that register again before the others have gone.
+		back int
+		want int
+	}{
+		{"none comes back", 0, maxGone},
+		{"some come back", 5, maxGone},
+		{"as many come back as are over the bound", extra, maxGone},
+		{"more come back", 2 * extra, maxGone - extra},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := New(4 * time.Second)
+			id := func(n int) unit.EndpointID { return unit.EndpointID(strconv.Itoa(n)) }
+			for n := range maxGone + extra {
+				d.Put(leaving(id(n), unit.Address(id(n)), 1))
+			}
+			for n := range maxGone {
+				d.Remove(at(n), id(n), first(2), false)
+			}
+			for n := range tt.back {
+				d.Put(leaving(id(n), unit.Address(id(n)), 3))
+			}
+			for n := range extra {
+				d.Remove(at(maxGone+n), id(maxGone+n), first(2), false)
+			}
+			assert.Equal(t, d.goneCount, tt.want)
+			assert.Equal(t, d.Len(), tt.back)
+			for n := range tt.back {
+				assert.Assert(t, d.entries[id(n)] != nil && !d.entries[id(n)].gone())
+			}
+			for n := tt.back; n < extra; n++ {
+				assert.Assert(t, d.entries[id(n)] == nil, "%d", n)
+			}
+			assert.Assert(t, d.entries[id(max(extra, tt.back))] != nil)
+			d.Sweep(at(maxGone + extra).Add(goneTime))
+			assert.Equal(t, d.goneCount, 0)
+			assert.Equal(t, len(d.goneOrder), 0)
+		})
+	}
+}
