Answer a pipelined request that is in flight at a stop

A caller that sent two requests in one segment lost the answer to the second when a stop closed the port while that request was handled: the connection ended, although the request had been passed on.

Both requests are then in hertz's buffer. The end of the first marked the connection as answered, and nothing was read for the second, so that CloseIdle took the connection for idle and disconnected it.

Hertz calls Start for a later request only when its first bytes are there. Start now marks the connection as unanswered, under the lock that CloseIdle holds: a request that starts before CloseIdle is answered, and one that starts after it is not answerable and so not forwarded. The branch for connections of other transports is gone, since no server has such; TestAnswerable uses accepted connections and keeps its rows.

TestCloseAnswersPipelinedRequest failed before in the row "both requests in one write" with "unexpected EOF"; after, five runs of port, keepalive and listen with the race detector pass.

--- a/internal/serve/keepalive/keepalive.go
+++ b/internal/serve/keepalive/keepalive.go
@@ -36,27 +36,10 @@
 // connection is the state of one open connection.
 type connection struct {
 	accepted *port.Conn
-	// busy reports whether a request is in flight.
-	busy bool
 	// closed reports whether CloseIdle has closed the connection.
 	closed bool
 }
 
-// idle reports whether no byte of a request has come that has not been responded to.
-func (c *connection) idle() bool {
-	if c.accepted == nil {
-		return !c.busy
-	}
-	return c.accepted.Idle()
-}
-
-// disconnect closes the connection while hertz may still read from it.
-func (c *connection) disconnect() {
-	if c.accepted != nil {
-		c.accepted.Disconnect()
-	}
-}
-
 // New returns a tracker without connections.
 func New() *Tracker {
 	return &Tracker{conns: make(map[network.Conn]*connection)}
@@ -67,8 +50,11 @@
 	return []config.Option{server.WithTracer(t)}
 }
 
-// Start marks the connection of a request as busy. On the first request of a connection, it also arranges that forget
-// is called when hertz has closed the connection.
+// Start marks the connection of a later request as unanswered, since all bytes of the request may have been read together
+// with the one before it. On the first request of a connection, it arranges that forget is called when hertz has closed
+// the connection.
+//
+// Every connection is accepted by a port.Listener whose port.Context is hertz's OnAccept.
 func (t *Tracker) Start(ctx context.Context, rc *app.RequestContext) context.Context {
 	conn := rc.GetConn()
 	t.mu.Lock()
@@ -77,13 +63,15 @@
 		c = &connection{accepted: port.FromContext(ctx)}
 		t.conns[conn] = c
 	}
-	c.busy = true
+	if known {
+		c.accepted.Unanswered()
+	}
 	closing := t.closing
 	t.mu.Unlock()
 	if known {
 		return ctx
 	}
-	if c.accepted != nil && !c.accepted.OnClose(func() { t.forget(conn) }) {
+	if !c.accepted.OnClose(func() { t.forget(conn) }) {
 		// A request that was read together with the one before it, at whose end Finish has closed the connection.
 		t.forget(conn)
 	}
@@ -93,16 +81,13 @@
 	return ctx
 }
 
-// Finish marks the connection of a request as idle, and closes it if CloseIdle was called while the request was in
+// Finish marks the connection of a request as answered, and closes it if CloseIdle was called while the request was in
 // flight.
 func (t *Tracker) Finish(_ context.Context, rc *app.RequestContext) {
 	conn := rc.GetConn()
 	t.mu.Lock()
 	if c, known := t.conns[conn]; known {
-		c.busy = false
-		if c.accepted != nil {
-			c.accepted.Answered()
-		}
+		c.accepted.Answered()
 	}
 	closing := t.closing
 	t.mu.Unlock()
@@ -147,9 +132,9 @@
 	t.closing = true
 	defer t.mu.Unlock()
 	for _, c := range t.conns {
-		if c.idle() {
+		if c.accepted.Idle() {
 			c.closed = true
-			c.disconnect()
+			c.accepted.Disconnect()
 		}
 	}
 }
--- a/internal/serve/keepalive/keepalive_test.go
+++ b/internal/serve/keepalive/keepalive_test.go
@@ -75,22 +75,23 @@
 	tests := []struct {
 		name string
 		// steps run in order between the end of the connection's first request and the call of Answerable.
-		steps []func(tr *Tracker, rc *app.RequestContext)
+		steps []step
 		want  bool
 	}{
 		{"no stop", nil, true},
-		{"read before idle connections are closed", []func(*Tracker, *app.RequestContext){startRequest, closeIdle}, true},
-		{"read after idle connections are closed", []func(*Tracker, *app.RequestContext){closeIdle, startRequest}, false},
+		{"read before idle connections are closed", []step{startRequest, closeIdle}, true},
+		{"read after idle connections are closed", []step{closeIdle, startRequest}, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			tr := New()
+			ctx := connContext(t)
 			rc := app.NewContext(0)
 			rc.SetConn(mock.NewConn(""))
-			startRequest(tr, rc)
-			tr.Finish(context.Background(), rc)
-			for _, step := range tt.steps {
-				step(tr, rc)
+			startRequest(ctx, tr, rc)
+			tr.Finish(ctx, rc)
+			for _, run := range tt.steps {
+				run(ctx, tr, rc)
 			}
 			assert.Equal(t, tr.Answerable(rc), tt.want)
 		})
@@ -122,16 +123,36 @@
 	stop()
 }
 
+// step is a step of TestAnswerable. ctx is the context of the connection of rc.
+type step func(ctx context.Context, tr *Tracker, rc *app.RequestContext)
+
 // startRequest starts a request on the connection of rc.
-func startRequest(tr *Tracker, rc *app.RequestContext) {
-	tr.Start(context.Background(), rc)
+func startRequest(ctx context.Context, tr *Tracker, rc *app.RequestContext) {
+	tr.Start(ctx, rc)
 }
 
 // closeIdle calls CloseIdle, as a step.
-func closeIdle(tr *Tracker, _ *app.RequestContext) {
+func closeIdle(_ context.Context, tr *Tracker, _ *app.RequestContext) {
 	tr.CloseIdle()
 }
 
+// connContext returns the context of an accepted connection on which nothing is sent.
+func connContext(t *testing.T) context.Context {
+	t.Helper()
+	listener, err := port.Listen("127.0.0.1:0", port.Timeouts{})
+	assert.NilError(t, err)
+	dialed, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	accepted, err := listener.Accept()
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	t.Cleanup(func() {
+		_ = accepted.Close()
+		_ = dialed.Close()
+	})
+	return port.Context(accepted)
+}
+
 // startServer starts a server with the tracker and returns its address and a function that stops it.
 func startServer(t *testing.T, tr *Tracker, handle app.HandlerFunc) (address string, stop func()) {
 	t.Helper()
--- a/internal/serve/port/conn.go
+++ b/internal/serve/port/conn.go
@@ -52,7 +52,7 @@
 	watched chan struct{}
 	// received reports whether a byte has been read.
 	received atomic.Bool
-	// unanswered reports whether a byte has been read since the last response.
+	// unanswered reports whether a byte has been read, or a request has begun, since the last response.
 	unanswered atomic.Bool
 	// readTimeout bounds the wait of one Read.
 	readTimeout atomic.Int64
@@ -239,6 +239,11 @@
 	c.unanswered.Store(false)
 }
 
+// Unanswered records that a request is handled whose bytes may have been read before the last response was written.
+func (c *Conn) Unanswered() {
+	c.unanswered.Store(true)
+}
+
 // Idle reports whether no byte of a request has come since the last response, read or unread.
 func (c *Conn) Idle() bool {
 	return !c.unanswered.Load() && !c.hasInput()
