Close the port for callers by the schedule of the stop

After a reload of a longer grace, a stop gave up requests that it had planned to answer: the port for callers closed by the grace time of the start, and "request given up at the stop" had an age of 2.8 s with 3.5 s to answer by.

The exit wait of the port was computed at installation, while the schedule of the stop uses the reloaded grace. A shorter grace had the reverse fault: the port could stay open beyond the grace time.

The schedule now has the time at which the port closes, BeginDrain hands the schedule to the callers' server, and that waits until then, so that only one place plans with the grace time. A stop that began to close the port late no longer extends beyond it either.

TestPlan checks the new time exactly.

--- a/internal/platform/ingress/ingress.go
+++ b/internal/platform/ingress/ingress.go
@@ -14,6 +14,7 @@
 	"basilspan/internal/core/dispatch"
 	"basilspan/internal/core/kernel"
 	"basilspan/internal/core/unit"
+	"basilspan/internal/policy/shutdown"
 	"basilspan/internal/serve/keepalive"
 	"basilspan/internal/serve/listen"
 )
@@ -38,8 +39,6 @@
 type Options struct {
 	Now func() time.Time
 	Log *slog.Logger
-	// DrainTimeout bounds how long closing the server waits for requests in flight.
-	DrainTimeout time.Duration
 }
 
 // Server is the HTTP server for callers.
@@ -54,6 +53,8 @@
 
 	listen unit.Address
 	server *listen.Server
+	// schedule is that of the planned stop. BeginDrain sets it.
+	schedule shutdown.Schedule
 }
 
 // Install registers the server with the kernel. It looks up the dispatcher when it starts.
@@ -79,16 +80,18 @@
 	return s.server.Address()
 }
 
-// BeginDrain makes each further response close its connection. Requests are still served.
-func (s *Server) BeginDrain() {
+// BeginDrain makes each further response close its connection. Requests are still served. The server closes by the
+// schedule. It must return before the server closes.
+func (s *Server) BeginDrain(schedule shutdown.Schedule) {
+	s.schedule = schedule
 	s.server.Tracker.BeginDrain()
 }
 
-// close stops accepting connections, and waits for the requests in flight for at most DrainTimeout.
+// close stops accepting connections, and waits for the requests in flight until the schedule's CloseBy.
 func (s *Server) close() error {
 	began := s.Now()
 	s.Log.Info("closing the port for callers", "open", s.OpenRequests())
-	err := s.server.Close()
+	err := s.server.CloseWithin(max(0, s.schedule.CloseBy.Sub(began)))
 	s.Log.Info("port for callers closed", "open", s.OpenRequests(), "took_ms", s.Now().Sub(began).Milliseconds())
 	return err
 }
@@ -104,7 +107,6 @@
 		server.WithReadTimeout(readTimeout),
 		server.WithWriteTimeout(writeTimeout),
 		server.WithIdleTimeout(idleTimeout),
-		server.WithExitWaitTime(s.DrainTimeout),
 		server.WithDisableDefaultDate(true),
 		server.WithDisableDefaultContentType(true),
 		{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
--- a/internal/policy/shutdown/shutdown.go
+++ b/internal/policy/shutdown/shutdown.go
@@ -23,24 +23,22 @@
 	AcceptUntil time.Time
 	// AnswerBy is when every request must have its final answer, so that the response is written before the port closes.
 	AnswerBy time.Time
+	// CloseBy is when the port for callers closes, even if responses are still being written.
+	CloseBy time.Time
 }
 
 // Plan returns the schedule of a stop that begins now.
 func Plan(now time.Time, grace time.Duration) Schedule {
-	finish := FinishTime(grace)
+	finish := time.Duration(finishShare * float64(grace))
 	accept := now.Add(max(0, grace-finish-exitReserve))
 	return Schedule{
 		Began:       now,
 		AcceptUntil: accept,
 		AnswerBy:    accept.Add(finish - time.Duration(writeShare*float64(finish))),
+		CloseBy:     accept.Add(finish),
 	}
 }
 
-// FinishTime returns how long the port for callers may take to close after it stops accepting connections.
-func FinishTime(grace time.Duration) time.Duration {
-	return time.Duration(finishShare * float64(grace))
-}
-
 // Request describes a request for the decision whether a stopping VM serves it.
 type Request struct {
 	Arrived time.Time
--- a/internal/policy/shutdown/shutdown_test.go
+++ b/internal/policy/shutdown/shutdown_test.go
@@ -18,18 +18,20 @@
 		grace  time.Duration
 		accept time.Duration
 		answer time.Duration
+		closes time.Duration
 	}{
-		{"a usual grace time", 6 * time.Second, 3900 * ms, 5340 * ms},
-		{"a short grace time", time.Second, 400 * ms, 640 * ms},
-		{"shorter than the reserves", 400 * ms, 0, 96 * ms},
+		{"a usual grace time", 6 * time.Second, 3900 * ms, 5340 * ms, 5700 * ms},
+		{"a short grace time", time.Second, 400 * ms, 640 * ms, 700 * ms},
+		{"shorter than the reserves", 400 * ms, 0, 96 * ms, 120 * ms},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			s := Plan(start, tt.grace)
 			assert.Equal(t, s.AcceptUntil.Sub(start), tt.accept)
 			assert.Equal(t, s.AnswerBy.Sub(start), tt.answer)
+			assert.Equal(t, s.CloseBy.Sub(start), tt.closes)
 			assert.Assert(t, s.InProgress())
-			assert.Assert(t, s.AnswerBy.Before(s.AcceptUntil.Add(FinishTime(tt.grace))))
+			assert.Assert(t, s.AnswerBy.Before(s.CloseBy))
 		})
 	}
 	assert.Assert(t, !Schedule{}.InProgress())
--- a/internal/serve/gateway/gateway.go
+++ b/internal/serve/gateway/gateway.go
@@ -95,7 +95,7 @@
 			"answer_s", s.AnswerBy.Sub(s.Began).Seconds())
 		g.lifecycle.Fire(lifecycle.TriggerDrain)
 		g.drainDispatcher(s)
-		g.callers.BeginDrain()
+		g.callers.BeginDrain(s)
 		g.announcing.Add(1)
 		go func() {
 			defer g.announcing.Done()
--- a/internal/serve/gateway/services.go
+++ b/internal/serve/gateway/services.go
@@ -182,7 +182,7 @@
 }
 
 // applySettings passes the settings that can change at run time to the services that use them. Reload calls it. The
-// grace time is not among them, since Close reads it from the settings.
+// grace time is not among them: BeginDrain plans the stop with it and hands over the schedule.
 func (g *Gateway) applySettings(settings config.Settings) {
 	f := kernel.NewFinder(g.kernel)
 	fleetService := kernel.Lookup[*fleet.Fleet](f, kernel.ServiceExchange)
@@ -261,7 +261,7 @@
 		}
 	}
 	callers, err := ingress.Install(g.kernel, g.settings.Callers, ingress.Options{
-		Now: g.options.Now, Log: g.options.Log, DrainTimeout: shutdown.FinishTime(g.settings.Grace),
+		Now: g.options.Now, Log: g.options.Log,
 	})
 	g.callers = callers
 	return err
--- a/internal/serve/listen/listen.go
+++ b/internal/serve/listen/listen.go
@@ -68,10 +68,15 @@
 //
 // It does without hertz's Shutdown, which waits for at most 30 seconds with this transport.
 func (s *Server) Close() error {
+	return s.CloseWithin(s.exitWait)
+}
+
+// CloseWithin is Close with an exit wait time of its own.
+func (s *Server) CloseWithin(exitWait time.Duration) error {
 	s.Tracker.BeginDrain()
 	s.Tracker.CloseIdle()
 	err := s.listener.Close()
 	<-s.done
-	s.listener.AwaitConns(s.exitWait)
+	s.listener.AwaitConns(exitWait)
 	return errors.Wrapf(err, "close the port at %s", s.Address())
 }
