Notice a caller's close behind unread input

A request went on, and was sent to endpoints, for a caller that had sent an empty line or a further request and then closed its connection.

The watch of a connection told Read of input and then waited until Read had taken it, so that while a request was handled it noticed the end of the input only if nothing had come before it.

The watch now stays in the runtime's poller. That is edge-triggered, so it wakes for each arrival, also behind unread bytes, and the watch looks whether the other side has ended the connection (POLLRDHUP). Read takes input without the lock that the waiting watch holds, and waits for the watch only when there is none. Nothing is read ahead, so that a connection needs no further memory.

The tests that waited for input through the former internals now look at the socket.

--- a/internal/serve/port/conn.go
+++ b/internal/serve/port/conn.go
@@ -35,7 +35,8 @@
 // Conn is an accepted TCP connection for hertz's standard transport, which waits in the poller of the Go runtime. Its
 // context ends with the connection, whichever side closes it.
 //
-// A goroutine waits for input in place of Read, so that a close by the caller is noticed while its request is handled.
+// A goroutine waits for input in place of Read, so that a close by the caller is noticed while its request is handled,
+// also behind input that has not been read.
 type Conn struct {
 	net.Conn
 
@@ -44,10 +45,8 @@
 	// ctx ends when the caller has closed the connection or this side does.
 	ctx    context.Context
 	cancel context.CancelFunc
-	// readable has an element while input waits to be read. It is closed when the connection has ended.
+	// readable has an element when input has come since Read last waited. It is closed when no more can come.
 	readable chan struct{}
-	// taken has an element when Read has taken input and the next is to be waited for.
-	taken chan struct{}
 	// watched is closed when the watch goroutine has returned.
 	watched chan struct{}
 	// received reports whether a byte has been read.
@@ -95,7 +94,6 @@
 		raw:      raw,
 		listener: l,
 		readable: make(chan struct{}, 1),
-		taken:    make(chan struct{}, 1),
 		watched:  make(chan struct{}),
 		timer:    time.NewTimer(time.Hour),
 	}
@@ -106,91 +104,106 @@
 	return c, nil
 }
 
-// watch tells Read of input until the connection ends, and then ends its context.
+// watch tells Read of input until no more can come, and then ends the connection's context.
+//
+// The runtime's poller is edge-triggered: it wakes the watch once for each arrival of bytes or of the end, also while
+// earlier bytes are unread.
 func (c *Conn) watch() {
 	defer close(c.watched)
 	defer c.cancel()
 	defer close(c.readable)
-	for c.awaitInput() {
-		c.readable <- struct{}{}
+	_ = c.raw.Read(func(fd uintptr) (ended bool) {
+		if peerEnded(fd) {
+			return true
+		}
 		select {
-		case <-c.taken:
-		case <-c.ctx.Done():
-			return
+		case c.readable <- struct{}{}:
+		default:
 		}
-	}
+		return false
+	})
 }
 
-// awaitInput waits for input and returns true, or false if the connection has ended. It leaves the input unread.
-func (c *Conn) awaitInput() bool {
-	var first [1]byte
-	var n int
-	var err error
-	waitErr := c.raw.Read(func(fd uintptr) bool {
-		n, _, err = unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK)
-		for err == unix.EINTR {
-			n, _, err = unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK)
-		}
-		return err != unix.EAGAIN
-	})
-	return waitErr == nil && err == nil && n > 0
+// peerEnded reports whether the other side has closed the connection or its sending direction, or the connection has
+// failed.
+func peerEnded(fd uintptr) bool {
+	const ended = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(fds, 0)
+	for err == unix.EINTR {
+		n, err = unix.Poll(fds, 0)
+	}
+	return err != nil || n > 0 && fds[0].Revents&ended != 0
 }
 
 // Read reads input. Only one goroutine may call it at a time. If the first byte does not come in time, it returns
 // io.EOF, at which hertz closes the connection without a response.
 func (c *Conn) Read(b []byte) (int, error) {
-	if !c.await() {
-		if !c.received.Load() {
-			return 0, io.EOF
-		}
-		return 0, os.ErrDeadlineExceeded
+	n, err := c.awaitInput(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.received.Load() {
+		return 0, io.EOF
 	}
-	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.unanswered.Store(true)
 		if !c.received.Swap(true) {
 			c.readTimeout.Store(int64(c.listener.timeouts.Read))
 		}
 	}
-	select {
-	case c.taken <- struct{}{}:
-	default:
-	}
 	return n, err
 }
 
-// await waits for input or the end of the connection, and returns false if neither came within the read timeout. The
-// watch may not have noticed yet what came while the process was paused.
-func (c *Conn) await() bool {
-	select {
-	case <-c.readable:
-		return true
-	default:
+// awaitInput reads the input that has come, or waits for it within the read timeout. It looks for input once more when
+// the timeout has passed, since the watch may not have noticed yet what came while the process was paused.
+func (c *Conn) awaitInput(b []byte) (int, error) {
+	n, err := c.readInput(b)
+	if !errors.Is(err, unix.EAGAIN) {
+		return n, err
 	}
 	if timeout := time.Duration(c.readTimeout.Load()); timeout > 0 {
 		c.timer.Reset(timeout)
 		defer c.timer.Stop()
 	}
-	select {
-	case <-c.readable:
-		return true
-	case <-c.timer.C:
-	}
-	if !c.inputWaits() {
-		return false
+	for {
+		noInput := error(nil)
+		select {
+		case _, open := <-c.readable:
+			if !open {
+				noInput = io.EOF
+			}
+		case <-c.timer.C:
+			noInput = os.ErrDeadlineExceeded
+		}
+		n, err = c.readInput(b)
+		switch {
+		case !errors.Is(err, unix.EAGAIN):
+			return n, err
+		case noInput != nil:
+			return 0, noInput
+		}
 	}
-	<-c.readable
-	return true
 }
 
-// inputWaits reports whether input or the end of the input waits in the socket.
-func (c *Conn) inputWaits() bool {
-	var first [1]byte
-	var err error
+// readInput reads the input that has come, and returns unix.EAGAIN if there is none. It does without the Read of the
+// embedded connection, which would wait for the watch.
+func (c *Conn) readInput(b []byte) (n int, err error) {
+	if len(b) == 0 {
+		return 0, nil
+	}
 	controlErr := c.raw.Control(func(fd uintptr) {
-		_, _, err = unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		n, err = unix.Read(int(fd), b)
+		for err == unix.EINTR {
+			n, err = unix.Read(int(fd), b)
+		}
 	})
-	return controlErr == nil && err == nil
+	switch {
+	case controlErr != nil:
+		return 0, controlErr
+	case err != nil:
+		return 0, err
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
 }
 
 // SetReadDeadline bounds the wait of each further Read by the time until t. It does not change that of a Read under
--- a/internal/serve/port/conn_test.go
+++ b/internal/serve/port/conn_test.go
@@ -42,6 +42,27 @@
 	return accepted, caller, func() { go accepted.watch() }
 }
 
+// reset ends the caller's side of a connection with a reset.
+func reset(caller *net.TCPConn) error {
+	if err := caller.SetLinger(0); err != nil {
+		return err
+	}
+	return caller.Close()
+}
+
+// awaitArrival waits until input or the end of the input is in the socket.
+func awaitArrival(c *Conn) {
+	for !c.hasInput() && !ended(c) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// ended reports whether the caller has closed the connection.
+func ended(c *Conn) (ended bool) {
+	_ = c.raw.Control(func(fd uintptr) { ended = peerEnded(fd) })
+	return ended
+}
+
 // TestContextEndsWithConnection guards against requests that go on for callers that have left: nobody reads from the
 // connection while a request is handled.
 func TestContextEndsWithConnection(t *testing.T) {
@@ -50,12 +71,7 @@
 		end  func(accepted *Conn, caller *net.TCPConn) error
 	}{
 		{"the caller closes", func(_ *Conn, caller *net.TCPConn) error { return caller.Close() }},
-		{"the caller resets", func(_ *Conn, caller *net.TCPConn) error {
-			if err := caller.SetLinger(0); err != nil {
-				return err
-			}
-			return caller.Close()
-		}},
+		{"the caller resets", func(_ *Conn, caller *net.TCPConn) error { return reset(caller) }},
 		{"the caller sends no more", func(_ *Conn, caller *net.TCPConn) error { return caller.CloseWrite() }},
 		{"the server disconnects", func(accepted *Conn, _ *net.TCPConn) error {
 			accepted.Disconnect()
@@ -148,9 +164,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			accepted, caller, watch := unwatchedPair(t, Timeouts{Idle: time.Millisecond})
 			assert.NilError(t, tt.act(caller))
-			for !accepted.inputWaits() {
-				time.Sleep(time.Millisecond)
-			}
+			awaitArrival(accepted)
 			time.AfterFunc(50*time.Millisecond, watch)
 			b := make([]byte, 100)
 			n, err := accepted.Read(b)
@@ -217,8 +231,7 @@
 			_, err := io.WriteString(caller, tt.sent)
 			assert.NilError(t, err)
 			if tt.sent != "" {
-				assert.Assert(t, accepted.await())
-				accepted.readable <- struct{}{}
+				awaitArrival(accepted)
 			}
 			if tt.read > 0 {
 				_, err = io.ReadFull(accepted, make([]byte, tt.read))
