Bound the wait for the rest of a later request's first bytes

A stop waited for the exit wait time, and an entry VM for minutes, for a kept connection on which one to three bytes of a further request had come, or a stray line end.

Hertz sets the read timeout for a later request only when four bytes have come; until then its idle timeout holds, which bounds the wait for a request that has not begun. Since a byte has come, CloseIdle leaves such a connection to be served.

The connection now sets the read timeout itself at the first byte after each response, as it did at its very first byte.

TestReadTimeout has a row for the connection alone.

--- a/internal/serve/port/conn.go
+++ b/internal/serve/port/conn.go
@@ -26,7 +26,8 @@
 type Timeouts struct {
 	// Idle bounds the wait for the first byte of a connection.
 	Idle time.Duration
-	// Read bounds the wait for each further byte of the first request. Hertz sets it for the later ones.
+	// Read bounds the wait for each further byte of a request. Hertz sets it only when four bytes of a later request
+	// have come.
 	Read time.Duration
 	// Write bounds each write, together with LateTimeout.
 	Write time.Duration
@@ -144,8 +145,8 @@
 		return 0, io.EOF
 	}
 	if n > 0 {
-		c.unanswered.Store(true)
-		if !c.received.Swap(true) {
+		c.received.Store(true)
+		if !c.unanswered.Swap(true) {
 			c.readTimeout.Store(int64(c.listener.timeouts.Read))
 		}
 	}
--- a/internal/serve/port/conn_test.go
+++ b/internal/serve/port/conn_test.go
@@ -110,14 +110,17 @@
 		timeouts Timeouts
 		// sent is what the caller has sent and is read before.
 		sent string
+		// answered reports whether that is answered, and a first byte of the next request is read.
+		answered bool
 		// deadline is set after that, if it is not 0.
 		deadline time.Duration
 		want     error
 	}{
-		{"no first byte", Timeouts{Idle: 20 * time.Millisecond, Read: time.Hour}, "", 0, io.EOF},
-		{"no further byte of the first request", Timeouts{Idle: time.Hour, Read: 20 * time.Millisecond}, "a", 0, os.ErrDeadlineExceeded},
-		{"no byte of a later request", Timeouts{Idle: time.Hour, Read: time.Hour}, "a", 20 * time.Millisecond, os.ErrDeadlineExceeded},
-		{"a deadline that has passed", Timeouts{}, "a", -time.Second, os.ErrDeadlineExceeded},
+		{"no first byte", Timeouts{Idle: 20 * time.Millisecond, Read: time.Hour}, "", false, 0, io.EOF},
+		{"no further byte of the first request", Timeouts{Idle: time.Hour, Read: 20 * time.Millisecond}, "a", false, 0, os.ErrDeadlineExceeded},
+		{"no byte of a later request", Timeouts{Idle: time.Hour, Read: time.Hour}, "a", false, 20 * time.Millisecond, os.ErrDeadlineExceeded},
+		{"no further byte of a later request", Timeouts{Idle: time.Hour, Read: 20 * time.Millisecond}, "a", true, 0, os.ErrDeadlineExceeded},
+		{"a deadline that has passed", Timeouts{}, "a", false, -time.Second, os.ErrDeadlineExceeded},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -129,6 +132,14 @@
 				_, err = accepted.Read(b)
 				assert.NilError(t, err)
 			}
+			if tt.answered {
+				accepted.Answered()
+				assert.NilError(t, accepted.SetReadDeadline(time.Now().Add(time.Hour)))
+				_, err := io.WriteString(caller, "b")
+				assert.NilError(t, err)
+				_, err = accepted.Read(b)
+				assert.NilError(t, err)
+			}
 			if tt.deadline != 0 {
 				assert.NilError(t, accepted.SetReadDeadline(time.Now().Add(tt.deadline)))
 			}
