Do not let a probe connection hold a stop

A gateway with a grace time of 2 s took 6.1 s to stop while a prober had sent the start of a request, and 11.1 s with one such connection on the port for probes and one on that for metrics. A supervisor kills it before.

Both ports were started without options. They close after the port for callers, and each then waited for hertz's exit wait time, 5 s unless set, in the 0.3 s that the schedule reserves for the exit of the process.

The ports have timeouts for reading and writing now, and wait 50 ms for requests in flight, 0.1 s for both.

--- a/internal/platform/ingress/ready.go
+++ b/internal/platform/ingress/ready.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
 
 	"basilspan/internal/core/kernel"
 	"basilspan/internal/core/metric"
@@ -21,6 +23,18 @@
 	pathMetrics = "/metrics"
 )
 
+const (
+	// probeReadTimeout bounds the wait for the next byte of a probe that has started.
+	probeReadTimeout = 10 * time.Second
+	// probeWriteTimeout bounds the wait for a prober that does not read its response.
+	probeWriteTimeout = 10 * time.Second
+	// probeIdleTimeout is how long a connection may wait for its next probe.
+	probeIdleTimeout = 3 * time.Minute
+	// probeExitWait bounds how long closing a probe waits for requests in flight. The probes close one after the other,
+	// in the time that the schedule of a stop reserves for the exit of the process.
+	probeExitWait = 50 * time.Millisecond
+)
+
 // Probe is a server for the readiness check and the metrics. If they have different addresses, one probe is installed
 // for each.
 type Probe struct {
@@ -41,7 +55,13 @@
 			if p.Metrics, err = kernel.Find[*metric.Set](k, kernel.ServiceMetrics); err != nil {
 				return err
 			}
-			p.server, err = listen.Start(ctx, address, nil, func(h *server.Hertz, _ *keepalive.Tracker) {
+			options := []config.Option{
+				server.WithReadTimeout(probeReadTimeout),
+				server.WithWriteTimeout(probeWriteTimeout),
+				server.WithIdleTimeout(probeIdleTimeout),
+				server.WithExitWaitTime(probeExitWait),
+			}
+			p.server, err = listen.Start(ctx, address, options, func(h *server.Hertz, _ *keepalive.Tracker) {
 				h.GET(pathReady, p.handleReady)
 				h.GET(pathMetrics, p.handleMetrics)
 			})
--- a/internal/serve/listen/listen.go
+++ b/internal/serve/listen/listen.go
@@ -63,7 +63,7 @@
 }
 
 // Close stops accepting connections, closes idle connections and waits for the requests in flight, at most for the exit
-// wait time in the options of Start. The servers for callers set it with server.WithExitWaitTime; for the others
+// wait time in the options of Start. It is set with server.WithExitWaitTime; for the port for operators
 // hertz's default of 5 seconds applies. When it has passed, Close returns nil although requests are still in flight.
 //
 // It does without hertz's Shutdown, which waits for at most 30 seconds with this transport.
