--- a/internal/serve/listen/listen.go
+++ b/internal/serve/listen/listen.go
@@ -63,15 +63,20 @@
 }
 
 // Close stops accepting connections, closes idle connections and waits for the requests in flight, at most for the exit
-// wait time in the options of Start. The servers for callers set it with server.WithExitWaitTime; for the others
+// wait time in the options of Start. It is set with server.WithExitWaitTime; for the port for operators
 // hertz's default of 5 seconds applies. When it has passed, Close returns nil although requests are still in flight.
 //
 // It does without hertz's Shutdown, which waits for at most 30 seconds with this transport.
 func (s *Server) Close() error {
+	return s.CloseWithin(s.exitWait)
+}
+
+// CloseWithin is Close with an exit wait time of its own.
+func (s *Server) CloseWithin(exitWait time.Duration) error {
 	s.Tracker.BeginDrain()
 	s.Tracker.CloseIdle()
 	err := s.listener.Close()
 	<-s.done
-	s.listener.AwaitConns(s.exitWait)
+	s.listener.AwaitConns(exitWait)
 	return errors.Wrapf(err, "close the port at %s", s.Address())
 }
--- a/internal/serve/port/conn_test.go
+++ b/internal/serve/port/conn_test.go
@@ -42,6 +42,27 @@
 	return accepted, caller, func() { go accepted.watch() }
 }
 
+// reset ends the caller's side of a connection with a reset.
+func reset(caller *net.TCPConn) error {
+	if err := caller.SetLinger(0); err != nil {
+		return err
+	}
+	return caller.Close()
+}
+
+// awaitArrival waits until input or the end of the input is in the socket.
+func awaitArrival(c *Conn) {
+	for !c.hasInput() && !ended(c) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// ended reports whether the caller has closed the connection.
+func ended(c *Conn) (ended bool) {
+	_ = c.raw.Control(func(fd uintptr) { ended = peerEnded(fd) })
+	return ended
+}
+
 // TestContextEndsWithConnection guards against requests that go on for callers that have left: nobody reads from the
 // connection while a request is handled.
 func TestContextEndsWithConnection(t *testing.T) {
@@ -50,12 +71,7 @@
 		end  func(accepted *Conn, caller *net.TCPConn) error
 	}{
 		{"the caller closes", func(_ *Conn, caller *net.TCPConn) error { return caller.Close() }},
-		{"the caller resets", func(_ *Conn, caller *net.TCPConn) error {
-			if err := caller.SetLinger(0); err != nil {
-				return err
-			}
-			return caller.Close()
-		}},
+		{"the caller resets", func(_ *Conn, caller *net.TCPConn) error { return reset(caller) }},
 		{"the caller sends no more", func(_ *Conn, caller *net.TCPConn) error { return caller.CloseWrite() }},
 		{"the server disconnects", func(accepted *Conn, _ *net.TCPConn) error {
 			accepted.Disconnect()
@@ -94,14 +110,17 @@
 		timeouts Timeouts
 		// sent is what the caller has sent and is read before.
 		sent string
+		// answered reports whether that is answered, and a first byte of the next request is read.
+		answered bool
 		// deadline is set after that, if it is not 0.
 		deadline time.Duration
 		want     error
 	}{
-		{"no first byte", Timeouts{Idle: 20 * time.Millisecond, Read: time.Hour}, "", 0, io.EOF},
-		{"no further byte of the first request", Timeouts{Idle: time.Hour, Read: 20 * time.Millisecond}, "a", 0, os.ErrDeadlineExceeded},
-		{"no byte of a later request", Timeouts{Idle: time.Hour, Read: time.Hour}, "a", 20 * time.Millisecond, os.ErrDeadlineExceeded},
-		{"a deadline that has passed", Timeouts{}, "a", -time.Second, os.ErrDeadlineExceeded},
+		{"no first byte", Timeouts{Idle: 20 * time.Millisecond, Read: time.Hour}, "", false, 0, io.EOF},
+		{"no further byte of the first request", Timeouts{Idle: time.Hour, Read: 20 * time.Millisecond}, "a", false, 0, os.ErrDeadlineExceeded},
+		{"no byte of a later request", Timeouts{Idle: time.Hour, Read: time.Hour}, "a", false, 20 * time.Millisecond, os.ErrDeadlineExceeded},
+		{"no further byte of a later request", Timeouts{Idle: time.Hour, Read: 20 * time.Millisecond}, "a", true, 0, os.ErrDeadlineExceeded},
+		{"a deadline that has passed", Timeouts{}, "a", false, -time.Second, os.ErrDeadlineExceeded},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -113,6 +132,14 @@
 				_, err = accepted.Read(b)
 				assert.NilError(t, err)
 			}
+			if tt.answered {
+				accepted.Answered()
+				assert.NilError(t, accepted.SetReadDeadline(time.Now().Add(time.Hour)))
+				_, err := io.WriteString(caller, "b")
+				assert.NilError(t, err)
+				_, err = accepted.Read(b)
+				assert.NilError(t, err)
+			}
 			if tt.deadline != 0 {
 				assert.NilError(t, accepted.SetReadDeadline(time.Now().Add(tt.deadline)))
 			}
@@ -148,9 +175,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			accepted, caller, watch := unwatchedPair(t, Timeouts{Idle: time.Millisecond})
 			assert.NilError(t, tt.act(caller))
-			for !accepted.inputWaits() {
-				time.Sleep(time.Millisecond)
-			}
+			awaitArrival(accepted)
 			time.AfterFunc(50*time.Millisecond, watch)
 			b := make([]byte, 100)
 			n, err := accepted.Read(b)
@@ -217,8 +242,7 @@
 			_, err := io.WriteString(caller, tt.sent)
 			assert.NilError(t, err)
 			if tt.sent != "" {
-				assert.Assert(t, accepted.await())
-				accepted.readable <- struct{}{}
+				awaitArrival(accepted)
 			}
 			if tt.read > 0 {
 				_, err = io.ReadFull(accepted, make([]byte, tt.read))
