Complete a call that starts on a connection which is being closed

A request could wait for its deadline although no endpoint had its call: it was sent on an idle connection just as unexpected data or the endpoint's close ended that connection.

Cause: when a read failed, the connection gave up its call in one step and was marked as closed in a later one. A call that started in between was written and then forgotten: the goroutine that would have completed it had ended, and abandoning it only sets a deadline for that goroutine. The connection is now marked in the same step, so that the call goes to another one.

--- a/internal/link/leaf/conn.go
+++ b/internal/link/leaf/conn.go
@@ -186,9 +186,14 @@
 	c.mu.Lock()
 	f := c.flight
 	c.flight = nil
+	// In the same step, so that no call can start on the connection, which nothing would complete.
+	closed := c.closed
+	c.closed = true
 	c.mu.Unlock()
 	c.pool.count("leaf.closed." + closeReason(err, f != nil))
-	c.closeOnce()
+	if !closed {
+		c.disconnect()
+	}
 	if f != nil {
 		f.complete(Result{Kind: KindLost, Err: err})
 	}
@@ -219,9 +224,13 @@
 	closed := c.closed
 	c.closed = true
 	c.mu.Unlock()
-	if closed {
-		return
+	if !closed {
+		c.disconnect()
 	}
+}
+
+// disconnect closes the connection and removes it from the pool. It is called once, after closed has been set.
+func (c *conn) disconnect() {
 	_ = c.Close()
 	c.pool.remove(c)
 }
--- a/internal/link/leaf/leaf_test.go
+++ b/internal/link/leaf/leaf_test.go
@@ -257,6 +257,45 @@
 	}
 }
 
+// TestCallOnEndingConnectionCompletes sends a call while an idle connection is being closed because of unexpected data.
+func TestCallOnEndingConnectionCompletes(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	s := &scriptedServer{listener: listener}
+	replied := make(chan struct{})
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = readRequest(bufio.NewReader(c))
+		_, _ = io.WriteString(c, wholeReply("r0", "a"))
+		<-replied
+		_, _ = io.WriteString(c, "garbage")
+		serveLate(listener, "", nil)
+	}()
+	p := newPool(t)
+	ending, sent := make(chan struct{}), make(chan struct{})
+	p.Count = func(name string) {
+		if name == "leaf.closed.surplus" {
+			close(ending)
+			<-sent
+		}
+	}
+	assert.Equal(t, string(call(t, p, s, "r0", 2).Reply.Body), "a")
+	close(replied)
+	<-ending
+	results := send(t, p, s, "r1", 2)
+	close(sent)
+	select {
+	case e := <-results:
+		assert.Equal(t, string(e.Reply.Body), "a")
+	case <-time.After(5 * time.Second):
+		t.Fatal("the call does not complete")
+	}
+}
+
 // serveLate replies to each request. It sends late after the reply to request r0 on the first connection, then closes
 // sent.
 func serveLate(listener net.Listener, late string, sent chan struct{}) {
