Bound what a caller may send before it gets a response

A caller that sends a trailer, or chunks with little in them, without end made the VM's memory grow with all that it sent.

Cause: hertz bounds the header and the decoded body, but collects a trailer of any size and does not count the encoding of chunks.

TestEndlessInput has the bound alone.

--- a/internal/serve/keepalive/keepalive_test.go
+++ b/internal/serve/keepalive/keepalive_test.go
@@ -139,7 +139,7 @@
 // connContext returns the context of an accepted connection on which nothing is sent.
 func connContext(t *testing.T) context.Context {
 	t.Helper()
-	listener, err := port.Listen("127.0.0.1:0", port.Timeouts{})
+	listener, err := port.Listen("127.0.0.1:0", port.Bounds{})
 	assert.NilError(t, err)
 	dialed, err := net.Dial("tcp", listener.Addr().String())
 	assert.NilError(t, err)
@@ -157,7 +157,7 @@
 func startServer(t *testing.T, tr *Tracker, handle app.HandlerFunc) (address string, stop func()) {
 	t.Helper()
 	hlog.SetOutput(io.Discard)
-	listener, err := port.Listen("127.0.0.1:0", port.Timeouts{})
+	listener, err := port.Listen("127.0.0.1:0", port.Bounds{})
 	assert.NilError(t, err)
 	s := server.New(append(tr.Options(), server.WithListener(listener), server.WithDisablePrintRoute(true),
 		server.WithTransport(standard.NewTransporter), server.WithOnAccept(port.Context))...)
--- a/internal/serve/listen/listen.go
+++ b/internal/serve/listen/listen.go
@@ -33,15 +33,17 @@
 func Start(
 	ctx context.Context, address unit.Address, options []config.Option, routes func(*server.Hertz, *keepalive.Tracker),
 ) (*Server, error) {
-	timeouts := config.NewOptions(options)
-	listener, err := port.Listen(address, port.Timeouts{
-		Idle: timeouts.IdleTimeout, Read: timeouts.ReadTimeout, Write: timeouts.WriteTimeout,
+	parsed := config.NewOptions(options)
+	listener, err := port.Listen(address, port.Bounds{
+		Idle: parsed.IdleTimeout, Read: parsed.ReadTimeout, Write: parsed.WriteTimeout,
+		// The encoding of chunks may double the size of a body.
+		Unanswered: 2 * unit.Bytes(parsed.MaxRequestBodySize+parsed.MaxHeaderBytes),
 	})
 	if err != nil {
 		return nil, err
 	}
 	s := &Server{
-		Tracker: keepalive.New(), listener: listener, exitWait: timeouts.ExitWaitTimeout, done: make(chan struct{}),
+		Tracker: keepalive.New(), listener: listener, exitWait: parsed.ExitWaitTimeout, done: make(chan struct{}),
 	}
 	all := append(s.Tracker.Options(), server.WithListener(listener), server.WithDisablePrintRoute(true),
 		// Hertz's default transport has a poller of its own, whose blocking system call delays the timers of a process
--- a/internal/serve/port/conn.go
+++ b/internal/serve/port/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net"
 	"os"
@@ -11,7 +10,10 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"basilspan/internal/core/unit"
 )
 
 const (
@@ -22,8 +24,11 @@
 	maxDiscards = 64
 )
 
-// Timeouts bound how long a connection may wait for its other side. Zero means no bound.
-type Timeouts struct {
+// errOversized is the error of a Read beyond Bounds.Unanswered.
+var errOversized = errors.New("the caller has sent too much without a response")
+
+// Bounds bound how long a connection may wait for its other side, and how much that may send. Zero means no bound.
+type Bounds struct {
 	// Idle bounds the wait for the first byte of a connection.
 	Idle time.Duration
 	// Read bounds the wait for each further byte of a request. Hertz sets it only when four bytes of a later request
@@ -31,6 +36,9 @@
 	Read time.Duration
 	// Write bounds each write, together with LateTimeout.
 	Write time.Duration
+	// Unanswered bounds the bytes that are read since the last write. Hertz collects a trailer, and the encoding of
+	// chunks, of any size.
+	Unanswered unit.Bytes
 }
 
 // Conn is an accepted TCP connection for hertz's standard transport, which waits in the poller of the Go runtime. Its
@@ -54,6 +62,8 @@
 	received atomic.Bool
 	// unanswered reports whether a byte has been read, or a request has begun, since the last response.
 	unanswered atomic.Bool
+	// sinceWrite is the number of bytes that have been read since the last Write.
+	sinceWrite atomic.Int64
 	// readTimeout bounds the wait of one Read.
 	readTimeout atomic.Int64
 	// timer is used by Read only.
@@ -99,7 +109,7 @@
 		timer:    time.NewTimer(time.Hour),
 	}
 	c.timer.Stop()
-	c.readTimeout.Store(int64(l.timeouts.Idle))
+	c.readTimeout.Store(int64(l.bounds.Idle))
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.ctx = context.WithValue(c.ctx, connKey{}, c)
 	return c, nil
@@ -140,14 +150,18 @@
 // Read reads input. Only one goroutine may call it at a time. If the first byte does not come in time, it returns
 // io.EOF, at which hertz closes the connection without a response.
 func (c *Conn) Read(b []byte) (int, error) {
+	if bound := int64(c.listener.bounds.Unanswered); bound > 0 && c.sinceWrite.Load() >= bound {
+		return 0, errOversized
+	}
 	n, err := c.awaitInput(b)
+	c.sinceWrite.Add(int64(n))
 	if errors.Is(err, os.ErrDeadlineExceeded) && !c.received.Load() {
 		return 0, io.EOF
 	}
 	if n > 0 {
 		c.received.Store(true)
 		if !c.unanswered.Swap(true) {
-			c.readTimeout.Store(int64(c.listener.timeouts.Read))
+			c.readTimeout.Store(int64(c.listener.bounds.Read))
 		}
 	}
 	return n, err
@@ -228,10 +242,11 @@
 
 // Write writes b within the write timeout and LateTimeout. Hertz's standard transport sets no write deadline itself.
 func (c *Conn) Write(b []byte) (int, error) {
-	if c.listener.timeouts.Write <= 0 {
+	c.sinceWrite.Store(0)
+	if c.listener.bounds.Write <= 0 {
 		return c.Conn.Write(b)
 	}
-	n, err := c.writeWithin(c.listener.timeouts.Write, b)
+	n, err := c.writeWithin(c.listener.bounds.Write, b)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		var late int
 		late, err = c.writeWithin(LateTimeout, b[n:])
--- a/internal/serve/port/conn_test.go
+++ b/internal/serve/port/conn_test.go
@@ -10,23 +10,25 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"basilspan/internal/core/unit"
 )
 
 // waitTimeout bounds the wait for an expected event.
 const waitTimeout = 20 * time.Second
 
-// pair returns both ends of a connection that a listener with these timeouts has accepted.
-func pair(t *testing.T, timeouts Timeouts) (accepted *Conn, caller *net.TCPConn) {
+// pair returns both ends of a connection that a listener with these bounds has accepted.
+func pair(t *testing.T, bounds Bounds) (accepted *Conn, caller *net.TCPConn) {
 	t.Helper()
-	accepted, caller, watch := unwatchedPair(t, timeouts)
+	accepted, caller, watch := unwatchedPair(t, bounds)
 	watch()
 	return accepted, caller
 }
 
 // unwatchedPair is like pair, but the connection is watched only from the call of watch on.
-func unwatchedPair(t *testing.T, timeouts Timeouts) (accepted *Conn, caller *net.TCPConn, watch func()) {
+func unwatchedPair(t *testing.T, bounds Bounds) (accepted *Conn, caller *net.TCPConn, watch func()) {
 	t.Helper()
-	l, err := Listen("127.0.0.1:0", timeouts)
+	l, err := Listen("127.0.0.1:0", bounds)
 	assert.NilError(t, err)
 	dialed, err := net.Dial("tcp", l.Addr().String())
 	assert.NilError(t, err)
@@ -81,7 +83,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			accepted, caller := pair(t, Timeouts{})
+			accepted, caller := pair(t, Bounds{})
 			_, err := io.WriteString(caller, "request")
 			assert.NilError(t, err)
 			b := make([]byte, 100)
@@ -106,8 +108,8 @@
 // TestReadTimeout checks what Read returns when nothing comes, and that input that has come is read however late.
 func TestReadTimeout(t *testing.T) {
 	tests := []struct {
-		name     string
-		timeouts Timeouts
+		name   string
+		bounds Bounds
 		// sent is what the caller has sent and is read before.
 		sent string
 		// answered reports whether that is answered, and a first byte of the next request is read.
@@ -116,15 +118,15 @@
 		deadline time.Duration
 		want     error
 	}{
-		{"no first byte", Timeouts{Idle: 20 * time.Millisecond, Read: time.Hour}, "", false, 0, io.EOF},
-		{"no further byte of the first request", Timeouts{Idle: time.Hour, Read: 20 * time.Millisecond}, "a", false, 0, os.ErrDeadlineExceeded},
-		{"no byte of a later request", Timeouts{Idle: time.Hour, Read: time.Hour}, "a", false, 20 * time.Millisecond, os.ErrDeadlineExceeded},
-		{"no further byte of a later request", Timeouts{Idle: time.Hour, Read: 20 * time.Millisecond}, "a", true, 0, os.ErrDeadlineExceeded},
-		{"a deadline that has passed", Timeouts{}, "a", false, -time.Second, os.ErrDeadlineExceeded},
+		{"no first byte", Bounds{Idle: 20 * time.Millisecond, Read: time.Hour}, "", false, 0, io.EOF},
+		{"no further byte of the first request", Bounds{Idle: time.Hour, Read: 20 * time.Millisecond}, "a", false, 0, os.ErrDeadlineExceeded},
+		{"no byte of a later request", Bounds{Idle: time.Hour, Read: time.Hour}, "a", false, 20 * time.Millisecond, os.ErrDeadlineExceeded},
+		{"no further byte of a later request", Bounds{Idle: time.Hour, Read: 20 * time.Millisecond}, "a", true, 0, os.ErrDeadlineExceeded},
+		{"a deadline that has passed", Bounds{}, "a", false, -time.Second, os.ErrDeadlineExceeded},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			accepted, caller := pair(t, tt.timeouts)
+			accepted, caller := pair(t, tt.bounds)
 			b := make([]byte, 100)
 			if tt.sent != "" {
 				_, err := io.WriteString(caller, tt.sent)
@@ -173,7 +175,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			accepted, caller, watch := unwatchedPair(t, Timeouts{Idle: time.Millisecond})
+			accepted, caller, watch := unwatchedPair(t, Bounds{Idle: time.Millisecond})
 			assert.NilError(t, tt.act(caller))
 			awaitArrival(accepted)
 			time.AfterFunc(50*time.Millisecond, watch)
@@ -194,7 +196,7 @@
 // TestWriteAfterPause guards against a response that is cut because its timeout passed while the process was paused,
 // although the caller has made room meanwhile.
 func TestWriteAfterPause(t *testing.T) {
-	accepted, caller := pair(t, Timeouts{Write: 20 * time.Millisecond})
+	accepted, caller := pair(t, Bounds{Write: 20 * time.Millisecond})
 	response := make([]byte, 32<<20)
 	received := make(chan int64, 1)
 	time.AfterFunc(100*time.Millisecond, func() {
@@ -209,7 +211,7 @@
 
 // TestWriteTimeout guards against a caller that does not read its response and holds the connection for ever.
 func TestWriteTimeout(t *testing.T) {
-	accepted, _ := pair(t, Timeouts{Write: 20 * time.Millisecond})
+	accepted, _ := pair(t, Bounds{Write: 20 * time.Millisecond})
 	block := make([]byte, 1<<20)
 	var err error
 	for range 100 {
@@ -238,7 +240,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			accepted, caller := pair(t, Timeouts{})
+			accepted, caller := pair(t, Bounds{})
 			_, err := io.WriteString(caller, tt.sent)
 			assert.NilError(t, err)
 			if tt.sent != "" {
@@ -258,7 +260,7 @@
 
 // TestCloseKeepsResponse guards against a response that is lost since the request was not read to its end.
 func TestCloseKeepsResponse(t *testing.T) {
-	accepted, caller := pair(t, Timeouts{})
+	accepted, caller := pair(t, Bounds{})
 	_, err := io.WriteString(caller, "a request that is not read")
 	assert.NilError(t, err)
 	_, err = accepted.Read(make([]byte, 1))
@@ -273,9 +275,46 @@
 
 // TestRoundTrip checks that the kernel's estimate is available through the context of a connection.
 func TestRoundTrip(t *testing.T) {
-	accepted, _ := pair(t, Timeouts{})
+	accepted, _ := pair(t, Bounds{})
 	rtt, ok := FromContext(Context(accepted)).RoundTrip()
 	assert.Assert(t, ok)
 	assert.Assert(t, rtt > 0)
 	assert.Assert(t, FromContext(context.Background()) == nil)
 }
+
+// TestEndlessInput checks that a connection reads a bounded number of bytes between two writes.
+func TestEndlessInput(t *testing.T) {
+	tests := []struct {
+		name   string
+		bound  unit.Bytes
+		writes int
+		want   int
+	}{
+		{"no write", 10, 0, 12},
+		{"one write", 10, 1, 24},
+		{"no bound", 0, 0, 100},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			accepted, caller := pair(t, Bounds{Unanswered: tt.bound})
+			_, err := caller.Write(make([]byte, 100))
+			assert.NilError(t, err)
+			read, writes := 0, 0
+			for read < 100 {
+				n, err := accepted.Read(make([]byte, 4))
+				read += n
+				if err == nil {
+					continue
+				}
+				assert.ErrorIs(t, err, errOversized)
+				if writes == tt.writes {
+					break
+				}
+				writes++
+				_, err = accepted.Write([]byte("a"))
+				assert.NilError(t, err)
+			}
+			assert.Equal(t, read, tt.want)
+		})
+	}
+}
--- a/internal/serve/port/listener.go
+++ b/internal/serve/port/listener.go
@@ -15,19 +15,19 @@
 
 // Listener accepts connections as Conn.
 type Listener struct {
-	tcp      *net.TCPListener
-	timeouts Timeouts
+	tcp    *net.TCPListener
+	bounds Bounds
 	// open counts the connections that have not been closed.
 	open sync.WaitGroup
 }
 
 // Listen listens at a TCP address.
-func Listen(address unit.Address, timeouts Timeouts) (*Listener, error) {
+func Listen(address unit.Address, bounds Bounds) (*Listener, error) {
 	listener, err := net.Listen("tcp", string(address))
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen at %s", address)
 	}
-	return &Listener{tcp: listener.(*net.TCPListener), timeouts: timeouts}, nil
+	return &Listener{tcp: listener.(*net.TCPListener), bounds: bounds}, nil
 }
 
 // Accept returns the next connection, a *Conn. It returns an error only after Close; hertz stops serving at any error.
--- a/internal/serve/port/unread_test.go
+++ b/internal/serve/port/unread_test.go
@@ -23,7 +23,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			accepted, caller := pair(t, Timeouts{})
+			accepted, caller := pair(t, Bounds{})
 			_, err := io.WriteString(caller, "request")
 			assert.NilError(t, err)
 			read := make([]byte, len("request"))
