Keep requests away from endpoints that answer 503 with Retry-After

What callers saw: an endpoint that turned requests away with 503 and Retry-After went on getting them. It was only asked last for 150 ms or, when it said that it had not run the request, not even that, so callers paid a retry each time. When all endpoints of a service did so, each request still went out to be turned away.

Cause: Retry-After was not decoded.

Now: the reply's time ends the use of the endpoint by this VM, also as the last resort and for hedges and retries; a call that waits for a connection is checked right before it is written and ends as not sent; a later incarnation is not held to it. When too few shards of a request can be served, nothing is sent and the caller gets 503 with a Retry-After from the first return that makes an answer possible, the more urgent first. A malformed value is counted, logged and ignored, and the time is at most ten minutes. A VM that returns a portion unsent for this reason is not excluded from portions.

Also: a connection that was taken from the idle ones for a call abandoned meanwhile goes back to them.

--- a/internal/core/dispatch/answer.go
+++ b/internal/core/dispatch/answer.go
@@ -20,8 +20,7 @@
 		id, _ := f.machine.Reply(0)
 		return forwardReply(unit.CodeWhole, f.replies[id].Reply)
 	case !f.machine.MayHaveRun():
-		code := f.refusalCode()
-		return Answer{Code: code, RetryAfter: f.dispatcher.retryAfter(code, f.route)}
+		return f.dispatcher.refusal(f.job, f.refusalCode())
 	case f.machine.Verdict() == gather.VerdictTimedOut:
 		return Answer{Code: unit.CodeDeadline}
 	case f.machine.Verdict() == gather.VerdictStopped:
--- a/internal/core/dispatch/divided.go
+++ b/internal/core/dispatch/divided.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -110,11 +111,13 @@
 	return err != nil && (ctx.Err() == nil || !v.dispatcher.Now().Before(v.params.PartialDeadline))
 }
 
-// vmMissedEndpoints reports whether another VM left a shard unsent although this VM knows endpoints of it. The portion
+// vmMissedEndpoints reports whether another VM left a shard unsent, but not because the shard's endpoints turned its
+// requests away, although this VM knows endpoints of it. The portion
 // then counts as failed at that VM, which gets no portions for a while. handleEnd retries the shards.
 func (v *dividedRequest) vmMissedEndpoints(shards []int, result wirePortionResult) bool {
 	for i, n := range result.Sent {
-		if n == 0 && result.Seals[i] == "" && len(v.view.Endpoints[v.services[shards[i]]]) > 0 {
+		away := slices.Contains(result.Away, i)
+		if n == 0 && result.Seals[i] == "" && !away && len(v.view.Endpoints[v.services[shards[i]]]) > 0 {
 			return true
 		}
 	}
@@ -297,7 +300,7 @@
 		return Answer{Code: unit.CodeStopped}
 	}
 	if !v.mayHaveRun {
-		return Answer{Code: unit.CodeNoEndpoint, RetryAfter: v.dispatcher.retryAfter(unit.CodeNoEndpoint, v.route)}
+		return v.dispatcher.refusal(v.job, unit.CodeNoEndpoint)
 	}
 	return Answer{Code: unit.CodeBelowMinimum}
 }
--- a/internal/core/dispatch/fanout.go
+++ b/internal/core/dispatch/fanout.go
@@ -156,6 +156,7 @@
 		MaxConnections: f.view.ConnectionBudget(service).PerVM(endpoint.Slots),
 		MaxWait:        f.machine.Params.ConnectWait(),
 		Deadline:       f.machine.Params.End(),
+		Allowed:        func(now time.Time) bool { return f.dispatcher.mayUse(now, endpoint) },
 	}
 	f.flights[id] = f.dispatcher.Send(f.dispatcher.Now(), call, func(e leaf.Result) {
 		f.dispatcher.recordResult(f.route, endpoint, attempt.Sent, e)
--- a/internal/core/dispatch/portion.go
+++ b/internal/core/dispatch/portion.go
@@ -44,11 +44,13 @@
 }
 
 // wirePortionResult is the response: the greatest records of the shards that replied and, by shard, the seal of
-// the reply, empty if there is none, and the number of endpoints that the shard was sent to.
+// the reply, empty if there is none, and the number of endpoints that the shard was sent to. Away lists the shards that
+// were not sent because their endpoints want no requests from that VM; older releases don't have it.
 type wirePortionResult struct {
 	Records []byte   `json:"records"`
 	Seals   []string `json:"seals"`
 	Sent    []int    `json:"sent"`
+	Away    []int    `json:"away,omitempty"`
 	Hedges  int      `json:"hedges,omitempty"`
 	Retries int      `json:"retries,omitempty"`
 	Denied  int      `json:"denied,omitempty"`
@@ -155,6 +157,9 @@
 	var bodies [][]byte
 	for shard := range services {
 		p.Sent[shard] = f.machine.Reached(shard)
+		if p.Sent[shard] == 0 && d.inBackoff(f.endpoints[shard]) {
+			p.Away = append(p.Away, shard)
+		}
 		if id, ok := f.machine.Reply(shard); ok {
 			p.Seals[shard] = f.replies[id].Reply.Seal
 			bodies = append(bodies, f.replies[id].Reply.Body)
--- a/internal/core/dispatch/result.go
+++ b/internal/core/dispatch/result.go
@@ -71,6 +71,7 @@
 	if e.Kind == leaf.KindReply && e.Reply.Load != nil {
 		d.endpointTracker.RecordLoad(now, id, *e.Reply.Load)
 	}
+	d.recordBackoff(now, to, e.Reply)
 	switch outcome {
 	case gather.OutcomeWhole:
 		d.Metrics.RecordStage(unit.SearchName(route.Name), stageEndpoint, now.Sub(sent))
@@ -93,6 +94,30 @@
 	}
 }
 
+// recordBackoff keeps requests away from an endpoint that has turned one away, for as long as its reply asks. The caller
+// holds mu.
+func (d *Dispatcher) recordBackoff(now time.Time, to directory.Endpoint, r leaf.Reply) {
+	if r.RetryAfterInvalid {
+		d.Metrics.Add("endpoint.retryafter.invalid", 1)
+		d.Log.Warn("malformed Retry-After ignored", "endpoint", to.ID)
+	}
+	if r.RetryAfter <= 0 {
+		return
+	}
+	d.Metrics.Add("endpoint.backoff", 1)
+	if until, begun := d.endpointTracker.RecordBackoff(now, to, r.RetryAfter); begun {
+		d.Log.Info("endpoint turned requests away", "endpoint", to.ID, "retry_after_ms", r.RetryAfter.Milliseconds(),
+			"for_ms", until.Sub(now).Milliseconds())
+	}
+}
+
+// mayUse reports whether a call may be sent to an endpoint at now.
+func (d *Dispatcher) mayUse(now time.Time, e directory.Endpoint) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.endpointTracker.MayUse(now, e)
+}
+
 // recordFailure demotes an endpoint after a failed call, and logs it. The caller holds mu.
 func (d *Dispatcher) recordFailure(now time.Time, id unit.EndpointID, sent time.Time, e leaf.Result) {
 	failures, demotion := d.endpointTracker.RecordFailure(now, id, sent)
--- a/internal/link/leaf/call.go
+++ b/internal/link/leaf/call.go
@@ -36,6 +36,8 @@
 	MaxWait time.Duration
 	// Deadline is when the endpoint must stop working on the call.
 	Deadline time.Time
+	// Allowed reports whether the call may be sent at now. It is asked right before the call is written; nil allows it.
+	Allowed func(now time.Time) bool
 }
 
 // ResultKind is the kind of a call's result.
@@ -71,6 +73,15 @@
 	// keeps it open without one; 0 means not stated.
 	ClosesConnection bool
 	IdleTimeout      time.Duration
+	// RetryAfter is for how long the endpoint wants no requests from this VM, 0 if it does not say so. RetryAfterInvalid
+	// is set if it could not be decoded.
+	RetryAfter        time.Duration
+	RetryAfterInvalid bool
+}
+
+// endsUse reports whether further calls must not be sent to the endpoint before the reply has been recorded.
+func (r Reply) endsUse() bool {
+	return r.RetryAfter > 0
 }
 
 // Result is the outcome of a call.
@@ -128,6 +139,22 @@
 	}
 }
 
+// withdrawUnlessAllowed completes a call that has no connection yet and may not be sent at now as not sent, and reports
+// whether it did.
+func (f *Flight) withdrawUnlessAllowed(now time.Time) bool {
+	if f.call.Allowed == nil || f.call.Allowed(now) {
+		return false
+	}
+	f.mu.Lock()
+	unsent := f.conn == nil
+	f.abandoned = f.abandoned || unsent
+	f.mu.Unlock()
+	if unsent {
+		f.complete(Result{Kind: KindNotSent, Err: errWithdrawn})
+	}
+	return unsent
+}
+
 // attach assigns the connection to the flight right before the call is written to it. It returns false, and the call
 // must not be written, if the flight was abandoned.
 func (f *Flight) attach(c *conn) bool {
--- a/internal/link/leaf/conn.go
+++ b/internal/link/leaf/conn.go
@@ -37,8 +37,11 @@
 }
 
 // startCall starts a call on an idle connection and writes it. It returns false, with nothing sent, if the connection
-// is closed or the call was abandoned.
+// is closed, or the call was abandoned or may not be sent any more.
 func (c *conn) startCall(now time.Time, f *Flight) bool {
+	if f.withdrawUnlessAllowed(now) {
+		return false
+	}
 	c.mu.Lock()
 	if c.closed || !f.attach(c) {
 		c.mu.Unlock()
@@ -138,7 +141,7 @@
 	if f == nil {
 		return errUnexpectedData
 	}
-	reply, err := c.pool.Decode(c.r, f.call.Message.Method)
+	reply, err := c.pool.Decode(c.pool.Now(), c.r, f.call.Message.Method)
 	if err != nil {
 		return errors.Wrap(err, "read the endpoint's reply")
 	}
@@ -170,6 +173,11 @@
 		c.idleTimeout = reply.IdleTimeout
 	}
 	c.mu.Unlock()
+	if reply.endsUse() {
+		// Calls that wait for this connection must see the effect of the reply.
+		f.complete(Result{Kind: KindReply, Reply: reply})
+		c.pool.withdrawWaiting(now, c.host)
+	}
 	switch {
 	case idle:
 		c.pool.release(c)
--- a/internal/link/leaf/pool.go
+++ b/internal/link/leaf/pool.go
@@ -43,6 +43,9 @@
 // errAbandoned is the error of a call that was abandoned before it was sent.
 var errAbandoned = errors.New("the call was abandoned before it was sent")
 
+// errWithdrawn is the error of a call to an endpoint that takes no further calls.
+var errWithdrawn = errors.New("the endpoint takes no further calls")
+
 // Pool manages the connections to all endpoints. The function fields are its seams.
 type Pool struct {
 	// Now returns the current time.
@@ -51,8 +54,8 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Encode returns the encoded call.
 	Encode func(c Call, now time.Time) []byte
-	// Decode reads one complete reply to a request with the given method.
-	Decode func(r *Reader, method string) (Reply, error)
+	// Decode reads one complete reply, which began to arrive at now, to a request with the given method.
+	Decode func(now time.Time, r *Reader, method string) (Reply, error)
 	// Count increments the counter with the given name.
 	Count func(name string)
 
@@ -128,6 +131,9 @@
 		if c.startCall(now, f) {
 			return
 		}
+		if f.isAbandoned() {
+			p.release(c)
+		}
 	}
 	f.complete(Result{Kind: KindNotSent, Err: errAbandoned})
 }
@@ -290,6 +296,17 @@
 	return waiting
 }
 
+// withdrawWaiting ends the calls that wait for a connection to the host and may not be sent any more. They leave the
+// queue with the next call that looks for a connection.
+func (p *Pool) withdrawWaiting(now time.Time, h *hostPool) {
+	p.mu.Lock()
+	waiting := slices.Clone(h.waiting)
+	p.mu.Unlock()
+	for _, f := range waiting {
+		f.withdrawUnlessAllowed(now)
+	}
+}
+
 // failUnsent completes calls as not sent, with err.
 func failUnsent(flights []*Flight, err error) {
 	for _, f := range flights {
@@ -381,5 +398,5 @@
 // IsLocalFailure reports whether a call was not sent for a reason on this VM's side rather than the endpoint's.
 // Such a failure must not count against the endpoint.
 func IsLocalFailure(err error) bool {
-	return errors.IsAny(err, ErrFull, errAbandoned, errClosed)
+	return errors.IsAny(err, ErrFull, errAbandoned, errWithdrawn, errClosed)
 }
--- a/internal/platform/leaf/leaf.go
+++ b/internal/platform/leaf/leaf.go
@@ -32,6 +32,9 @@
 	fieldNotExecuted = "Basilspan-Not-Executed"
 	// fieldLoad is the endpoint's load report in the form "running,waiting,slots".
 	fieldLoad = "Basilspan-Server-Load"
+	// fieldRetryAfter of a 503 is for how long the endpoint wants no requests from this VM: seconds, which may have a
+	// fraction, or a date.
+	fieldRetryAfter = "Retry-After"
 )
 
 const (
@@ -39,6 +42,8 @@
 	initialBodyBytes = 64 << 10
 	// maxErrorBytes is the length of the longest error text that is kept. Errors of net/http quote the malformed line.
 	maxErrorBytes = 200
+	// maxRetryAfter bounds the time for which one reply can keep requests away from its endpoint.
+	maxRetryAfter = 10 * time.Minute
 )
 
 // headerEnd terminates the header of a message.
@@ -100,9 +105,9 @@
 	return append(b, ": "...)
 }
 
-// Decode reads one complete reply to a request with the given method, and skips the interim replies before it. It
-// returns an error if the end of the reply was not reached.
-func Decode(r *leaf.Reader, method string) (leaf.Reply, error) {
+// Decode reads one complete reply, which began to arrive at now, to a request with the given method, and skips the interim
+// replies before it. It returns an error if the end of the reply was not reached.
+func Decode(now time.Time, r *leaf.Reader, method string) (leaf.Reply, error) {
 	resp, err := readHead(r, method)
 	if err != nil {
 		return leaf.Reply{}, errors.Wrap(readError(r, err), "header")
@@ -112,7 +117,7 @@
 	if err != nil {
 		return leaf.Reply{}, errors.Wrap(readError(r, err), "body")
 	}
-	return leaf.Reply{
+	reply := leaf.Reply{
 		ID:               unit.RequestID(resp.Header.Get(fieldRequestID)),
 		Status:           resp.StatusCode,
 		Fields:           forwardedFields(resp.Header),
@@ -124,7 +129,12 @@
 		Load:             parseLoad(resp.Header.Get(fieldLoad)),
 		ClosesConnection: resp.Close,
 		IdleTimeout:      parseIdleTimeout(resp.Header.Get("Keep-Alive")),
-	}, nil
+	}
+	if text := resp.Header.Get(fieldRetryAfter); text != "" && resp.StatusCode == http.StatusServiceUnavailable {
+		wait, ok := parseRetryAfter(now, text)
+		reply.RetryAfter, reply.RetryAfterInvalid = wait, !ok
+	}
+	return reply, nil
 }
 
 // readHead reads the status line and the header of a reply to a request with the given method. It skips interim replies
@@ -237,6 +247,22 @@
 	return &replica.Load{Running: n[0], Waiting: n[1], Slots: unit.Slots(n[2])}
 }
 
+// parseRetryAfter returns the time from now that a Retry-After field states, at most maxRetryAfter and 0 for a date in
+// the past; ok is false if the field is malformed.
+func parseRetryAfter(now time.Time, text string) (wait time.Duration, ok bool) {
+	if date, err := http.ParseTime(text); err == nil {
+		return min(max(date.Sub(now), 0), maxRetryAfter), true
+	}
+	if strings.Trim(text, "0123456789.") != "" {
+		return 0, false
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) {
+		return 0, false
+	}
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second)), true
+}
+
 // parseIdleTimeout returns the timeout of a Keep-Alive field, or 0 if there is none or it is malformed.
 func parseIdleTimeout(text string) time.Duration {
 	for _, p := range strings.Split(text, ",") {
--- a/internal/platform/leaf/leaf_bench_test.go
+++ b/internal/platform/leaf/leaf_bench_test.go
@@ -22,7 +22,7 @@
 		Encode(leaf.Call{Message: m, Endpoint: "i-7f3a91c2", Deadline: now}, now)
 		source.Reset(text)
 		r.BeginHead()
-		if _, err := Decode(r, "GET"); err != nil {
+		if _, err := Decode(now, r, "GET"); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/platform/leaf/leaf_test.go
+++ b/internal/platform/leaf/leaf_test.go
@@ -178,7 +178,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			got, err := Decode(leaf.NewReader(strings.NewReader(tt.text)), tt.method)
+			got, err := Decode(now, leaf.NewReader(strings.NewReader(tt.text)), tt.method)
 			assert.Equal(t, err != nil, tt.fault, "%v", err)
 			got.Fields = nil
 			assert.DeepEqual(t, got, tt.want)
@@ -225,7 +225,7 @@
 			t.Run(fmt.Sprint(tt.name, " ", end), func(t *testing.T) {
 				for cut := range len(tt.text) + 1 {
 					source := io.MultiReader(strings.NewReader(tt.text[:cut]), iotest.ErrReader(end))
-					reply, err := Decode(leaf.NewReader(source), "GET")
+					reply, err := Decode(now, leaf.NewReader(source), "GET")
 					assert.Equal(t, err == nil, cut >= whole, "cut at %d of %d: %+v", cut, len(tt.text), reply)
 				}
 			})
@@ -237,7 +237,7 @@
 func TestForwardedFields(t *testing.T) {
 	text := "HTTP/1.1 200 OK\r\nX-One: 1\r\nX-One: 2\r\nConnection: close\r\nKeep-Alive: timeout=1\r\nDate: x\r\n" +
 		"Basilspan-Server-Load: 1,2,3\r\nBasilspan-Response-Seal: s\r\nContent-Length: 0\r\n\r\n"
-	got, err := Decode(leaf.NewReader(strings.NewReader(text)), "GET")
+	got, err := Decode(now, leaf.NewReader(strings.NewReader(text)), "GET")
 	assert.NilError(t, err)
 	kept := make(map[string]int)
 	for _, f := range got.Fields {
@@ -245,3 +245,39 @@
 	}
 	assert.DeepEqual(t, kept, map[string]int{"X-One": 2, "Basilspan-Response-Seal": 1})
 }
+
+// TestRetryAfter checks for how long a reply keeps requests away from its endpoint.
+func TestRetryAfter(t *testing.T) {
+	tests := []struct {
+		name    string
+		status  int
+		value   string
+		want    time.Duration
+		invalid bool
+	}{
+		{"seconds", 503, "2", 2 * time.Second, false},
+		{"fraction", 503, "0.25", 250 * time.Millisecond, false},
+		{"date", 503, "Thu, 01 Jan 2026 12:00:03 GMT", 3 * time.Second, false},
+		{"date in the past", 503, "Thu, 01 Jan 2026 11:59:00 GMT", 0, false},
+		{"zero", 503, "0", 0, false},
+		{"another status", 429, "2", 0, false},
+		{"success", 200, "x", 0, false},
+		{"negative", 503, "-1", 0, true},
+		{"text", 503, "soon", 0, true},
+		{"exponent", 503, "1e2", 0, true},
+		{"infinite", 503, "Inf", 0, true},
+		{"two points", 503, "1.2.3", 0, true},
+		{"long", 503, "86400", 10 * time.Minute, false},
+		{"beyond all numbers", 503, strings.Repeat("9", 400), 10 * time.Minute, false},
+		{"date in a year", 503, "Fri, 01 Jan 2027 12:00:00 GMT", 10 * time.Minute, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			text := fmt.Sprintf("HTTP/1.1 %d X\r\nRetry-After: %s\r\nContent-Length: 0\r\n\r\n", tt.status, tt.value)
+			got, err := Decode(now, leaf.NewReader(strings.NewReader(text)), "GET")
+			assert.NilError(t, err)
+			assert.Equal(t, got.RetryAfter, tt.want)
+			assert.Equal(t, got.RetryAfterInvalid, tt.invalid)
+		})
+	}
+}
--- a/internal/policy/replica/choose.go
+++ b/internal/policy/replica/choose.go
@@ -33,14 +33,14 @@
 }
 
 // Choose returns the index of the endpoint that a request of the route should go to, or -1 if there is none.
-// Endpoints in tried and misdirected ones are skipped. With healthyOnly, so are endpoints that are stalled, lapsed
+// Endpoints in tried, misdirected ones and those that want no requests are skipped. With healthyOnly, so are endpoints that are stalled, lapsed
 // or demoted after a failure.
 func (t *Tracker) Choose(
 	now time.Time, route unit.RouteName, endpoints []directory.Endpoint, tried []unit.EndpointID, healthyOnly bool,
 ) int {
 	best, index := candidate{}, -1
 	for i, e := range endpoints {
-		if slices.Contains(tried, e.ID) || t.isMisdirected(e) {
+		if slices.Contains(tried, e.ID) || t.isMisdirected(e) || !t.MayUse(now, e) {
 			continue
 		}
 		c := t.evaluate(now, route, e)
--- a/internal/policy/replica/replica.go
+++ b/internal/policy/replica/replica.go
@@ -72,6 +72,7 @@
 	// misdirected is set when another endpoint was found at the address of the registration at misdirectedPosition.
 	misdirected         bool
 	misdirectedPosition unit.Position
+	backoff             backoff
 }
 
 // Tracker holds the state of all endpoints. It is not safe for concurrent use.
@@ -167,11 +168,11 @@
 	return t.typicalLatency[route]
 }
 
-// Forget removes the endpoints that have no open requests and have not been used for forgetAfter. It is called
-// periodically.
+// Forget removes the endpoints that have no open requests and no backoff, and have not been used for forgetAfter. It is
+// called periodically.
 func (t *Tracker) Forget(now time.Time) {
 	for id, s := range t.states {
-		if len(s.open) == 0 && now.Sub(s.lastUsed) > forgetAfter {
+		if len(s.open) == 0 && now.Sub(s.lastUsed) > forgetAfter && !now.Before(s.backoff.until) {
 			delete(t.states, id)
 		}
 	}
--- a/internal/policy/replica/replica_test.go
+++ b/internal/policy/replica/replica_test.go
@@ -25,6 +25,16 @@
 	return e
 }
 
+func born(e directory.Endpoint, ms int) directory.Endpoint {
+	e.Born = at(ms)
+	return e
+}
+
+// turnedAway returns a function that records that an endpoint has turned a request away at time 0.
+func turnedAway(e directory.Endpoint, wait time.Duration) func(*Tracker) {
+	return func(tr *Tracker) { tr.RecordBackoff(at(0), e, wait) }
+}
+
 func registeredAgain(e directory.Endpoint) directory.Endpoint {
 	e.Revision = 8
 	return e
@@ -139,6 +149,59 @@
 				}
 			}, now: at(1000), want: 1,
 		},
+		{
+			name: "not one that has turned a request away, even if the other one fails",
+			all:  []directory.Endpoint{a, b}, do: func(tr *Tracker) {
+				turnedAway(a, 2*time.Second)(tr)
+				tr.RecordSent(at(0), "b")
+				tr.RecordFailure(at(1), "b", at(0))
+			}, now: at(10), want: 1,
+		},
+		{
+			name: "not one that has turned a request away as a last resort",
+			all:  []directory.Endpoint{a}, do: turnedAway(a, 2*time.Second), now: at(1999), want: -1,
+		},
+		{
+			name: "one whose backoff has ended",
+			all:  []directory.Endpoint{a}, do: turnedAway(a, 2*time.Second), now: at(2000), want: 0,
+		},
+		{
+			name: "a shorter backoff does not end a longer one",
+			all:  []directory.Endpoint{a}, do: func(tr *Tracker) {
+				turnedAway(a, 2*time.Second)(tr)
+				turnedAway(a, time.Second)(tr)
+			}, now: at(1999), want: -1,
+		},
+		{
+			name: "a reply does not end a backoff",
+			all:  []directory.Endpoint{a}, do: func(tr *Tracker) {
+				tr.RecordSent(at(-1), "a")
+				turnedAway(a, 2*time.Second)(tr)
+				tr.RecordReply(at(1), "a", "r", at(-1))
+			}, now: at(1999), want: -1,
+		},
+		{
+			name: "one that has turned a request away registers again",
+			all:  []directory.Endpoint{registeredAgain(born(a, -9))}, do: turnedAway(born(a, -9), 2*time.Second),
+			now: at(1), want: -1,
+		},
+		{
+			name: "a later incarnation of one that has turned a request away",
+			all:  []directory.Endpoint{born(a, 1)}, do: turnedAway(born(a, -9), 2*time.Second),
+			now: at(2), want: 0,
+		},
+		{
+			name: "an earlier incarnation of one that has turned a request away",
+			all:  []directory.Endpoint{born(a, -99)}, do: turnedAway(born(a, -9), 2*time.Second),
+			now: at(2), want: -1,
+		},
+		{
+			name: "one that was forgotten during its backoff",
+			all:  []directory.Endpoint{a}, do: func(tr *Tracker) {
+				turnedAway(a, 2*time.Minute)(tr)
+				tr.Forget(at(90000))
+			}, now: at(90001), want: -1,
+		},
 		{name: "never a misdirected one", all: []directory.Endpoint{a}, do: func(tr *Tracker) {
 			tr.RecordSent(at(0), "a")
 			tr.RecordMisdirected(at(1), "a", unit.Position{Revision: 7}, at(0))
@@ -212,15 +275,19 @@
 	}
 }
 
-// TestForget checks that an unused endpoint is forgotten unless it has open requests.
+// TestForget checks that an unused endpoint is forgotten unless it has open requests or a backoff.
 func TestForget(t *testing.T) {
 	tests := []struct {
 		name string
 		open bool
+		// wait is for how long the endpoint turns requests away; 0 means that it does not.
+		wait time.Duration
 		want int
 	}{
-		{"unused", false, 0},
-		{"a request in flight", true, 1},
+		{"unused", false, 0, 0},
+		{"a request in flight", true, 0, 1},
+		{"turned away until then", false, 59 * time.Second, 0},
+		{"turned away for longer", false, 61 * time.Second, 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -229,6 +296,9 @@
 			if !tt.open {
 				tr.RecordReply(at(1), "a", "r", at(0))
 			}
+			if tt.wait > 0 {
+				tr.RecordBackoff(at(1), endpoint("a", "here"), tt.wait)
+			}
 			tr.Forget(at(60000))
 			assert.Equal(t, len(tr.states), tt.want)
 		})
--- a/internal/policy/retryafter/retryafter.go
+++ b/internal/policy/retryafter/retryafter.go
@@ -19,6 +19,11 @@
 	stoppingDelay = 10 * time.Millisecond
 	// jitter is the largest share by which a delay is extended at random, so that callers don't all retry at once.
 	jitter = 0.5
+	// returnSteps is the number of steps over which callers return after a backoff of the endpoints, one for each urgency
+	// and the last for all others. A step is that part of the backoff, from minReturnStep to maxReturnStep.
+	returnSteps   = 8
+	minReturnStep = 10 * time.Millisecond
+	maxReturnStep = 250 * time.Millisecond
 )
 
 // RetryAfter returns how long a caller should wait before it retries a request that was refused with code. typical is
@@ -34,3 +39,11 @@
 	}
 	return time.Duration(float64(delay) * (1 + jitter*random))
 }
+
+// AfterBackoff returns how long a caller should wait before it retries a request that no endpoint accepts for wait. More
+// urgent requests return first; random is a number from 0 to 1 that spreads those of one urgency.
+func AfterBackoff(wait time.Duration, urgency unit.Urgency, random float64) time.Duration {
+	step := min(max(wait/returnSteps, minReturnStep), maxReturnStep)
+	position := float64(min(max(int(urgency), 0), returnSteps-1)) + random
+	return wait + time.Duration(position*float64(step))
+}
--- a/internal/policy/retryafter/retryafter_test.go
+++ b/internal/policy/retryafter/retryafter_test.go
@@ -31,3 +31,26 @@
 		})
 	}
 }
+
+// TestAfterBackoff checks that callers return after the backoff, the more urgent first.
+func TestAfterBackoff(t *testing.T) {
+	tests := []struct {
+		name    string
+		wait    time.Duration
+		urgency unit.Urgency
+		random  float64
+		want    time.Duration
+	}{
+		{"most urgent", 800 * time.Millisecond, 0, 0, 800 * time.Millisecond},
+		{"most urgent, latest", 800 * time.Millisecond, 0, 1, 900 * time.Millisecond},
+		{"next urgency", 800 * time.Millisecond, 1, 0, 900 * time.Millisecond},
+		{"least urgent", 800 * time.Millisecond, 99, 1, 1600 * time.Millisecond},
+		{"short backoff", 8 * time.Millisecond, 1, 0, 18 * time.Millisecond},
+		{"long backoff", time.Minute, 1, 0, time.Minute + 250*time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			assert.Equal(t, AfterBackoff(tt.wait, tt.urgency, tt.random), tt.want)
+		})
+	}
+}
--- a/internal/serve/gateway/explain_test.go
+++ b/internal/serve/gateway/explain_test.go
@@ -37,6 +37,14 @@
 			stream.ExitOK,
 			[]string{"request not answered", "code: 210", "a: a", "rejected"},
 		},
+		{
+			"endpoints turn requests away", func(f *fixture) {
+				f.endpoints["a0"].RetryAfter, f.endpoints["a1"].RetryAfter = "30", "30"
+				f.setMode(shard.ModeTurnAway, "a0", "a1")
+			}, "/one/x", "r1", "r1", 503,
+			stream.ExitOK,
+			[]string{"request not answered", "code: 210", "endpoint turned requests away", "retry_after_ms: 30000"},
+		},
 		{
 			"no endpoint is registered", func(f *fixture) {
 				for _, id := range []string{"a0", "a1"} {
--- a/internal/standin/shard/shard.go
+++ b/internal/standin/shard/shard.go
@@ -23,6 +23,8 @@
 	ModeServe Mode = "serve"
 	// ModeReject replies 503 without running the call, and states that it has not run.
 	ModeReject Mode = "reject"
+	// ModeTurnAway does the same, with the endpoint's RetryAfter.
+	ModeTurnAway Mode = "turnaway"
 	// ModeDrop runs the call and resets the connection.
 	ModeDrop Mode = "lose"
 	// ModeFail runs the call and replies 500.
@@ -41,6 +43,11 @@
 	ModeScript Mode = "script"
 )
 
+// rejects reports whether calls are rejected without being run.
+func (m Mode) rejects() bool {
+	return m == ModeReject || m == ModeTurnAway
+}
+
 // Script is what an endpoint in ModeScript sends, with "ID" and "SEAL" in Text replaced by those of the call. It then
 // closes the connection.
 type Script struct {
@@ -73,6 +80,8 @@
 	Delay time.Duration
 	// Body is the body of the replies.
 	Body string
+	// RetryAfter is the value of the Retry-After header in ModeTurnAway.
+	RetryAfter string
 
 	server *httptest.Server
 	quit   chan struct{}
@@ -183,7 +192,7 @@
 	misdirected := expected != "" && expected != e.ID
 	e.mu.Lock()
 	mode, script := e.mode, e.script
-	if mode == ModeReject || misdirected {
+	if mode.rejects() || misdirected {
 		e.rejected = append(e.rejected, Arrival{At: now, ID: id})
 	} else {
 		e.runs = append(e.runs, Run{
@@ -206,7 +215,7 @@
 
 // respond waits for the delay, unless the call is rejected, and responds as the mode says.
 func (e *Endpoint) respond(w http.ResponseWriter, r *http.Request, mode Mode, seal string) {
-	if mode != ModeReject && e.Delay > 0 {
+	if !mode.rejects() && e.Delay > 0 {
 		time.Sleep(e.Delay)
 	}
 	if mode != ModeUnsigned {
@@ -215,7 +224,10 @@
 	switch mode {
 	case ModeServe, ModeUnsigned:
 		_, _ = io.WriteString(w, e.Body)
-	case ModeReject:
+	case ModeReject, ModeTurnAway:
+		if mode == ModeTurnAway {
+			w.Header().Set("Retry-After", e.RetryAfter)
+		}
 		w.Header().Set("Basilspan-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case ModeDrop:
