Stop sending to endpoints that say in a reply that they are leaving

What callers saw: an endpoint says Server-Leaving: 1 in its replies before the registry has its draining state, or while the registry can't be reached. It went on getting first requests, hedges and retries until it was gone, and each request that it cut off cost its caller a retry.

Cause: the header was not decoded, and was passed on to callers as any other.

Now: the reply ends the use of the endpoint's incarnation by this VM. It is checked for each choice and right before a call is written, so that queued calls and kept connections count too. A later start ends it, or, where the start is unknown, a later registration; an older one that a restore of the registry brings back doesn't. The result of a portion names the endpoints that said so to the VM that served it. The header is not sent on to callers.

--- a/internal/config/gateway/gateway.go
+++ b/internal/config/gateway/gateway.go
@@ -35,6 +35,8 @@
 	Extra allowance.Limits
 	// Calm is the time within which the VM must be up to date with the registry again after a disturbance.
 	Calm time.Duration
+	// Drain is how long endpoints serve at least after they have said that they are leaving; 0 if it is not set.
+	Drain time.Duration
 	// Level is the minimum level of log lines.
 	Level string
 }
@@ -52,6 +54,8 @@
 	Extra wireExtra `json:"extra"`
 	// Calm is in milliseconds.
 	Calm float64 `json:"calm"`
+	// Drain is in milliseconds.
+	Drain float64 `json:"drain"`
 	// Fresh is set if the whole system starts for the first time.
 	Fresh bool   `json:"fresh"`
 	Level string `json:"level"`
@@ -102,6 +106,7 @@
 			Ratio: w.Extra.Ratio, Slack: w.Extra.Slack, Window: seconds(w.Extra.Window), Fresh: w.Fresh,
 		},
 		Calm:  time.Duration(w.Calm * float64(time.Millisecond)),
+		Drain: time.Duration(w.Drain * float64(time.Millisecond)),
 		Level: w.Level,
 	}
 	for _, seed := range strings.Split(w.Seeds, ",") {
@@ -162,6 +167,7 @@
 	addIf(s.Extra.Slack < 0, "extra.slack", "must not be below 0")
 	addIf(s.Extra.Window <= 0, "extra.window", "must be a number of seconds above 0")
 	addIf(s.Calm <= 0, "calm", "must be a number of milliseconds above 0")
+	addIf(s.Drain < 0, "drain", "must not be below 0")
 	addIf(!isLevel(s.Level), "level", `must be "debug", "info", "warn" or "error"`)
 	return errs
 }
--- a/internal/core/dispatch/divided.go
+++ b/internal/core/dispatch/divided.go
@@ -100,6 +100,7 @@
 	v.dispatcher.recordPortionStart(p.VM.Node)
 	go func() {
 		result, err := v.dispatcher.callPortion(ctx, v.job, v.servicesOf(shards), p.VM.Address)
+		v.dispatcher.recordPeerDepartures(result.Leaving)
 		v.dispatcher.recordPortionEnd(p.VM.Node, v.vmFailed(ctx, err) || v.vmMissedEndpoints(shards, result))
 		v.ends <- portionEnd{shards: shards, result: portionResult{wirePortionResult: result, mayHaveRun: true}, err: err}
 	}()
@@ -111,8 +112,8 @@
 	return err != nil && (ctx.Err() == nil || !v.dispatcher.Now().Before(v.params.PartialDeadline))
 }
 
-// vmMissedEndpoints reports whether another VM left a shard unsent, but not because the shard's endpoints turned its
-// requests away, although this VM knows endpoints of it. The portion
+// vmMissedEndpoints reports whether another VM left a shard unsent, but not because the shard's endpoints take none of
+// its requests, although this VM knows endpoints of it. The portion
 // then counts as failed at that VM, which gets no portions for a while. handleEnd retries the shards.
 func (v *dividedRequest) vmMissedEndpoints(shards []int, result wirePortionResult) bool {
 	for i, n := range result.Sent {
--- a/internal/core/dispatch/divided_test.go
+++ b/internal/core/dispatch/divided_test.go
@@ -36,6 +36,8 @@
 	arrivals map[unit.ServiceName]int
 	// silent endpoints never reply.
 	silent map[unit.EndpointID]bool
+	// leaving is the endpoint that says in its replies that it is leaving.
+	leaving unit.EndpointID
 	// refuse, lose and mute select the VMs that refuse portions, whose responses are lost, or that never respond.
 	refuse, lose, mute map[unit.Address]bool
 	// blind VMs know no endpoints.
@@ -111,6 +113,7 @@
 	if !c.silent[call.Endpoint] {
 		body := []byte(string(service) + ".............")
 		reply := leaf.Reply{ID: call.Message.ID, Status: 200, Seal: string(call.Endpoint), Body: body}
+		reply.Leaving = call.Endpoint == c.leaving
 		time.AfterFunc(c.answerAfter, func() { done(leaf.Result{Kind: leaf.KindReply, Reply: reply}) })
 	}
 	return &leaf.Flight{}
--- a/internal/core/dispatch/portion.go
+++ b/internal/core/dispatch/portion.go
@@ -45,15 +45,17 @@
 
 // wirePortionResult is the response: the greatest records of the shards that replied and, by shard, the seal of
 // the reply, empty if there is none, and the number of endpoints that the shard was sent to. Away lists the shards that
-// were not sent because their endpoints want no requests from that VM; older releases don't have it.
+// were not sent because their endpoints take no requests from that VM, and Leaving the endpoints that have said in a reply
+// that they are leaving; older releases have neither.
 type wirePortionResult struct {
-	Records []byte   `json:"records"`
-	Seals   []string `json:"seals"`
-	Sent    []int    `json:"sent"`
-	Away    []int    `json:"away,omitempty"`
-	Hedges  int      `json:"hedges,omitempty"`
-	Retries int      `json:"retries,omitempty"`
-	Denied  int      `json:"denied,omitempty"`
+	Records []byte          `json:"records"`
+	Seals   []string        `json:"seals"`
+	Sent    []int           `json:"sent"`
+	Away    []int           `json:"away,omitempty"`
+	Leaving []wireDeparture `json:"leaving,omitempty"`
+	Hedges  int             `json:"hedges,omitempty"`
+	Retries int             `json:"retries,omitempty"`
+	Denied  int             `json:"denied,omitempty"`
 }
 
 // portionResult is the outcome of a portion.
@@ -157,7 +159,7 @@
 	var bodies [][]byte
 	for shard := range services {
 		p.Sent[shard] = f.machine.Reached(shard)
-		if p.Sent[shard] == 0 && d.inBackoff(f.endpoints[shard]) {
+		if p.Sent[shard] == 0 && d.unwanted(f.endpoints[shard]) {
 			p.Away = append(p.Away, shard)
 		}
 		if id, ok := f.machine.Reply(shard); ok {
@@ -165,6 +167,7 @@
 			bodies = append(bodies, f.replies[id].Reply.Body)
 		}
 	}
+	p.Leaving = f.departures()
 	p.Records = merge.TopRecords(j.route.TopK, bodies)
 	r := f.endRecord(Answer{Code: unit.CodePartial})
 	p.Hedges, p.Retries, p.Denied, p.details = r.Hedges, r.Retries, r.Denied, r.Details
--- a/internal/core/dispatch/refusal.go
+++ b/internal/core/dispatch/refusal.go
@@ -44,11 +44,9 @@
 	return times[needed-1].Sub(now)
 }
 
-// inBackoff reports whether there are endpoints and all of them have turned requests away.
-func (d *Dispatcher) inBackoff(endpoints []directory.Endpoint) bool {
+// unwanted reports whether there are endpoints and none of them takes requests from this VM.
+func (d *Dispatcher) unwanted(endpoints []directory.Endpoint) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.Now()
-	at, ok := d.endpointTracker.AvailableAt(now, endpoints)
-	return ok && at.After(now)
+	return d.endpointTracker.Unwanted(d.Now(), endpoints)
 }
--- a/internal/core/dispatch/result.go
+++ b/internal/core/dispatch/result.go
@@ -72,6 +72,9 @@
 		d.endpointTracker.RecordLoad(now, id, *e.Reply.Load)
 	}
 	d.recordBackoff(now, to, e.Reply)
+	if e.Reply.Leaving && !e.Reply.Misdirected {
+		d.recordLeaving(now, d.departureOf(to))
+	}
 	switch outcome {
 	case gather.OutcomeWhole:
 		d.Metrics.RecordStage(unit.SearchName(route.Name), stageEndpoint, now.Sub(sent))
--- a/internal/link/leaf/call.go
+++ b/internal/link/leaf/call.go
@@ -77,11 +77,13 @@
 	// is set if it could not be decoded.
 	RetryAfter        time.Duration
 	RetryAfterInvalid bool
+	// Leaving reports whether the endpoint stated that it is leaving.
+	Leaving bool
 }
 
 // endsUse reports whether further calls must not be sent to the endpoint before the reply has been recorded.
 func (r Reply) endsUse() bool {
-	return r.RetryAfter > 0
+	return r.RetryAfter > 0 || r.Leaving
 }
 
 // Result is the outcome of a call.
--- a/internal/platform/leaf/leaf.go
+++ b/internal/platform/leaf/leaf.go
@@ -35,6 +35,8 @@
 	// fieldRetryAfter of a 503 is for how long the endpoint wants no requests from this VM: seconds, which may have a
 	// fraction, or a date.
 	fieldRetryAfter = "Retry-After"
+	// fieldLeaving is "1" in the replies of an endpoint that is leaving.
+	fieldLeaving = "Server-Leaving"
 )
 
 const (
@@ -126,6 +128,7 @@
 		NotExecuted:      resp.Header.Get(fieldNotExecuted) != "" || resp.StatusCode == http.StatusMisdirectedRequest,
 		Misdirected:      resp.StatusCode == http.StatusMisdirectedRequest,
 		Encoded:          resp.Header.Get("Content-Encoding") != "",
+		Leaving:          resp.Header.Get(fieldLeaving) == "1",
 		Load:             parseLoad(resp.Header.Get(fieldLoad)),
 		ClosesConnection: resp.Close,
 		IdleTimeout:      parseIdleTimeout(resp.Header.Get("Keep-Alive")),
@@ -208,7 +211,7 @@
 func forwardedFields(h http.Header) []leaf.Field {
 	all := make([]leaf.Field, 0, len(h))
 	for name, values := range h {
-		if IsConnectionField(name) || name == fieldLoad {
+		if IsConnectionField(name) || name == fieldLoad || name == fieldLeaving {
 			continue
 		}
 		for _, v := range values {
--- a/internal/platform/leaf/leaf_test.go
+++ b/internal/platform/leaf/leaf_test.go
@@ -93,6 +93,18 @@
 			},
 			false,
 		},
+		{
+			"reply of a leaving endpoint", "GET",
+			"HTTP/1.1 503 Full\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n",
+			leaf.Reply{Status: 503, Body: []byte{}, Leaving: true},
+			false,
+		},
+		{
+			"reply of an endpoint that is not leaving", "GET",
+			"HTTP/1.1 200 OK\r\nServer-Leaving: 0\r\nContent-Length: 0\r\n\r\n",
+			leaf.Reply{Status: 200, Body: []byte{}},
+			false,
+		},
 		{
 			"call not executed", "GET", "HTTP/1.1 503 Full\r\nBasilspan-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
 			leaf.Reply{Status: 503, Body: []byte{}, NotExecuted: true},
@@ -236,7 +248,7 @@
 // TestForwardedFields checks which header fields of a reply are forwarded to the caller.
 func TestForwardedFields(t *testing.T) {
 	text := "HTTP/1.1 200 OK\r\nX-One: 1\r\nX-One: 2\r\nConnection: close\r\nKeep-Alive: timeout=1\r\nDate: x\r\n" +
-		"Basilspan-Server-Load: 1,2,3\r\nBasilspan-Response-Seal: s\r\nContent-Length: 0\r\n\r\n"
+		"Basilspan-Server-Load: 1,2,3\r\nServer-Leaving: 1\r\nBasilspan-Response-Seal: s\r\nContent-Length: 0\r\n\r\n"
 	got, err := Decode(now, leaf.NewReader(strings.NewReader(text)), "GET")
 	assert.NilError(t, err)
 	kept := make(map[string]int)
--- a/internal/policy/replica/backoff.go
+++ b/internal/policy/replica/backoff.go
@@ -44,22 +44,45 @@
 	return until, begun
 }
 
-// MayUse reports whether a request may be sent to an endpoint at all, whatever else there is.
+// MayUse reports whether a request may be sent to an endpoint at all, be it as a last resort.
 func (t *Tracker) MayUse(now time.Time, e directory.Endpoint) bool {
 	s := t.states[e.ID]
-	return s == nil || !s.backoff.holdsFor(now, e)
+	switch {
+	case s == nil:
+		return true
+	case t.isLeaving(e) && !t.usableWhileLeaving(now, e):
+		return false
+	default:
+		return !s.backoff.holdsFor(now, e)
+	}
+}
+
+// Unwanted reports whether there are endpoints and none of them takes requests from this VM: all have turned requests
+// away or are leaving.
+func (t *Tracker) Unwanted(now time.Time, endpoints []directory.Endpoint) bool {
+	unwanted := false
+	for _, e := range endpoints {
+		switch {
+		case t.isMisdirected(e):
+		case t.MayUse(now, e):
+			return false
+		default:
+			unwanted = true
+		}
+	}
+	return unwanted
 }
 
 // AvailableAt returns when the first of the endpoints may be chosen, now or at the end of its backoff; ok is false if
-// there is none.
+// there is none. Leaving endpoints don't count.
 func (t *Tracker) AvailableAt(now time.Time, endpoints []directory.Endpoint) (at time.Time, ok bool) {
 	for _, e := range endpoints {
-		if t.isMisdirected(e) {
+		if t.isMisdirected(e) || t.isLeaving(e) {
 			continue
 		}
 		free := now
-		if !t.MayUse(now, e) {
-			free = t.states[e.ID].backoff.until
+		if s := t.states[e.ID]; s != nil && s.backoff.holdsFor(now, e) {
+			free = s.backoff.until
 		}
 		if !ok || free.Before(at) {
 			at, ok = free, true
--- a/internal/policy/replica/choose.go
+++ b/internal/policy/replica/choose.go
@@ -9,13 +9,14 @@
 	"basilspan/internal/policy/directory"
 )
 
-// The statuses of endpoints: without a known problem, with a request open for too long, missing from the registry, and
-// demoted after a failure. An endpoint with a lower status is preferred whatever its cost.
+// The statuses of endpoints: without a known problem, with a request open for too long, missing from the registry,
+// demoted after a failure, and leaving. An endpoint with a lower status is preferred whatever its cost.
 const (
 	statusHealthy = iota
 	statusStalled
 	statusLapsed
 	statusFailed
+	statusLeaving
 )
 
 // candidate is the status and the cost of an endpoint; lower is better for both.
@@ -33,8 +34,8 @@
 }
 
 // Choose returns the index of the endpoint that a request of the route should go to, or -1 if there is none.
-// Endpoints in tried, misdirected ones and those that want no requests are skipped. With healthyOnly, so are endpoints that are stalled, lapsed
-// or demoted after a failure.
+// Endpoints in tried, misdirected ones and those that take no requests are skipped, and so are leaving ones unless all
+// are. With healthyOnly, so are endpoints that are stalled, lapsed, leaving or demoted after a failure.
 func (t *Tracker) Choose(
 	now time.Time, route unit.RouteName, endpoints []directory.Endpoint, tried []unit.EndpointID, healthyOnly bool,
 ) int {
@@ -43,6 +44,9 @@
 		if slices.Contains(tried, e.ID) || t.isMisdirected(e) || !t.MayUse(now, e) {
 			continue
 		}
+		if t.isLeaving(e) && !t.allLeaving(endpoints) {
+			continue
+		}
 		c := t.evaluate(now, route, e)
 		if healthyOnly && c.status != statusHealthy {
 			continue
@@ -81,6 +85,8 @@
 	}
 	c.cost *= s.latencyFactor(now) * s.loadFactor(now, e.Slots)
 	switch {
+	case t.isLeaving(e):
+		c.status = statusLeaving
 	case now.Before(s.demotedUntil):
 		c.status = max(c.status, statusFailed)
 	case s.isStalled(now, t.typicalLatency[route]):
--- a/internal/policy/replica/replica.go
+++ b/internal/policy/replica/replica.go
@@ -73,6 +73,7 @@
 	misdirected         bool
 	misdirectedPosition unit.Position
 	backoff             backoff
+	departure           departure
 }
 
 // Tracker holds the state of all endpoints. It is not safe for concurrent use.
@@ -84,16 +85,20 @@
 
 	states         map[unit.EndpointID]*state
 	typicalLatency map[unit.RouteName]time.Duration
+	// lastResort is for how long a leaving endpoint is used if there is no other.
+	lastResort time.Duration
 }
 
 // New returns a tracker without any records for an entry VM of the data centre.
 func New(centre unit.CentreName, rand func() float64) *Tracker {
-	return &Tracker{
+	t := &Tracker{
 		Centre:         centre,
 		Rand:           rand,
 		states:         make(map[unit.EndpointID]*state),
 		typicalLatency: make(map[unit.RouteName]time.Duration),
 	}
+	t.SetDrain(0)
+	return t
 }
 
 // RecordSent records that a request has been sent to an endpoint at now. The same time must be passed as sent to the
@@ -168,11 +173,12 @@
 	return t.typicalLatency[route]
 }
 
-// Forget removes the endpoints that have no open requests and no backoff, and have not been used for forgetAfter. It is
-// called periodically.
+// Forget removes the endpoints that have no open requests, have not been used for forgetAfter, and neither are in a backoff
+// nor have said that they are leaving. It is called periodically.
 func (t *Tracker) Forget(now time.Time) {
 	for id, s := range t.states {
-		if len(s.open) == 0 && now.Sub(s.lastUsed) > forgetAfter && !now.Before(s.backoff.until) {
+		expired := !now.Before(s.backoff.until) && !now.Before(s.departure.since.Add(departureMemory))
+		if len(s.open) == 0 && now.Sub(s.lastUsed) > forgetAfter && expired {
 			delete(t.states, id)
 		}
 	}
--- a/internal/policy/replica/replica_test.go
+++ b/internal/policy/replica/replica_test.go
@@ -35,6 +35,11 @@
 	return func(tr *Tracker) { tr.RecordBackoff(at(0), e, wait) }
 }
 
+// saidLeaving returns a function that records that an endpoint is leaving at time 0.
+func saidLeaving(e directory.Endpoint) func(*Tracker) {
+	return func(tr *Tracker) { tr.RecordLeaving(at(0), DepartureOf(e.Registration)) }
+}
+
 func registeredAgain(e directory.Endpoint) directory.Endpoint {
 	e.Revision = 8
 	return e
@@ -202,6 +207,52 @@
 				tr.Forget(at(90000))
 			}, now: at(90001), want: -1,
 		},
+		{name: "not one that is leaving", all: []directory.Endpoint{a, b}, do: saidLeaving(a), now: at(1), want: 1},
+		{
+			name: "not one that is leaving, when the other one has failed",
+			all:  []directory.Endpoint{a, b}, do: func(tr *Tracker) {
+				saidLeaving(a)(tr)
+				tr.RecordSent(at(0), "b")
+				tr.RecordFailure(at(1), "b", at(0))
+			}, now: at(2), want: 1,
+		},
+		{
+			name: "not one that is leaving, when the other one has been tried",
+			all:  []directory.Endpoint{a, b}, do: saidLeaving(a), now: at(1), tried: []unit.EndpointID{"b"}, want: -1,
+		},
+		{
+			name: "a leaving one as a last resort",
+			all:  []directory.Endpoint{a}, do: saidLeaving(a), now: at(499), want: 0,
+		},
+		{
+			name: "no leaving one as a last resort after a part of the drain time",
+			all:  []directory.Endpoint{a}, do: saidLeaving(a), now: at(500), want: -1,
+		},
+		{
+			name: "no leaving one as a last resort if it says so again",
+			all:  []directory.Endpoint{a}, do: func(tr *Tracker) {
+				saidLeaving(a)(tr)
+				tr.RecordLeaving(at(499), DepartureOf(a.Registration))
+			}, now: at(500), want: -1,
+		},
+		{
+			name: "no leaving one for a hedge",
+			all:  []directory.Endpoint{a}, do: saidLeaving(a), now: at(1), healthy: true, want: -1,
+		},
+		{
+			name: "no leaving one that turns requests away",
+			all:  []directory.Endpoint{a}, do: func(tr *Tracker) {
+				saidLeaving(a)(tr)
+				turnedAway(a, time.Second)(tr)
+			}, now: at(1), want: -1,
+		},
+		{
+			name: "not one that is leaving and was forgotten meanwhile",
+			all:  []directory.Endpoint{a}, do: func(tr *Tracker) {
+				saidLeaving(a)(tr)
+				tr.Forget(at(90000))
+			}, now: at(90001), want: -1,
+		},
 		{name: "never a misdirected one", all: []directory.Endpoint{a}, do: func(tr *Tracker) {
 			tr.RecordSent(at(0), "a")
 			tr.RecordMisdirected(at(1), "a", unit.Position{Revision: 7}, at(0))
--- a/internal/serve/gateway/explain_test.go
+++ b/internal/serve/gateway/explain_test.go
@@ -45,6 +45,15 @@
 			stream.ExitOK,
 			[]string{"request not answered", "code: 210", "endpoint turned requests away", "retry_after_ms: 30000"},
 		},
+		{
+			"an endpoint has said that it is leaving", func(f *fixture) {
+				f.endpoints["a0"].SetLeaving(true)
+				f.endpoints["a1"].SetLeaving(true)
+				f.setMode(shard.ModeReject, "a0", "a1")
+			}, "/one/x", "r1", "r1", 503,
+			stream.ExitOK,
+			[]string{"request not answered", "endpoint leaving", "endpoint: a"},
+		},
 		{
 			"no endpoint is registered", func(f *fixture) {
 				for _, id := range []string{"a0", "a1"} {
--- a/internal/serve/gateway/services.go
+++ b/internal/serve/gateway/services.go
@@ -169,6 +169,7 @@
 		return err
 	}
 	d := dispatch.New(g.settings.Node, g.settings.Centre, g.settings.Extra, g.options.Rand)
+	d.SetDrain(g.settings.Drain)
 	d.Now = g.options.Now
 	d.Views = g.views
 	d.Metrics = metrics
@@ -193,6 +194,7 @@
 	}
 	fleetService.SetSeeds(settings.Seeds)
 	dispatcher.SetExtra(settings.Extra)
+	dispatcher.SetDrain(settings.Drain)
 }
 
 // drainDispatcher passes the schedule of the planned stop to the dispatcher.
--- a/internal/standin/shard/shard.go
+++ b/internal/standin/shard/shard.go
@@ -82,13 +82,17 @@
 	Body string
 	// RetryAfter is the value of the Retry-After header in ModeTurnAway.
 	RetryAfter string
+	// Born is when the endpoint says in its registration that it started; it does not say so at the zero time.
+	Born time.Time
 
 	server *httptest.Server
 	quit   chan struct{}
 
-	mu     sync.Mutex
-	mode   Mode
-	script Script
+	mu   sync.Mutex
+	mode Mode
+	// leaving is set if the endpoint says in its replies that it is leaving.
+	leaving bool
+	script  Script
 	// sequence is the number of registrations so far.
 	sequence int
 	runs     []Run
@@ -123,6 +127,13 @@
 	e.mode = m
 }
 
+// SetLeaving changes whether the endpoint says in its replies from now on that it is leaving.
+func (e *Endpoint) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
 // SetScript sets ModeScript with that script.
 func (e *Endpoint) SetScript(s Script) {
 	e.mu.Lock()
@@ -169,10 +180,14 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sequence++
-	content, err := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"service": e.Service, "address": address, "zone": "z", "version": "v1", "slots": 2,
 		"state": state, "cold_remaining_ms": 0, "sequence": e.sequence,
-	})
+	}
+	if !e.Born.IsZero() {
+		fields["born"] = e.Born.UnixMilli()
+	}
+	content, err := json.Marshal(fields)
 	if err != nil {
 		return ""
 	}
@@ -192,6 +207,9 @@
 	misdirected := expected != "" && expected != e.ID
 	e.mu.Lock()
 	mode, script := e.mode, e.script
+	if e.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if mode.rejects() || misdirected {
 		e.rejected = append(e.rejected, Arrival{At: now, ID: id})
 	} else {
