Check in the soak that endpoints which leave or turn requests away get none

Two promises more: no more than two requests from half a second after a 503 with Retry-After until its end, and none that was sent later than the drain time after a VM had passed on a reply with Server-Leaving, also while the registry is away. Faults of the connections to an endpoint are recorded, since they excuse a VM that didn't get the reply. TestPlan counts the two kinds.

Evidence: TestPromises breaks both.

--- a/internal/serve/gateway/explain_test.go
+++ b/internal/serve/gateway/explain_test.go
@@ -39,8 +39,8 @@
 		},
 		{
 			"endpoints turn requests away", func(f *fixture) {
-				f.endpoints["a0"].RetryAfter, f.endpoints["a1"].RetryAfter = "30", "30"
-				f.setMode(shard.ModeTurnAway, "a0", "a1")
+				f.endpoints["a0"].TurnAway("30")
+				f.endpoints["a1"].TurnAway("30")
 			}, "/one/x", "r1", "r1", 503,
 			stream.ExitOK,
 			[]string{"request not answered", "code: 210", "endpoint turned requests away", "retry_after_ms: 30000"},
--- a/internal/serve/gateway/leaving_test.go
+++ b/internal/serve/gateway/leaving_test.go
@@ -33,13 +33,13 @@
 		},
 		{
 			name: "the endpoint registers as ready again", mode: shard.ModeServe,
-			after: func(f *fixture) { f.register("a0", time.UnixMilli(1)) },
+			after: func(f *fixture) { f.register("a0") },
 		},
 		{
 			name: "the endpoint starts again", mode: shard.ModeServe, used: true,
 			after: func(f *fixture) {
-				f.endpoints["a0"].SetLeaving(false)
-				f.register("a0", time.UnixMilli(2))
+				f.endpoints["a0"].Restart(time.UnixMilli(2))
+				f.register("a0")
 			},
 		},
 	}
@@ -106,11 +106,10 @@
 	}
 }
 
-// register registers an endpoint as ready, with the given start, and waits until the VM knows.
-func (f *fixture) register(id string, born time.Time) {
+// register registers an endpoint as ready, with a change, and waits until the VM knows.
+func (f *fixture) register(id string) {
 	f.t.Helper()
 	e := f.endpoints[id]
-	e.Born = born
 	revision := f.gateway.views.Load().EndpointsRevision
 	f.store.Put(e.Key(), strings.Replace(e.Registration("ready"), `"v1"`, `"v2"`, 1))
 	f.await(func() bool { return f.gateway.views.Load().EndpointsRevision > revision })
--- a/internal/serve/gateway/turnaway_test.go
+++ b/internal/serve/gateway/turnaway_test.go
@@ -37,9 +37,8 @@
 			// The other endpoints reject requests, so that each of these gets one.
 			f.setMode(shard.ModeReject, all...)
 			for _, id := range tt.away {
-				f.endpoints[id].RetryAfter = "30"
+				f.endpoints[id].TurnAway("30")
 			}
-			f.setMode(shard.ModeTurnAway, tt.away...)
 			f.await(func() bool {
 				f.request("GET", tt.path, "w", "")
 				return strings.Count(f.log.String(), `"msg":"endpoint turned requests away"`) == len(tt.away)
@@ -75,8 +74,8 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFixture(t).start()
-			f.endpoints["a0"].RetryAfter, f.endpoints["a1"].RetryAfter = tt.value, tt.value
-			f.setMode(shard.ModeTurnAway, "a0", "a1")
+			f.endpoints["a0"].TurnAway(tt.value)
+			f.endpoints["a1"].TurnAway(tt.value)
 			assert.Equal(t, f.request("GET", "/one/x", "r1", "").status, 503)
 			f.setMode(shard.ModeServe, "a0", "a1")
 			f.await(func() bool { return f.request("GET", "/one/x", "r2", "").status == 200 })
--- a/internal/standin/shard/shard.go
+++ b/internal/standin/shard/shard.go
@@ -23,7 +23,7 @@
 	ModeServe Mode = "serve"
 	// ModeReject replies 503 without running the call, and states that it has not run.
 	ModeReject Mode = "reject"
-	// ModeTurnAway does the same, with the endpoint's RetryAfter.
+	// ModeTurnAway does the same, with the Retry-After header that TurnAway sets.
 	ModeTurnAway Mode = "turnaway"
 	// ModeDrop runs the call and resets the connection.
 	ModeDrop Mode = "lose"
@@ -70,6 +70,8 @@
 	RemainingMS string
 	// CallerDone is closed once the caller has closed the connection or the call has been replied to.
 	CallerDone <-chan struct{}
+	// Leaving reports whether the reply said that the endpoint is leaving.
+	Leaving bool
 }
 
 // Endpoint is one simulated endpoint that listens on loopback.
@@ -80,8 +82,6 @@
 	Delay time.Duration
 	// Body is the body of the replies.
 	Body string
-	// RetryAfter is the value of the Retry-After header in ModeTurnAway.
-	RetryAfter string
 	// Born is when the endpoint says in its registration that it started; it does not say so at the zero time.
 	Born time.Time
 
@@ -92,7 +92,9 @@
 	mode Mode
 	// leaving is set if the endpoint says in its replies that it is leaving.
 	leaving bool
-	script  Script
+	// retryAfter is the value of the Retry-After header in ModeTurnAway.
+	retryAfter string
+	script     Script
 	// sequence is the number of registrations so far.
 	sequence int
 	runs     []Run
@@ -104,6 +106,12 @@
 type Arrival struct {
 	At time.Time
 	ID string
+	// RetryAfter is the Retry-After header of the reply, empty if there was none.
+	RetryAfter string
+	// Leaving reports whether the reply said that the endpoint is leaving.
+	Leaving bool
+	// Misdirected is set if the call was meant for another endpoint.
+	Misdirected bool
 }
 
 // New starts an endpoint in ModeServe.
@@ -134,6 +142,21 @@
 	e.leaving = leaving
 }
 
+// TurnAway sets ModeTurnAway with that value of the Retry-After header.
+func (e *Endpoint) TurnAway(retryAfter string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.mode, e.retryAfter = ModeTurnAway, retryAfter
+}
+
+// Restart makes the endpoint a new incarnation, which started at now and is not leaving. It takes effect in what the
+// endpoint registers from now on.
+func (e *Endpoint) Restart(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Born, e.leaving = now, false
+}
+
 // SetScript sets ModeScript with that script.
 func (e *Endpoint) SetScript(s Script) {
 	e.mu.Lock()
@@ -154,7 +177,7 @@
 	defer e.mu.Unlock()
 	all := make([]Arrival, 0, len(e.runs)+len(e.rejected))
 	for _, r := range e.runs {
-		all = append(all, Arrival{At: r.At, ID: r.ID})
+		all = append(all, Arrival{At: r.At, ID: r.ID, Leaving: r.Leaving})
 	}
 	return append(all, e.rejected...)
 }
@@ -211,13 +234,18 @@
 		w.Header().Set("Server-Leaving", "1")
 	}
 	if mode.rejects() || misdirected {
-		e.rejected = append(e.rejected, Arrival{At: now, ID: id})
+		a := Arrival{At: now, ID: id, Leaving: e.leaving, Misdirected: misdirected}
+		if mode == ModeTurnAway && !misdirected {
+			a.RetryAfter = e.retryAfter
+		}
+		e.rejected = append(e.rejected, a)
 	} else {
 		e.runs = append(e.runs, Run{
 			At: now, ID: id, Method: r.Method, URI: r.RequestURI, Body: string(body),
-			RemainingMS: r.Header.Get("Basilspan-Deadline-Ms"), CallerDone: r.Context().Done(),
+			RemainingMS: r.Header.Get("Basilspan-Deadline-Ms"), CallerDone: r.Context().Done(), Leaving: e.leaving,
 		})
 	}
+	retryAfter := e.retryAfter
 	e.mu.Unlock()
 	if misdirected {
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -228,6 +256,9 @@
 		script.play(w, id, seal)
 		return
 	}
+	if mode == ModeTurnAway {
+		w.Header().Set("Retry-After", retryAfter)
+	}
 	e.respond(w, r, mode, seal)
 }
 
@@ -243,9 +274,6 @@
 	case ModeServe, ModeUnsigned:
 		_, _ = io.WriteString(w, e.Body)
 	case ModeReject, ModeTurnAway:
-		if mode == ModeTurnAway {
-			w.Header().Set("Retry-After", e.RetryAfter)
-		}
 		w.Header().Set("Basilspan-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case ModeDrop:
--- a/internal/standin/soak/check.go
+++ b/internal/standin/soak/check.go
@@ -51,6 +51,8 @@
 	{"endpoints run only what callers requested", checkRunsRequested},
 	{"extra calls stay within their limit", checkExtraCalls},
 	{"a leaving endpoint gets no new requests", checkLeaving},
+	{"an endpoint that turns requests away gets none", checkTurnedAway},
+	{"an endpoint that says that it is leaving gets no new requests", checkAnnounced},
 	{"a planned stop interrupts no request", checkPlannedStop},
 	{"a routing table takes effect in time", checkTableApplied},
 	{"a routing table is never replaced by an older one", checkTableOrder},
--- a/internal/standin/soak/check_test.go
+++ b/internal/standin/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -73,6 +74,35 @@
 	h.Calls = append(h.Calls, Call{Arrival: arrival, Endpoint: id, Service: h.Services[id]})
 }
 
+// addTurnAway has an endpoint turn a request away for two seconds, with n more requests to it a second later.
+func (h *History) addTurnAway(n int) {
+	add := func(when time.Time, retryAfter string) {
+		id := fmt.Sprint("away", len(h.Calls))
+		h.Requests = append(h.Requests, Request{
+			ID: unit.RequestID(id), Path: PathOne, Method: "GET", Sent: when, Ended: when, Remaining: callerTimeout, GaveUp: true,
+		})
+		arrival := shard.Arrival{At: when, ID: id, RetryAfter: retryAfter}
+		h.Calls = append(h.Calls, Call{Arrival: arrival, Endpoint: "a-0", Service: "a"})
+	}
+	add(at(20*time.Second), "2")
+	for range n {
+		add(at(21*time.Second), "")
+	}
+}
+
+// announce has an endpoint say in its reply to a request that it is leaving, and get another one that was sent then.
+func (h *History) announce(sent time.Time) {
+	h.Announced = []LeavingPeriod{{Endpoint: "a-0", Span: Span{From: at(19 * time.Second)}}}
+	for i := range h.Calls {
+		h.Calls[i].Leaving = h.Calls[i].Endpoint == "a-0"
+	}
+	h.Requests = append(h.Requests, Request{
+		ID: "late", Path: PathOne, Method: "GET", Sent: sent, Ended: sent, Remaining: callerTimeout, GaveUp: true,
+	})
+	arrival := shard.Arrival{At: sent, ID: "late", Leaving: true}
+	h.Calls = append(h.Calls, Call{Arrival: arrival, Endpoint: "a-0", Service: "a"})
+}
+
 // findRequest returns the request with an ID, to change it.
 func (h *History) findRequest(id unit.RequestID) *Request {
 	return h.requestsByID()[id]
@@ -128,22 +158,42 @@
 			h.Leaving = []LeavingPeriod{{Endpoint: "a-0", Span: Span{From: at(16 * second)}}}
 			h.VMFaults[0] = []Span{{From: at(15 * second), To: at(17 * second)}}
 		}, ""},
+		{"requests within a Retry-After", func(h *History) { h.addTurnAway(3) }, promises[7].name},
+		{"two requests within a Retry-After", func(h *History) { h.addTurnAway(2) }, ""},
+		{"requests within a Retry-After from a VM that was frozen", func(h *History) {
+			h.addTurnAway(3)
+			h.VMFaults[0] = []Span{{From: at(20 * second), To: at(21 * second)}}
+		}, ""},
+		{"a request to an endpoint that said that it is leaving", func(h *History) {
+			h.announce(at(23*second + 20*time.Millisecond))
+		}, promises[8].name},
+		{"a request within the drain time of an endpoint that said that it is leaving", func(h *History) {
+			h.announce(at(23 * second))
+		}, ""},
+		{"a request to an endpoint that said that it is leaving, while the registry is away", func(h *History) {
+			h.announce(at(24 * second))
+			h.GlobalFaults = []Span{{From: at(19 * second)}}
+		}, promises[8].name},
+		{"a request to an endpoint that said that it is leaving, from a VM that was restarted", func(h *History) {
+			h.announce(at(24 * second))
+			h.VMFaults[0] = []Span{{From: at(21 * second), To: at(22 * second)}}
+		}, ""},
 		{"interrupted by a planned stop", func(h *History) {
 			h.Lifetimes[0].StopRequested = at(20 * second)
 			h.findRequest("one").Status = 0
-		}, promises[7].name},
+		}, promises[9].name},
 		{"interrupted by the end of a planned stop", func(h *History) {
 			h.Lifetimes[0].StopRequested, h.Lifetimes[0].Ended = at(19*second), at(20*second+5*time.Millisecond)
 			h.VMFaults[0] = []Span{{From: h.Lifetimes[0].StopRequested, To: at(23 * second)}, {From: h.Lifetimes[0].Ended}}
 			h.findRequest("one").Status = 0
-		}, promises[7].name},
+		}, promises[9].name},
 		{"interrupted by a kill", func(h *History) {
 			h.Lifetimes[0].StopRequested, h.Lifetimes[0].Killed = at(20*second), at(20*second)
 			h.findRequest("one").Status = 0
 		}, ""},
 		{"a table not in force in time", func(h *History) {
 			h.Runs[5].Service, h.Runs[5].Endpoint = "m1", "m1-0"
-		}, promises[8].name},
+		}, promises[10].name},
 		{"a table not in force in time while the registry fails", func(h *History) {
 			h.Runs[5].Service, h.Runs[5].Endpoint = "m1", "m1-0"
 			h.GlobalFaults = []Span{{From: at(12 * second), To: at(18 * second)}}
@@ -156,17 +206,17 @@
 			req.ResponseBody, req.Sent, req.Ended = h.Records["m1"], at(21*second), at(21*second)
 			h.Requests = append(h.Requests, req)
 			h.addRun(req, "m1-0", at(21*second))
-		}, promises[9].name},
+		}, promises[11].name},
 		{"a response long after its timeout", func(h *History) {
 			h.findRequest("one").Ended = at(23 * second)
-		}, promises[10].name},
-		{"a failure without a log line", func(h *History) { h.Lifetimes[0].Log = "" }, promises[11].name},
+		}, promises[12].name},
+		{"a failure without a log line", func(h *History) { h.Lifetimes[0].Log = "" }, promises[13].name},
 		{"a failure among the suppressed log lines", func(h *History) {
 			h.Lifetimes[0].Log = `{"msg":"lines left out","of":"request not answered","count":1}`
 		}, ""},
 		{"a process that ends unasked", func(h *History) {
 			h.Lifetimes[0].Ended, h.Lifetimes[0].ExitCode = at(25*second), 2
-		}, promises[12].name},
+		}, promises[14].name},
 		{"a stop before the process handles signals", func(h *History) {
 			h.Lifetimes = append(h.Lifetimes, Lifetime{VM: 1, Started: at(0), StopRequested: at(0), Ended: at(0), ExitCode: -1})
 		}, ""},
@@ -174,11 +224,11 @@
 			h.Lifetimes = append(h.Lifetimes, Lifetime{
 				VM: 1, Started: at(0), StopRequested: at(0), Ended: at(0), ExitCode: -1, Log: "{}",
 			})
-		}, promises[12].name},
+		}, promises[14].name},
 		{"a planned stop that takes too long", func(h *History) {
 			h.Lifetimes[0].StopRequested, h.Lifetimes[0].Ended = at(25*second), at(30*second)
 			h.VMFaults[0] = []Span{{From: h.Lifetimes[0].StopRequested, To: at(29 * second)}, {From: h.Lifetimes[0].Ended}}
-		}, promises[12].name},
+		}, promises[14].name},
 		{"a planned stop that takes longer because the VM was frozen", func(h *History) {
 			h.Lifetimes[0].StopRequested, h.Lifetimes[0].Ended = at(25*second), at(30*second)
 			h.VMFaults[0] = []Span{
@@ -218,5 +268,6 @@
 		}
 	}
 	assert.Assert(t, seen[KindRestore])
-	assert.Equal(t, len(seen), len(kinds)+1)
+	assert.Assert(t, seen[KindTurnAway] && seen[KindAnnounce])
+	assert.Equal(t, len(seen), len(kinds)+3)
 }
--- a/internal/standin/soak/deployment.go
+++ b/internal/standin/soak/deployment.go
@@ -111,8 +111,9 @@
 		published: make(map[string]string),
 		history: &History{
 			Bounds: defaultBounds, Records: make(map[unit.ServiceName]string),
-			Services: make(map[unit.EndpointID]unit.ServiceName),
-			VMFaults: make(map[int][]Span),
+			Services:       make(map[unit.EndpointID]unit.ServiceName),
+			VMFaults:       make(map[int][]Span),
+			EndpointFaults: make(map[unit.EndpointID][]Span),
 		},
 	}
 	t.Cleanup(dep.store.Close)
@@ -134,6 +135,7 @@
 	for i := range n {
 		id := unit.EndpointID(fmt.Sprint(service, "-", i))
 		e := shard.New(string(service), string(id), body)
+		e.Born = time.Now()
 		dep.t.Cleanup(e.Close)
 		dep.endpoints = append(dep.endpoints, e)
 		dep.endpointLinks = append(dep.endpointLinks, proc.NewRelay(dep.t, unit.Address(e.Address())))
@@ -311,7 +313,10 @@
 		now := time.Now()
 		if now.Sub(last) > stallPeriod+minStall {
 			from := last
-			dep.history.update(func(h *History) { h.GlobalFaults = append(h.GlobalFaults, Span{From: from, To: now}) })
+			dep.history.update(func(h *History) {
+				h.GlobalFaults = append(h.GlobalFaults, Span{From: from, To: now})
+				h.Stalls = append(h.Stalls, Span{From: from, To: now})
+			})
 		}
 		last = now
 	}
--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"strconv"
 	"time"
 
 	"basilspan/internal/core/unit"
@@ -16,6 +17,8 @@
 	reuseDelay = 2 * time.Second
 	// deregisterDelay is how long a draining endpoint stays registered and serves.
 	deregisterDelay = time.Second
+	// announceTime is how long after the drain time an endpoint still says in its replies that it is leaving.
+	announceTime = time.Second
 	// restoreDelay is how long the registry is away for a restore, and how long after it operators and endpoints have
 	// published again what was lost.
 	restoreDelay = 500 * time.Millisecond
@@ -64,13 +67,17 @@
 	case KindPeerLink:
 		return dep.disruptLink(v.peerLink, f, dep.recordVMFault(v.number))
 	case KindEndpointLink:
-		return dep.disruptLink(dep.endpointLinks[e], f, func() {})
+		return dep.disruptLink(dep.endpointLinks[e], f, dep.recordEndpointFault(e))
 	case KindEndpoint:
 		return dep.disruptEndpoint(e, f)
 	case KindDrain:
 		return dep.startRegistrationFault(e, func() func() { return dep.drain(e, f.For) })
 	case KindReuse:
 		return dep.startRegistrationFault(e, func() func() { return dep.reuseAddress(e, f) })
+	case KindTurnAway:
+		return dep.turnAway(e, f.For)
+	case KindAnnounce:
+		return dep.startRegistrationFault(e, func() func() { return dep.announce(e) })
 	case KindTable:
 		dep.publishTable()
 	case KindBurst:
@@ -84,6 +91,12 @@
 	return dep.recordSpan(func(h *History, s Span) { h.VMFaults[vm] = append(h.VMFaults[vm], s) })
 }
 
+// recordEndpointFault records a fault of the connections to an endpoint that starts now. The returned function ends it.
+func (dep *deployment) recordEndpointFault(i int) func() {
+	id := unit.EndpointID(dep.endpoints[i].ID)
+	return dep.recordSpan(func(h *History, s Span) { h.EndpointFaults[id] = append(h.EndpointFaults[id], s) })
+}
+
 // recordSpan notes the present time. The returned function calls add with the span from then until its own call, with
 // the history locked.
 func (dep *deployment) recordSpan(add func(h *History, s Span)) func() {
@@ -180,6 +193,32 @@
 	}
 }
 
+// turnAway makes an endpoint turn requests away for the first half of d, with a Retry-After of that half.
+func (dep *deployment) turnAway(i int, d time.Duration) func() {
+	d /= 2
+	dep.endpoints[i].TurnAway(strconv.FormatFloat(d.Seconds(), 'f', 3, 64))
+	return func() {
+		time.Sleep(d)
+		dep.endpoints[i].SetMode(shard.ModeServe)
+	}
+}
+
+// announce makes an endpoint say in its replies that it is leaving, until somewhat after the drain time, while it stays
+// registered as ready. It then starts again.
+func (dep *deployment) announce(i int) func() {
+	e := dep.endpoints[i]
+	ended := dep.recordSpan(func(h *History, s Span) {
+		h.Announced = append(h.Announced, LeavingPeriod{Endpoint: unit.EndpointID(e.ID), Span: s})
+	})
+	e.SetLeaving(true)
+	return func() {
+		time.Sleep(defaultBounds.DrainTime + announceTime)
+		ended()
+		e.Restart(time.Now())
+		dep.register(i, "ready")
+	}
+}
+
 // startRegistrationFault calls begin to start a fault that changes the registration of endpoint e. The returned
 // function ends it. While another such fault of the endpoint is active, neither does anything.
 func (dep *deployment) startRegistrationFault(e int, begin func() func()) func() {
@@ -219,6 +258,7 @@
 // as before.
 func (dep *deployment) reuseAddress(i int, f Fault) func() {
 	other := (i + replicas) % len(dep.endpoints)
+	ended := dep.recordEndpointFault(i)
 	dep.unpublish(dep.endpoints[i].Key())
 	dep.endpointLinks[i].Cut()
 	return func() {
@@ -228,6 +268,7 @@
 		time.Sleep(f.For)
 		dep.endpointLinks[i].Reset()
 		dep.endpointLinks[i].SetTarget(unit.Address(dep.endpoints[i].Address()))
+		ended()
 		dep.register(i, "ready")
 	}
 }
--- a/internal/standin/soak/history.go
+++ b/internal/standin/soak/history.go
@@ -137,10 +137,16 @@
 	Tables    []Table
 	Lifetimes []Lifetime
 	Leaving   []LeavingPeriod
+	// Announced are the periods in which endpoints say only in their replies that they are leaving.
+	Announced []LeavingPeriod
 	// VMFaults are the periods with a fault at one VM. GlobalFaults are those with a fault that affects all VMs: at the
 	// registry, or a scheduling stall of the machine that runs the soak.
 	VMFaults     map[int][]Span
 	GlobalFaults []Span
+	// EndpointFaults are the periods with a fault of the connections to an endpoint, and Stalls those of GlobalFaults
+	// that are scheduling stalls.
+	EndpointFaults map[unit.EndpointID][]Span
+	Stalls         []Span
 }
 
 // update calls change with the history locked. Safe for concurrent use.
@@ -163,6 +169,15 @@
 	return !slices.ContainsFunc(h.VMFaults[vm], disturbs) && !slices.ContainsFunc(h.GlobalFaults, hit)
 }
 
+// reaches reports whether nothing kept what an endpoint said from a VM, or the VM from acting on it, between two times:
+// no fault of the VM, of the endpoint's connections or of the machine that runs the soak. Faults of the registry don't
+// count.
+func (h *History) reaches(vm int, id unit.EndpointID, from, to time.Time) bool {
+	hit := func(s Span) bool { return s.overlaps(from, to) }
+	return !slices.ContainsFunc(h.VMFaults[vm], hit) && !slices.ContainsFunc(h.EndpointFaults[id], hit) &&
+		!slices.ContainsFunc(h.Stalls, hit)
+}
+
 // lifetimeAt returns the process of a VM that was running at a time, or nil if there was none.
 func (h *History) lifetimeAt(vm int, at time.Time) *Lifetime {
 	for i := range h.Lifetimes {
--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -44,9 +44,13 @@
 	KindBurst Kind = "burst"
 	// KindRestore lets the registry be away for a moment and come back from a copy.
 	KindRestore Kind = "restore"
+	// KindTurnAway makes an endpoint turn requests away with 503 and Retry-After for a while.
+	KindTurnAway Kind = "turn away"
+	// KindAnnounce makes an endpoint say in its replies, and nowhere else, that it is leaving. It then starts again.
+	KindAnnounce Kind = "announce"
 )
 
-// kinds are the kinds of faults but KindRestore, with the relative frequency at which each is drawn.
+// kinds are the kinds of faults but those of planRestore and planReplies, with the relative frequency at which each is drawn.
 var kinds = []struct {
 	kind   Kind
 	weight int
@@ -80,6 +84,8 @@
 	maxSeriesGap    = 900 * time.Millisecond
 	// restoreShare is the share of runs in which the registry is restored from a copy.
 	restoreShare = 0.4
+	// maxReplyFaults is how many faults of KindTurnAway and of KindAnnounce a run has at most.
+	maxReplyFaults = 3
 )
 
 // Fault is a planned fault of a run.
@@ -120,6 +126,7 @@
 	}
 	all = slices.DeleteFunc(all, func(f Fault) bool { return f.At >= length })
 	all = append(all, planRestore(seed, length)...)
+	all = append(all, planReplies(seed, length)...)
 	slices.SortFunc(all, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return all
 }
@@ -136,6 +143,21 @@
 	}}
 }
 
+// planReplies draws what endpoints say in their replies, apart from the other faults for the same reason.
+func planReplies(seed uint64, length time.Duration) []Fault {
+	r := rand.New(rand.NewPCG(seed, 2))
+	var all []Fault
+	for _, k := range []Kind{KindTurnAway, KindAnnounce} {
+		for range r.IntN(maxReplyFaults + 1) {
+			all = append(all, Fault{
+				At: drawDuration(r, 0, length), For: drawDuration(r, minDuration, maxDuration), Kind: k,
+				Target: r.IntN(1 << 16),
+			})
+		}
+	}
+	return all
+}
+
 // drawDuration draws a duration in [from, to).
 func drawDuration(r *rand.Rand, from, to time.Duration) time.Duration {
 	return from + time.Duration(r.Int64N(int64(to-from)))
