Ignore a late Retry-After of an endpoint's earlier incarnation

An endpoint that starts again under its id and turns a request away lost that backoff when a reply of its earlier incarnation came after it. The new row of TestChoose fails without the check.

--- a/internal/policy/replica/backoff.go
+++ b/internal/policy/replica/backoff.go
@@ -31,9 +31,13 @@
 }
 
 // RecordBackoff records that an endpoint has turned a request away and wants no more from this VM for wait. It returns
-// when the endpoint may be chosen again, and whether a backoff has begun rather than one in force been extended.
+// when the endpoint may be chosen again, and whether a backoff has begun rather than one in force been extended. A late
+// reply of an earlier incarnation has no effect.
 func (t *Tracker) RecordBackoff(now time.Time, e directory.Endpoint, wait time.Duration) (until time.Time, begun bool) {
 	s := t.state(e.ID)
+	if !e.Born.IsZero() && e.Born.Before(s.backoff.born) {
+		return s.backoff.until, false
+	}
 	begun = !s.backoff.holdsFor(now, e)
 	spread := min(time.Duration(returnSpread*float64(wait)), maxReturnSpread)
 	until = now.Add(wait + time.Duration(t.Rand()*float64(spread)))
--- a/internal/policy/replica/replica_test.go
+++ b/internal/policy/replica/replica_test.go
@@ -200,6 +200,13 @@
 			all:  []directory.Endpoint{born(a, -99)}, do: turnedAway(born(a, -9), 2*time.Second),
 			now: at(2), want: -1,
 		},
+		{
+			name: "not one that turned a request away before its earlier incarnation did",
+			all:  []directory.Endpoint{born(a, -9)}, do: func(tr *Tracker) {
+				turnedAway(born(a, -9), 2*time.Second)(tr)
+				turnedAway(born(a, -99), time.Second)(tr)
+			}, now: at(1500), want: -1,
+		},
 		{
 			name: "one that was forgotten during its backoff",
 			all:  []directory.Endpoint{a}, do: func(tr *Tracker) {
