Take Server-Leaving from replies that break off

An endpoint that ends while it sends a reply says in the header that it is leaving. The reply was dropped whole, so that the VM went on choosing the endpoint until a complete reply said so. A reply whose body can't be read now keeps its id and what its header says of the endpoint; its result stays lost. The new row of TestServerLeaving failed before.

--- a/internal/link/leaf/call.go
+++ b/internal/link/leaf/call.go
@@ -88,7 +88,8 @@
 
 // Result is the outcome of a call.
 type Result struct {
-	Kind  ResultKind
+	Kind ResultKind
+	// Reply is complete for KindReply. For KindLost, it has only the ID, Misdirected and Leaving, if they are known.
 	Reply Reply
 	// Err is the reason why there is no reply.
 	Err error
--- a/internal/link/leaf/conn.go
+++ b/internal/link/leaf/conn.go
@@ -119,8 +119,8 @@
 func (c *conn) readLoop() {
 	defer c.pool.wg.Done()
 	for {
-		if err := c.readReply(); err != nil {
-			c.fail(err)
+		if partial, err := c.readReply(); err != nil {
+			c.fail(partial, err)
 			return
 		}
 	}
@@ -129,33 +129,36 @@
 // readReply waits for data, reads one reply and completes its call. A reply with another request ID is a surplus reply
 // to an earlier call: it is counted and discarded, and readReply returns nil with the current call still in flight.
 // More than maxSurplusReplies of them are an error, as are data that arrives while no call is in flight and a reply that
-// cannot be decoded. After an error the connection must be closed.
-func (c *conn) readReply() error {
+// cannot be decoded. After an error the connection must be closed; partial is what is known of the call's reply then.
+func (c *conn) readReply() (partial Reply, err error) {
 	c.r.BeginHead()
 	if _, err := c.r.Peek(1); err != nil {
-		return errors.Wrap(err, "wait for the endpoint")
+		return Reply{}, errors.Wrap(err, "wait for the endpoint")
 	}
 	c.mu.Lock()
 	f := c.flight
 	c.mu.Unlock()
 	if f == nil {
-		return errUnexpectedData
+		return Reply{}, errUnexpectedData
 	}
 	reply, err := c.pool.Decode(c.pool.Now(), c.r, f.call.Message.Method)
 	if err != nil {
-		return errors.Wrap(err, "read the endpoint's reply")
+		if reply.ID != f.call.Message.ID {
+			reply = Reply{}
+		}
+		return reply, errors.Wrap(err, "read the endpoint's reply")
 	}
 	if reply.ID != f.call.Message.ID {
 		// The reply to this call follows the surplus reply.
 		c.pool.count("leaf.surplus")
 		if c.surplus++; c.surplus > maxSurplusReplies {
-			return errManySurplus
+			return Reply{}, errManySurplus
 		}
-		return nil
+		return Reply{}, nil
 	}
 	c.surplus = 0
 	c.finishCall(f, reply)
-	return nil
+	return Reply{}, nil
 }
 
 // finishCall completes the call with its reply. It releases the connection, or closes it if it accepts no further call.
@@ -188,9 +191,10 @@
 	f.complete(Result{Kind: KindReply, Reply: reply})
 }
 
-// fail closes the connection and completes its call, if it has one, as lost, since the endpoint may have executed it.
+// fail closes the connection and completes its call, if it has one, as lost with what is known of its reply, since the
+// endpoint may have executed it.
 // It is called when a read fails and when the pool closes.
-func (c *conn) fail(err error) {
+func (c *conn) fail(partial Reply, err error) {
 	c.mu.Lock()
 	f := c.flight
 	c.flight = nil
@@ -198,7 +202,7 @@
 	c.pool.count("leaf.closed." + closeReason(err, f != nil))
 	c.closeOnce()
 	if f != nil {
-		f.complete(Result{Kind: KindLost, Err: err})
+		f.complete(Result{Kind: KindLost, Reply: partial, Err: err})
 	}
 }
 
--- a/internal/link/leaf/pool.go
+++ b/internal/link/leaf/pool.go
@@ -191,7 +191,7 @@
 	p.cancel()
 	failUnsent(waiting, errClosed)
 	for _, c := range all {
-		c.fail(errClosed)
+		c.fail(Reply{}, errClosed)
 	}
 	p.wg.Wait()
 	return nil
--- a/internal/platform/leaf/leaf.go
+++ b/internal/platform/leaf/leaf.go
@@ -108,7 +108,8 @@
 }
 
 // Decode reads one complete reply, which began to arrive at now, to a request with the given method, and skips the interim
-// replies before it. It returns an error if the end of the reply was not reached.
+// replies before it. It returns an error if the end of the reply was not reached, and with it, if the header is complete,
+// only the ID, Misdirected and Leaving.
 func Decode(now time.Time, r *leaf.Reader, method string) (leaf.Reply, error) {
 	resp, err := readHead(r, method)
 	if err != nil {
@@ -116,19 +117,24 @@
 	}
 	r.BeginBody()
 	body, err := readBody(r, resp, method)
+	reply := leaf.Reply{
+		ID:          unit.RequestID(resp.Header.Get(fieldRequestID)),
+		Misdirected: resp.StatusCode == http.StatusMisdirectedRequest,
+		Leaving:     resp.Header.Get(fieldLeaving) == "1",
+	}
 	if err != nil {
-		return leaf.Reply{}, errors.Wrap(readError(r, err), "body")
+		return reply, errors.Wrap(readError(r, err), "body")
 	}
-	reply := leaf.Reply{
-		ID:               unit.RequestID(resp.Header.Get(fieldRequestID)),
+	reply = leaf.Reply{
+		ID:               reply.ID,
 		Status:           resp.StatusCode,
 		Fields:           forwardedFields(resp.Header),
 		Body:             body,
 		Seal:             resp.Header.Get(fieldSeal),
-		NotExecuted:      resp.Header.Get(fieldNotExecuted) != "" || resp.StatusCode == http.StatusMisdirectedRequest,
-		Misdirected:      resp.StatusCode == http.StatusMisdirectedRequest,
+		NotExecuted:      resp.Header.Get(fieldNotExecuted) != "" || reply.Misdirected,
+		Misdirected:      reply.Misdirected,
 		Encoded:          resp.Header.Get("Content-Encoding") != "",
-		Leaving:          resp.Header.Get(fieldLeaving) == "1",
+		Leaving:          reply.Leaving,
 		Load:             parseLoad(resp.Header.Get(fieldLoad)),
 		ClosesConnection: resp.Close,
 		IdleTimeout:      parseIdleTimeout(resp.Header.Get("Keep-Alive")),
--- a/internal/serve/gateway/leaving_test.go
+++ b/internal/serve/gateway/leaving_test.go
@@ -27,6 +27,14 @@
 		{name: "a 503", mode: shard.ModeBusy},
 		{name: "a 503 without a run", mode: shard.ModeReject},
 		{name: "a reply that can't be used", mode: shard.ModeUnsigned},
+		{
+			name: "a reply that breaks off", mode: shard.ModeScript,
+			before: func(f *fixture) {
+				f.endpoints["a0"].SetScript(shard.Script{
+					Text: "HTTP/1.1 200 OK\r\nBasilspan-Request-Id: ID\r\nServer-Leaving: 1\r\nContent-Length: 9\r\n\r\nab",
+				})
+			},
+		},
 		{
 			name: "the registry is away", mode: shard.ModeServe,
 			before: func(f *fixture) { f.store.SetFault(registry.Fault503) },
