--- a/internal/standin/shard/shard.go
+++ b/internal/standin/shard/shard.go
@@ -23,6 +23,8 @@
 	ModeServe Mode = "serve"
 	// ModeReject replies 503 without running the call, and states that it has not run.
 	ModeReject Mode = "reject"
+	// ModeTurnAway does the same, with the Retry-After header that TurnAway sets.
+	ModeTurnAway Mode = "turnaway"
 	// ModeDrop runs the call and resets the connection.
 	ModeDrop Mode = "lose"
 	// ModeFail runs the call and replies 500.
@@ -41,6 +43,11 @@
 	ModeScript Mode = "script"
 )
 
+// rejects reports whether calls are rejected without being run.
+func (m Mode) rejects() bool {
+	return m == ModeReject || m == ModeTurnAway
+}
+
 // Script is what an endpoint in ModeScript sends, with "ID" and "SEAL" in Text replaced by those of the call. It then
 // closes the connection.
 type Script struct {
@@ -63,6 +70,8 @@
 	RemainingMS string
 	// CallerDone is closed once the caller has closed the connection or the call has been replied to.
 	CallerDone <-chan struct{}
+	// Leaving reports whether the reply said that the endpoint is leaving.
+	Leaving bool
 }
 
 // Endpoint is one simulated endpoint that listens on loopback.
@@ -73,13 +82,19 @@
 	Delay time.Duration
 	// Body is the body of the replies.
 	Body string
+	// Born is when the endpoint says in its registration that it started; it does not say so at the zero time.
+	Born time.Time
 
 	server *httptest.Server
 	quit   chan struct{}
 
-	mu     sync.Mutex
-	mode   Mode
-	script Script
+	mu   sync.Mutex
+	mode Mode
+	// leaving is set if the endpoint says in its replies that it is leaving.
+	leaving bool
+	// retryAfter is the value of the Retry-After header in ModeTurnAway.
+	retryAfter string
+	script     Script
 	// sequence is the number of registrations so far.
 	sequence int
 	runs     []Run
@@ -91,6 +106,12 @@
 type Arrival struct {
 	At time.Time
 	ID string
+	// RetryAfter is the Retry-After header of the reply, empty if there was none.
+	RetryAfter string
+	// Leaving reports whether the reply said that the endpoint is leaving.
+	Leaving bool
+	// Misdirected is set if the call was meant for another endpoint.
+	Misdirected bool
 }
 
 // New starts an endpoint in ModeServe.
@@ -114,6 +135,28 @@
 	e.mode = m
 }
 
+// SetLeaving changes whether the endpoint says in its replies from now on that it is leaving.
+func (e *Endpoint) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
+// TurnAway sets ModeTurnAway with that value of the Retry-After header.
+func (e *Endpoint) TurnAway(retryAfter string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.mode, e.retryAfter = ModeTurnAway, retryAfter
+}
+
+// Restart makes the endpoint a new incarnation, which started at now and is not leaving. It takes effect in what the
+// endpoint registers from now on.
+func (e *Endpoint) Restart(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Born, e.leaving = now, false
+}
+
 // SetScript sets ModeScript with that script.
 func (e *Endpoint) SetScript(s Script) {
 	e.mu.Lock()
@@ -134,7 +177,7 @@
 	defer e.mu.Unlock()
 	all := make([]Arrival, 0, len(e.runs)+len(e.rejected))
 	for _, r := range e.runs {
-		all = append(all, Arrival{At: r.At, ID: r.ID})
+		all = append(all, Arrival{At: r.At, ID: r.ID, Leaving: r.Leaving})
 	}
 	return append(all, e.rejected...)
 }
@@ -160,10 +203,14 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sequence++
-	content, err := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"service": e.Service, "address": address, "zone": "z", "version": "v1", "slots": 2,
 		"state": state, "cold_remaining_ms": 0, "sequence": e.sequence,
-	})
+	}
+	if !e.Born.IsZero() {
+		fields["born"] = e.Born.UnixMilli()
+	}
+	content, err := json.Marshal(fields)
 	if err != nil {
 		return ""
 	}
@@ -183,14 +230,22 @@
 	misdirected := expected != "" && expected != e.ID
 	e.mu.Lock()
 	mode, script := e.mode, e.script
-	if mode == ModeReject || misdirected {
-		e.rejected = append(e.rejected, Arrival{At: now, ID: id})
+	if e.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	if mode.rejects() || misdirected {
+		a := Arrival{At: now, ID: id, Leaving: e.leaving, Misdirected: misdirected}
+		if mode == ModeTurnAway && !misdirected {
+			a.RetryAfter = e.retryAfter
+		}
+		e.rejected = append(e.rejected, a)
 	} else {
 		e.runs = append(e.runs, Run{
 			At: now, ID: id, Method: r.Method, URI: r.RequestURI, Body: string(body),
-			RemainingMS: r.Header.Get("Basilspan-Deadline-Ms"), CallerDone: r.Context().Done(),
+			RemainingMS: r.Header.Get("Basilspan-Deadline-Ms"), CallerDone: r.Context().Done(), Leaving: e.leaving,
 		})
 	}
+	retryAfter := e.retryAfter
 	e.mu.Unlock()
 	if misdirected {
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -201,12 +256,15 @@
 		script.play(w, id, seal)
 		return
 	}
+	if mode == ModeTurnAway {
+		w.Header().Set("Retry-After", retryAfter)
+	}
 	e.respond(w, r, mode, seal)
 }
 
 // respond waits for the delay, unless the call is rejected, and responds as the mode says.
 func (e *Endpoint) respond(w http.ResponseWriter, r *http.Request, mode Mode, seal string) {
-	if mode != ModeReject && e.Delay > 0 {
+	if !mode.rejects() && e.Delay > 0 {
 		time.Sleep(e.Delay)
 	}
 	if mode != ModeUnsigned {
@@ -215,7 +273,7 @@
 	switch mode {
 	case ModeServe, ModeUnsigned:
 		_, _ = io.WriteString(w, e.Body)
-	case ModeReject:
+	case ModeReject, ModeTurnAway:
 		w.Header().Set("Basilspan-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case ModeDrop:
