Wrap long lines and comments of this change

Found on reading the change as a newcomer: a log call written twice, and three comments that had lost their line breaks. Nothing of the behaviour changes.

--- a/internal/core/dispatch/divided.go
+++ b/internal/core/dispatch/divided.go
@@ -113,8 +113,8 @@
 }
 
 // vmMissedEndpoints reports whether another VM left a shard unsent, but not because the shard's endpoints take none of
-// its requests, although this VM knows endpoints of it. The portion
-// then counts as failed at that VM, which gets no portions for a while. handleEnd retries the shards.
+// its requests, although this VM knows endpoints of it. The portion then counts as failed at that VM, which gets no
+// portions for a while. handleEnd retries the shards.
 func (v *dividedRequest) vmMissedEndpoints(shards []int, result wirePortionResult) bool {
 	for i, n := range result.Sent {
 		away := slices.Contains(result.Away, i)
--- a/internal/core/dispatch/fanout.go
+++ b/internal/core/dispatch/fanout.go
@@ -39,8 +39,8 @@
 }
 
 // run starts the first attempts and handles results and timeouts until the machine has decided how the request ended.
-// If ctx ends, the caller has disconnected and the request is cancelled; if it has ended before, nothing is sent. If a planned stop of this VM begins, the request
-// ends in time for it.
+// If ctx ends, the caller has disconnected and the request is cancelled; if it has ended before, nothing is sent. If a
+// planned stop of this VM begins, the request ends in time for it.
 func (f *fanout) run(ctx context.Context) {
 	f.ends = make(chan attemptEnd, f.machine.Params.MaxAttempts())
 	f.flights = make([]*leaf.Flight, 0, len(f.services))
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -412,10 +412,10 @@
 		}
 		if failed++; failed == maxPeerFailures || f.failures > 0 {
 			f.directUntil = f.Now().Add(directReadPeriod)
-			f.Log.Info("reading the registry instead of a peer", "prefix", f.Prefix, "era", f.position.Era, "at", f.position.Revision, "error", peerErr)
+			f.logPeerFailure("reading the registry instead of a peer", peerErr)
 			break
 		}
-		f.Log.Info("switching to another peer", "prefix", f.Prefix, "era", f.position.Era, "at", f.position.Revision, "error", peerErr)
+		f.logPeerFailure("switching to another peer", peerErr)
 		began = f.Now()
 		if err := f.catchUp(ctx); err != nil {
 			return began, err
@@ -424,6 +424,11 @@
 	return began, nil
 }
 
+// logPeerFailure logs what follows the failure of a peer, and the position that this VM has reached.
+func (f *Follower) logPeerFailure(message string, err error) {
+	f.Log.Info(message, "prefix", f.Prefix, "era", f.position.Era, "at", f.position.Revision, "error", err)
+}
+
 // catchUp reads what the registry holds now: everything if this VM has no values yet, or the changes since the last
 // read, with a wait of at most catchUpWait.
 func (f *Follower) catchUp(ctx context.Context) error {
--- a/internal/link/leaf/conn.go
+++ b/internal/link/leaf/conn.go
@@ -192,8 +192,7 @@
 }
 
 // fail closes the connection and completes its call, if it has one, as lost with what is known of its reply, since the
-// endpoint may have executed it.
-// It is called when a read fails and when the pool closes.
+// endpoint may have executed it. It is called when a read fails and when the pool closes.
 func (c *conn) fail(partial Reply, err error) {
 	c.mu.Lock()
 	f := c.flight
