--- a/internal/core/discovery/offered_test.go
+++ b/internal/core/discovery/offered_test.go
@@ -10,8 +10,7 @@
 	"basilspan/internal/core/unit"
 )
 
-// TestOfferedTableReachesFollowers guards against a VM that keeps the table of a restored copy because it has followed this
-// one before a peer offered the newer table.
+// TestOfferedTableReachesFollowers guards against a follower that keeps a restored table after a peer's offer of a newer one.
 func TestOfferedTableReachesFollowers(t *testing.T) {
 	restored := unit.Position{Era: 1, Revision: 4}
 	tests := []struct {
--- a/internal/core/fleet/listing_test.go
+++ b/internal/core/fleet/listing_test.go
@@ -253,8 +253,7 @@
 	}
 }
 
-// TestEditionIsRelayed checks that a seed and its follower tell each other the edition, and that a follower of an older
-// release, which sends none, is not taken for one that has followed no other edition.
+// TestEditionIsRelayed guards against a follower of an older release that is taken for one at edition 0.
 func TestEditionIsRelayed(t *testing.T) {
 	const sent, relayed registry.Edition = 0, 7
 	tests := []struct {
--- a/internal/core/registry/compactedloop_test.go
+++ b/internal/core/registry/compactedloop_test.go
@@ -12,8 +12,7 @@
 	"basilspan/internal/core/unit"
 )
 
-// TestCompactedReadsAreSpaced guards against a follower that reads without a pause while the registry answers each read
-// that its history was compacted.
+// TestCompactedReadsAreSpaced guards against a follower that reads without a pause while each read is answered with 410.
 func TestCompactedReadsAreSpaced(t *testing.T) {
 	tests := []struct {
 		name    string
--- a/internal/platform/store/era_test.go
+++ b/internal/platform/store/era_test.go
@@ -17,8 +17,7 @@
 	"basilspan/internal/core/unit"
 )
 
-// TestReadsGoOnWithoutEra guards against a VM that takes nothing from the store until its restart once the store or a proxy
-// has ceased to send the era, and against one that takes an earlier revision for lack of an era.
+// TestReadsGoOnWithoutEra guards against a VM that is blind, or goes back, once responses lack the era.
 func TestReadsGoOnWithoutEra(t *testing.T) {
 	tests := []struct {
 		name string
