--- a/internal/core/discovery/discovery_test.go
+++ b/internal/core/discovery/discovery_test.go
@@ -36,8 +36,7 @@
 	return registry.Item{Position: p, Key: "table", Value: []byte(version)}
 }
 
-// TestOfferedTable checks that a VM that starts after a restore takes the newest table that its peers know, and relays
-// it.
+// TestOfferedTable checks that a VM that starts after a restore takes the newest table that its peers know.
 func TestOfferedTable(t *testing.T) {
 	restored := unit.Position{Era: 1, Revision: 4}
 	tests := []struct {
@@ -68,8 +67,7 @@
 	}
 }
 
-// TestRelayKeepsTable checks that a VM passes on the newest table that it knows when the registry is restored from a copy
-// with an older one, and never an unreadable one.
+// TestRelayKeepsTable guards against relaying the older table of a restored registry, or an unreadable one.
 func TestRelayKeepsTable(t *testing.T) {
 	restored := unit.Position{Era: 1, Revision: 4}
 	later := unit.Position{Era: 1, Revision: 5}
@@ -143,8 +141,7 @@
 	}
 }
 
-// TestRestoreIsReported checks that a restore of the registry is logged and counted once, whichever read shows it first,
-// and that a start is not taken for one.
+// TestRestoreIsReported checks that each restore, and no start, is logged and counted once.
 func TestRestoreIsReported(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/internal/core/dispatch/departure_test.go
+++ b/internal/core/dispatch/departure_test.go
@@ -12,8 +12,7 @@
 	"basilspan/internal/policy/replica"
 )
 
-// TestPeerDepartures guards against sending to an endpoint that has told another VM, in a reply to a portion, that it is
-// leaving.
+// TestPeerDepartures guards against sending to an endpoint that has told another VM that it is leaving.
 func TestPeerDepartures(t *testing.T) {
 	tests := []struct {
 		name string
@@ -57,8 +56,7 @@
 	}
 }
 
-// TestWireDeparture checks that news of a leaving endpoint survives its encoding, and that results of older releases
-// have none.
+// TestWireDeparture checks that news of a leaving endpoint survives its encoding.
 func TestWireDeparture(t *testing.T) {
 	tests := []struct {
 		name string
--- a/internal/core/dispatch/stop_test.go
+++ b/internal/core/dispatch/stop_test.go
@@ -11,8 +11,7 @@
 	"basilspan/internal/policy/shutdown"
 )
 
-// TestRequestsEndBeforeStop guards against requests that are in flight when the port for callers closes: those that
-// began before the stop, those that began during it, and the portions of other VMs' requests.
+// TestRequestsEndBeforeStop guards against requests and portions in flight when the port for callers closes.
 func TestRequestsEndBeforeStop(t *testing.T) {
 	const left = 100 * time.Millisecond
 	tests := []struct {
--- a/internal/core/fleet/listing_test.go
+++ b/internal/core/fleet/listing_test.go
@@ -66,8 +66,7 @@
 	}
 }
 
-// TestPeersAcrossRestore checks that a VM takes a seed's values when the seed's position is later, and not when only its
-// revision is higher. A seed of an older release sends no era.
+// TestPeersAcrossRestore guards against taking a seed's values from before a restore for newer ones.
 func TestPeersAcrossRestore(t *testing.T) {
 	tests := []struct {
 		name        string
--- a/internal/link/leaf/flood_test.go
+++ b/internal/link/leaf/flood_test.go
@@ -91,8 +91,7 @@
 	}
 }
 
-// TestEndlessReplies checks that a reply without end ends its call and closes the connection, whatever part of the
-// reply has no end, and before the caller abandons the call.
+// TestEndlessReplies guards against a reply without end that holds its call and its connection.
 func TestEndlessReplies(t *testing.T) {
 	const (
 		head    = "HTTP/1.1 200 OK\r\nBasilspan-Request-Id: ID\r\n"
--- a/internal/link/peer/malformed_test.go
+++ b/internal/link/peer/malformed_test.go
@@ -22,8 +22,7 @@
 	return c
 }
 
-// TestMalformedMessages checks that a message that is not JSON-RPC, is nested too deeply or has no end closes its
-// connection, and that other connections go on.
+// TestMalformedMessages checks that a malformed or endless message closes its own connection only.
 func TestMalformedMessages(t *testing.T) {
 	tests := []struct {
 		name string
--- a/internal/link/peer/peer_test.go
+++ b/internal/link/peer/peer_test.go
@@ -159,8 +159,7 @@
 	assert.Assert(t, <-delays >= holdTime/2)
 }
 
-// TestQueueingDelayIncludesWaitForProcessor guards against a call that counts from the start of its handler, which on a
-// busy VM comes long after the call was read.
+// TestQueueingDelayIncludesWaitForProcessor guards against calls that begin late on a busy VM and count from there.
 func TestQueueingDelayIncludesWaitForProcessor(t *testing.T) {
 	const wait = 50 * time.Millisecond
 	delays := make(chan time.Duration, 1)
--- a/internal/platform/store/envelope_test.go
+++ b/internal/platform/store/envelope_test.go
@@ -30,8 +30,7 @@
 	return c
 }
 
-// TestOddItemSparesTheOthers checks that an item which cannot be read leaves the other items of its response readable,
-// and that it gets no value.
+// TestOddItemSparesTheOthers guards against one unreadable item that spoils its whole response.
 func TestOddItemSparesTheOthers(t *testing.T) {
 	const good = `{"key":"servers/b","value":"Yg==","revision":7}`
 	tests := []struct {
--- a/internal/platform/store/store_test.go
+++ b/internal/platform/store/store_test.go
@@ -95,8 +95,7 @@
 	}
 }
 
-// TestEra checks that lists and watches return the era of each response, and that a response whose era cannot be read is
-// an error.
+// TestEra checks that reads return the era of their response, and fail if it cannot be read.
 func TestEra(t *testing.T) {
 	copied := func(s *standin.Store) { s.Restore(s.Copy()) }
 	tests := []struct {
--- a/internal/policy/allowance/allowance_test.go
+++ b/internal/policy/allowance/allowance_test.go
@@ -100,8 +100,7 @@
 	rapid.Check(t, checkBoundOfAllVMs)
 }
 
-// TestBoundOfAllVMsWithFailedSeeds repeats seeds with which requests had left the window before the extra ones that
-// they allowed.
+// TestBoundOfAllVMsWithFailedSeeds repeats the seeds that have exceeded the bound.
 func TestBoundOfAllVMsWithFailedSeeds(t *testing.T) {
 	for _, seed := range []string{"14380128120051531897", "18251098055708190226"} {
 		t.Run(seed, func(t *testing.T) {
@@ -112,8 +111,7 @@
 	}
 }
 
-// TestBoundWhenRequestsLeaveTheWindowFirst guards against a total above the limit when an extra request is still in the
-// window and the requests that allowed it are not.
+// TestBoundWhenRequestsLeaveTheWindowFirst guards against extra requests that outlive those which allowed them.
 func TestBoundWhenRequestsLeaveTheWindowFirst(t *testing.T) {
 	// step is what happens at one VM: it is restarted, receives requests, and attempts extra ones.
 	type step struct {
@@ -167,8 +165,7 @@
 	}
 }
 
-// TestPublishedBoundUnderBursts checks the published limit of all VMs together while the requests and the extra ones
-// come in bursts, each at one VM.
+// TestPublishedBoundUnderBursts checks the published limit of all VMs together under bursts at single VMs.
 func TestPublishedBoundUnderBursts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		vms := rapid.IntRange(1, 4).Draw(t, "vms")
--- a/internal/policy/directory/directory_test.go
+++ b/internal/policy/directory/directory_test.go
@@ -48,8 +48,7 @@
 	return r
 }
 
-// TestRestoredRegistration checks that a registration that a restore of the registry has brought back does not replace
-// what the endpoint has published since, until the endpoint has had the time to publish it again.
+// TestRestoredRegistration guards against a restored registration that replaces the endpoint's later one.
 func TestRestoredRegistration(t *testing.T) {
 	copied := afterRestore(said(reg("a", "1", 1), 0, 3))
 	tests := []struct {
--- a/internal/policy/gather/machine_test.go
+++ b/internal/policy/gather/machine_test.go
@@ -251,8 +251,7 @@
 	}
 }
 
-// TestLateStartSendsNothing guards against attempts whose replies nobody waits for, since the request begins after its
-// deadlines.
+// TestLateStartSendsNothing guards against attempts for a request that begins after its deadlines.
 func TestLateStartSendsNothing(t *testing.T) {
 	tests := []struct {
 		name    string
--- a/internal/serve/caller/caller_test.go
+++ b/internal/serve/caller/caller_test.go
@@ -274,8 +274,7 @@
 	assert.Equal(t, unit.Code(roundTrip(t, f, valid).Code), unit.CodeWhole)
 }
 
-// TestStopOutlastsSlowestQuery guards against a stop that gives up a query whose caller sends it slowly and lets it run
-// for the longest time.
+// TestStopOutlastsSlowestQuery guards against a stop that gives up the slowest query that may be in flight.
 func TestStopOutlastsSlowestQuery(t *testing.T) {
 	assert.Assert(t, exitWait > readTimeout+query.MaxTimeout)
 }
@@ -342,8 +341,7 @@
 	}
 }
 
-// TestReadTimerAfterPause guards against a request that is cut because the read timeout passed while the process was
-// paused, although its bytes came meanwhile.
+// TestReadTimerAfterPause guards against cutting a request whose bytes came while the process was paused.
 func TestReadTimerAfterPause(t *testing.T) {
 	tests := []struct {
 		name string
--- a/internal/serve/gateway/callers_test.go
+++ b/internal/serve/gateway/callers_test.go
@@ -11,8 +11,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestEndlessRequests checks that a request without end is cut off after a bounded number of bytes, reaches no endpoint
-// and leaves the VM serving others.
+// TestEndlessRequests guards against a request without end that takes memory without bound.
 func TestEndlessRequests(t *testing.T) {
 	const (
 		head    = "POST /one/x HTTP/1.1\r\nHost: h\r\nBasilspan-Request-Id: endless\r\n"
--- a/internal/serve/gateway/changes_test.go
+++ b/internal/serve/gateway/changes_test.go
@@ -83,9 +83,7 @@
 	}
 }
 
-// TestRegistryRestored checks which endpoints get requests and which table is in force when the registry comes back from
-// a copy: what was published after the copy does not count as withdrawn, and what is published then counts although its
-// revision is lower.
+// TestRegistryRestored guards against missing what is published under a restored registry's lower revisions.
 func TestRegistryRestored(t *testing.T) {
 	drain := func(f *fixture) { f.store.Put("servers/a0", f.endpoints["a0"].Registration("draining")) }
 	remove := func(f *fixture) { f.store.Delete("servers/a0") }
--- a/internal/serve/gateway/malformed_test.go
+++ b/internal/serve/gateway/malformed_test.go
@@ -78,8 +78,7 @@
 	}
 }
 
-// TestEndlessReplies checks that a request whose endpoint replies without end is served by another endpoint, and that it
-// fails well before its deadline if all do or if it must not be repeated.
+// TestEndlessReplies guards against a reply without end that holds a request until its deadline.
 func TestEndlessReplies(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -119,8 +118,7 @@
 	}
 }
 
-// TestOddRegistrationsAreIgnored checks that a VM starts and goes on following the registry with one odd registration
-// among the others, and uses only the others.
+// TestOddRegistrationsAreIgnored guards against an odd registration that stops a VM from following the others.
 func TestOddRegistrationsAreIgnored(t *testing.T) {
 	const odd = `{"service":"a","address":"127.0.0.1:1","zone":"z","version":"v1","slots":2,"state":"ready",` +
 		`"cold_remaining_ms":0,"sequence":1}`
--- a/internal/serve/gateway/oddtable_test.go
+++ b/internal/serve/gateway/oddtable_test.go
@@ -7,8 +7,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestOddTablesEndNoProcess checks that a routing table with odd values neither ends the process nor stops it from
-// following the registry, and that each request gets an answer.
+// TestOddTablesEndNoProcess guards against a routing table with odd values that ends the process or its answers.
 func TestOddTablesEndNoProcess(t *testing.T) {
 	const (
 		single = `"name":"odd","host":"h","prefix":"/odd/","route_kind":"idempotent","timeout_ms":2000,` +
--- a/internal/serve/gateway/probestop_test.go
+++ b/internal/serve/gateway/probestop_test.go
@@ -12,8 +12,7 @@
 	"basilspan/internal/core/unit"
 )
 
-// TestStopIsNotHeldByProbePort guards against a stop beyond the grace time because of a connection to the port for the
-// readiness probe or that for the metrics.
+// TestStopIsNotHeldByProbePort guards against a stop that a connection to a probe port holds beyond the grace time.
 func TestStopIsNotHeldByProbePort(t *testing.T) {
 	const grace = 2 * time.Second
 	tests := []struct {
--- a/internal/serve/gateway/reloadgrace_test.go
+++ b/internal/serve/gateway/reloadgrace_test.go
@@ -11,8 +11,7 @@
 	"basilspan/internal/standin/shard"
 )
 
-// TestStopAfterGraceReload guards against requests that a stop gives up because the port for callers closes by the grace
-// time that was set before a reload.
+// TestStopAfterGraceReload guards against a stop that closes the port by the grace time from before a reload.
 func TestStopAfterGraceReload(t *testing.T) {
 	tests := []struct {
 		name          string
--- a/internal/serve/gateway/turnaway_test.go
+++ b/internal/serve/gateway/turnaway_test.go
@@ -13,8 +13,7 @@
 	"basilspan/internal/standin/shard"
 )
 
-// TestTurnAway guards against requests that reach an endpoint within the Retry-After of its 503, and against callers that
-// are told to return before the endpoints accept requests.
+// TestTurnAway guards against requests to an endpoint within the Retry-After of its 503.
 func TestTurnAway(t *testing.T) {
 	tests := []struct {
 		name string
--- a/internal/serve/keepalive/keepalive_test.go
+++ b/internal/serve/keepalive/keepalive_test.go
@@ -98,8 +98,7 @@
 	}
 }
 
-// TestPipelinedRequestIsNotAnswerable guards against forwarding a request that was read together with one at whose end a
-// stop has closed the connection.
+// TestPipelinedRequestIsNotAnswerable guards against forwarding a request whose connection a stop has closed.
 func TestPipelinedRequestIsNotAnswerable(t *testing.T) {
 	tr := New()
 	answerable := make(chan bool, 2)
--- a/internal/serve/listen/pipelined_test.go
+++ b/internal/serve/listen/pipelined_test.go
@@ -9,8 +9,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestCloseAnswersPipelinedRequest guards against a stop that cuts a request in flight, because it came together with the
-// one before it.
+// TestCloseAnswersPipelinedRequest guards against a stop that cuts a request which came together with the one before.
 func TestCloseAnswersPipelinedRequest(t *testing.T) {
 	const quick, work = "GET /quick HTTP/1.1\r\nHost: h\r\n\r\n", "GET /work HTTP/1.1\r\nHost: h\r\n\r\n"
 	tests := []struct {
--- a/internal/serve/port/conn_test.go
+++ b/internal/serve/port/conn_test.go
@@ -65,8 +65,7 @@
 	return ended
 }
 
-// TestContextEndsWithConnection guards against requests that go on for callers that have left: nobody reads from the
-// connection while a request is handled.
+// TestContextEndsWithConnection guards against requests that go on for callers that have left.
 func TestContextEndsWithConnection(t *testing.T) {
 	tests := []struct {
 		name string
@@ -157,8 +156,7 @@
 	}
 }
 
-// TestReadAfterPause guards against a request that is cut because its timeout passed while the process was paused,
-// although its bytes came meanwhile.
+// TestReadAfterPause guards against cutting a request whose bytes came while the process was paused.
 func TestReadAfterPause(t *testing.T) {
 	tests := []struct {
 		name string
@@ -193,8 +191,7 @@
 	}
 }
 
-// TestWriteAfterPause guards against a response that is cut because its timeout passed while the process was paused,
-// although the caller has made room meanwhile.
+// TestWriteAfterPause guards against cutting a response for which the caller made room during a pause.
 func TestWriteAfterPause(t *testing.T) {
 	accepted, caller := pair(t, Bounds{Write: 20 * time.Millisecond})
 	response := make([]byte, 32<<20)
--- a/internal/standin/proc/freeze_test.go
+++ b/internal/standin/proc/freeze_test.go
@@ -88,8 +88,7 @@
 	assert.Equal(t, thawed.GetStatus("/ready"), http.StatusOK)
 }
 
-// TestQueriesDuringLongFreezeAreAnswered guards against queries that are cut because a timeout of their connection passed
-// while the entry VM was frozen, although their bytes came meanwhile.
+// TestQueriesDuringLongFreezeAreAnswered guards against cutting queries that came while the entry VM was frozen.
 func TestQueriesDuringLongFreezeAreAnswered(t *testing.T) {
 	// longFreezeTime is longer than an entry VM's read timeout.
 	const longFreezeTime = 11 * time.Second
--- a/internal/standin/soak/stop_test.go
+++ b/internal/standin/soak/stop_test.go
@@ -25,8 +25,7 @@
 	unboundedTimeout = time.Minute
 )
 
-// TestStopAnswersEveryRequestItHasForwarded guards against requests that are read during a planned stop and lost when
-// the process exits.
+// TestStopAnswersEveryRequestItHasForwarded guards against requests that are lost when a stopping process exits.
 func TestStopAnswersEveryRequestItHasForwarded(t *testing.T) {
 	tests := []struct {
 		name      string
