Wait for the table too before the registry is restored in a test

The test waited until the gateway had read all changes of endpoints, and then restored the registry; the table has a watch of its own, which may answer some milliseconds later. A gateway that had never read the table can't know it afterwards, and the row asks for one that had.

The test now waits for both. What it asks for is the same.

--- a/internal/serve/gateway/changes_test.go
+++ b/internal/serve/gateway/changes_test.go
@@ -163,10 +163,13 @@
 	}
 }
 
-// awaitRevision waits until the gateway has seen all changes of endpoints so far.
+// awaitRevision waits until the gateway has seen all changes of endpoints and of the table so far. They are read apart.
 func (f *fixture) awaitRevision() {
 	f.t.Helper()
-	f.await(func() bool { return uint64(f.gateway.views.Load().EndpointsRevision) == f.store.Revision() })
+	f.await(func() bool {
+		v := f.gateway.views.Load()
+		return uint64(v.EndpointsRevision) == f.store.Revision() && int(v.Table.Version) == f.version
+	})
 }
 
 // TestLeavingEndpointGetsNoRequests checks that an endpoint gets no new request once its registration says that it is
