Make the tracker's start, a limit and a comment easier to read

Found on reading the change as a newcomer: one condition was asked twice, the limit of a late timer did not say what it is, and a comment had lost its line breaks. Nothing of the behaviour changes.

--- a/internal/core/timerlag/timerlag.go
+++ b/internal/core/timerlag/timerlag.go
@@ -15,7 +15,7 @@
 	counterLate = "timer.late"
 	// histogramLag has by how much timers fired late.
 	histogramLag = "timer.lag"
-	// lateLimit is the shortest target of a request that is usual.
+	// lateLimit is the lag at which a timer counts as late. It is a large part of a short target latency.
 	lateLimit = 50 * time.Millisecond
 	// logPeriod is the shortest time between two log lines.
 	logPeriod = time.Second
--- a/internal/policy/routing/splitter.go
+++ b/internal/policy/routing/splitter.go
@@ -17,8 +17,8 @@
 	prefix string
 }
 
-// Pick returns the service for the route's next request, or "" for a route without any. It ignores the state of the services' endpoints, so that the
-// published weights hold. A new table version starts over.
+// Pick returns the service for the route's next request, or "" for a route without any. It ignores the state of the
+// services' endpoints, so that the published weights hold. A new table version starts over.
 func (s *Splitter) Pick(version unit.TableVersion, r *Route) unit.ServiceName {
 	switch len(r.Split) {
 	case 0:
--- a/internal/serve/keepalive/keepalive.go
+++ b/internal/serve/keepalive/keepalive.go
@@ -59,12 +59,11 @@
 	conn := rc.GetConn()
 	t.mu.Lock()
 	c, known := t.conns[conn]
-	if !known {
-		c = &connection{accepted: port.FromContext(ctx)}
-		t.conns[conn] = c
-	}
 	if known {
 		c.accepted.Unanswered()
+	} else {
+		c = &connection{accepted: port.FromContext(ctx)}
+		t.conns[conn] = c
 	}
 	closing := t.closing
 	t.mu.Unlock()
