Let a VM reserve extra requests that another VM sends for it

Cause: the slack is divided by all VMs, and only those that serve a shard can use it.

Ruled out: dividing the slack by the VMs that serve a group. It holds only while all VMs agree about the group.

Change: Reserve counts an extra request at the VM that asks, and Settle returns it if it was not sent. The limit holds whoever believes what of the others, since each VM spends its own part alone.

Evidence: TestReserve and TestBoundWithReservations, a property over up to eight VMs that ask any other, with lost responses, late use and restarts. Without counting open reservations TestReserve fails, without counting used ones both fail.

--- a/internal/policy/allowance/allowance.go
+++ b/internal/policy/allowance/allowance.go
@@ -7,6 +7,10 @@
 // its own requests in these two windows, plus its portion of Slack. It applies this to every window that contains the
 // time of an extra request, because the windows of the other VMs end later than its own. A restarted VM doesn't know
 // how much of its portion it used before the restart, so it gets only a small part of the portion in its first window.
+//
+// A VM that has another one serve shards for it may reserve extra requests for them (Reserve) and let that VM send
+// them in its place. They count at the VM that reserved them, so that the limit holds whatever the VMs believe of each
+// other.
 package allowance
 
 import (
@@ -52,6 +56,8 @@
 	// newest is the number of the newest slot.
 	newest int64
 	slots  [keptSlots]slot
+	// reserved counts the extra requests that another VM may be sending. They count in every window.
+	reserved int32
 }
 
 // slot has the counts of one slot.
@@ -91,6 +97,26 @@
 	return true
 }
 
+// Reserve reports whether another VM may send an extra request in place of this one, and reserves it if so. Each
+// reservation must be followed by one call of Settle.
+func (a *Allowance) Reserve(now time.Time, service unit.ServiceName, vms int) bool {
+	c := a.counter(now, service)
+	if 1 > c.remaining(a.Limits.Ratio)+a.slackPortion(now, vms) {
+		return false
+	}
+	c.reserved++
+	return true
+}
+
+// Settle ends a reservation. used means that the extra request was sent or may have been.
+func (a *Allowance) Settle(now time.Time, service unit.ServiceName, used bool) {
+	c := a.counter(now, service)
+	c.reserved = max(0, c.reserved-1)
+	if used {
+		c.at(0).extra++
+	}
+}
+
 // slackPortion returns this VM's portion of the slack. In the first window after a restart, it is only a portion of the
 // reserve that slackShare leaves.
 func (a *Allowance) slackPortion(now time.Time, vms int) float64 {
@@ -130,7 +156,7 @@
 // for any window that contains the present. Of a window that begins in a slot, all extra requests of that slot count,
 // but no request of the slot in which the window before it begins.
 func (c *counter) remaining(ratio float64) float64 {
-	var requests, extra int32
+	requests, extra := int32(0), c.reserved
 	for age := range int64(windowSlots - 1) {
 		requests += c.at(age).requests
 	}
--- a/internal/policy/allowance/allowance_test.go
+++ b/internal/policy/allowance/allowance_test.go
@@ -195,6 +195,92 @@
 	})
 }
 
+// TestReserve checks that reservations count as extra requests until they end unused.
+func TestReserve(t *testing.T) {
+	tests := []struct {
+		name string
+		// reserved are tried at start, of which settled end one second later, used or not.
+		reserved, settled int
+		used              bool
+		after             time.Duration
+		want              int
+	}{
+		{"none", 0, 0, false, 0, 4},
+		{"open ones count", 3, 0, false, 0, 1},
+		{"open ones count beyond a window", 3, 0, false, time.Minute, 1},
+		{"no more than the portion of the slack", 10, 0, false, 0, 0},
+		{"unused ones are returned", 3, 2, false, time.Second, 3},
+		{"used ones count", 3, 3, true, time.Second, 1},
+		{"used ones count for a window", 3, 3, true, 12 * time.Second, 4},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := New(fullLimits)
+			for i := range tt.reserved {
+				assert.Equal(t, a.Reserve(start, "s", 10), i < 4)
+			}
+			for range tt.settled {
+				a.Settle(start.Add(time.Second), "s", tt.used)
+			}
+			assert.Equal(t, a.Remaining(start.Add(tt.after), "s", 10), tt.want)
+		})
+	}
+}
+
+// TestBoundWithReservations checks the published limit of all VMs together when they send extra requests for each
+// other. VMs ask any VM to serve a shard, whichever serves it by their own placement: each portion is sent with or without
+// a reservation, the VM that serves it counts the request, uses the reservation late, from its own allowance, or not at
+// all, and its response may be lost.
+func TestBoundWithReservations(t *testing.T) {
+	type portion struct {
+		asker    int
+		reserved bool
+		used     bool
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		vms := rapid.IntRange(2, 8).Draw(t, "vms")
+		all := make([]*Allowance, vms)
+		started := make([]time.Time, vms)
+		for i := range all {
+			all[i], started[i] = New(fullLimits), start
+		}
+		var requests, extra []time.Time
+		var open []portion
+		now := start
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "gap")) * time.Millisecond)
+			vm := rapid.IntRange(0, vms-1).Draw(t, "vm")
+			if now.Sub(started[vm]) >= fullLimits.Window && rapid.IntRange(0, 9).Draw(t, "restarts") == 0 {
+				all[vm], started[vm] = New(restartedLimits), now
+				open = slices.DeleteFunc(open, func(p portion) bool { return p.asker == vm })
+			}
+			if rapid.Bool().Draw(t, "asks") {
+				server := rapid.IntRange(0, vms-1).Draw(t, "server")
+				all[server].RecordRequest(now, "s")
+				requests = append(requests, now)
+				open = append(open, portion{asker: vm, reserved: all[vm].Reserve(now, "s", vms)})
+			}
+			for i := range open {
+				if open[i].reserved && !open[i].used && rapid.IntRange(0, 3).Draw(t, "uses") == 0 {
+					open[i].used = true
+					extra = append(extra, now)
+				}
+			}
+			for len(open) > 0 && rapid.Bool().Draw(t, "ends") {
+				p := open[0]
+				open = open[1:]
+				if p.reserved {
+					all[p.asker].Settle(now, "s", p.used || rapid.Bool().Draw(t, "lost"))
+				}
+			}
+			for rapid.IntRange(0, 3).Draw(t, "takes") > 0 && all[vm].Allow(now, "s", vms) {
+				extra = append(extra, now)
+			}
+		}
+		assertPublishedBound(t, requests, extra)
+	})
+}
+
 func checkBoundOfAllVMs(t *rapid.T) {
 	vms := rapid.IntRange(1, 8).Draw(t, "vms")
 	all := make([]*Allowance, vms)
