Serve portions in the data centre of the shards' endpoints

Cause: a search was divided among some 14 VMs of the caller's data centre. Each endpoint was called by 26 VMs, each of which saw about one request a second of a route, knew the endpoint from few replies, and had a hundredth of the slack of its shard.

Change: divide.Place puts each shard at a data centre that has endpoints of it, by rendezvous hashing, and divides a data centre's shards among groups of three of its largest VMs. A peer call takes the hop between data centres that 15 leaf calls took. Seeds list the largest VMs of each data centre, and send the list only to VMs that have another one. A portion that is refused goes to another VM of its group before this VM serves it. The VM that asks lends its allowance to the one that serves (Reserve), and ends a portion earlier by the round trip to it. The cell is gone.

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -15,7 +15,6 @@
 	"basilspan/internal/core/registry"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/policy/directory"
-	"basilspan/internal/policy/divide"
 	"basilspan/internal/policy/routing"
 	"basilspan/internal/policy/subset"
 	"basilspan/internal/policy/vmcount"
@@ -302,25 +301,12 @@
 	s.publish(now)
 }
 
-// countVMsPerShard returns how many VMs send requests to the endpoints of each service that is a shard of a route. When
-// requests are divided, each group of shards is served by its own VMs only.
-func countVMsPerShard(v *View) map[unit.ServiceName]int {
-	all := make(map[unit.ServiceName]int)
-	for _, r := range v.Table.Routes() {
-		groups := divide.GroupCount(len(r.Shards), len(v.Candidates))
-		for _, shard := range r.Shards {
-			all[shard] = max(all[shard], (v.VMs+groups-1)/groups)
-		}
-	}
-	return all
-}
-
 // publish publishes a copy of the view to traffic. In a complete view the endpoints are limited to those that this VM
 // may keep connections to.
 func (s *State) publish(now time.Time) {
 	next := s.view
 	if next.Complete() {
-		next.vmsPerShard = countVMsPerShard(&next)
+		next.Place(s.Node)
 		next.Endpoints = subset.Subset(s.Node, next.ConnectionBudget, next.Endpoints)
 	}
 	s.Views.Publish(&next)
--- a/internal/core/discovery/view.go
+++ b/internal/core/discovery/view.go
@@ -30,28 +30,39 @@
 	VMs int
 	// CountKnown reports whether VMs and Candidates have been counted; before that they are initial estimates.
 	CountKnown bool
-	// Candidates are the VMs that can serve portions of a divided request, this one included, in the same order at
-	// every VM.
+	// Candidates are the VMs that can serve portions of a divided request, in the same order at every VM.
 	Candidates []divide.Candidate
 
-	// vmsPerShard is the number of VMs that use the endpoints of a service, for services that are shards of a route.
-	// Other services are used by all VMs.
-	vmsPerShard map[unit.ServiceName]int
+	placement placement
+}
+
+// placement is which VMs serve the shards of the gathered routes.
+type placement struct {
+	// groups holds the groups of each route whose requests are divided.
+	groups map[unit.RouteName][]divide.Group
+	// vms is the number of VMs that use the endpoints of a service; this VM is one of them. Other services are used by
+	// all VMs.
+	vms map[unit.ServiceName]int
 }
 
 // ConnectionBudget returns the connection limit of a service's endpoints and the number of VMs that share it.
 func (v *View) ConnectionBudget(service unit.ServiceName) subset.ConnectionBudget {
 	budget := subset.ConnectionBudget{Connections: v.Table.Connections(service), VMs: v.VMs}
-	if n, ok := v.vmsPerShard[service]; ok {
+	if n, ok := v.placement.vms[service]; ok {
 		budget.VMs = n
 	}
 	return budget
 }
 
-// ServesShard reports whether the VM self is in the group that serves a shard of a route when requests are divided. A
-// VM that is not among the candidates serves all shards.
-func (v *View) ServesShard(self unit.NodeID, r *routing.Route, shard int) bool {
-	return divide.Serves(self, v.Candidates, len(r.Shards), shard)
+// Groups returns the groups into which a route's requests are divided, nil if they are not divided.
+func (v *View) Groups(route unit.RouteName) []divide.Group {
+	return v.placement.groups[route]
+}
+
+// ServesShards reports whether this VM normally serves a service as a shard of gathered routes.
+func (v *View) ServesShards(service unit.ServiceName) bool {
+	_, ok := v.placement.vms[service]
+	return ok
 }
 
 // Complete reports whether both the routing table and the endpoints are known, so that requests can be served.
--- a/internal/core/dispatch/divided.go
+++ b/internal/core/dispatch/divided.go
@@ -14,15 +14,22 @@
 	"basilspan/internal/policy/merge"
 )
 
-// planPortions divides the shards of a job among the candidate VMs. It returns nil for a route that does not merge
-// replies. With fewer than two portions the request is not divided.
+// planPortions divides the shards of a job among VMs. It returns nil if the request is not divided.
 func (d *Dispatcher) planPortions(j *job) []divide.Portion {
-	if !j.route.Gathers() {
+	groups := j.view.Groups(j.route.Name)
+	if len(groups) == 0 {
 		return nil
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.portionTracker.Plan(j.request.Arrived, len(j.services), j.view.Candidates)
+	return d.portionTracker.Plan(j.request.Arrived, groups)
+}
+
+// assignPortion returns the portion of a group, or of some of its shards, that has to be served again.
+func (d *Dispatcher) assignPortion(group divide.Group) divide.Portion {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.portionTracker.Assign(d.Now(), group)
 }
 
 // dividedRequest is a request whose shards are served by several VMs. One goroutine makes all decisions; each portion
@@ -43,9 +50,11 @@
 	mayHaveRun bool
 }
 
-// portionEnd reports that a portion has ended. local is set if this VM served it.
+// portionEnd reports that a portion has ended. local is set if this VM served it. Otherwise vms are those that serve its
+// shards.
 type portionEnd struct {
 	shards []int
+	vms    []divide.Candidate
 	local  bool
 	result portionResult
 	err    error
@@ -66,9 +75,9 @@
 		seals:   make([]string, len(j.services)),
 		sent:    make([]int, len(j.services)),
 		pending: make([]bool, len(j.services)),
-		// Each portion ends once and may be retried on this VM once; all missing shards together may be retried once
-		// more.
-		ends: make(chan portionEnd, 2*len(plan)+1),
+		// Each portion may be served at each VM of its group and at this one; all missing shards together may be retried
+		// once more.
+		ends: make(chan portionEnd, maxPortionEnds(plan)+1),
 	}
 	d.Metrics.Add("request.divided", 1)
 	if ctx.Err() != nil {
@@ -85,24 +94,33 @@
 	return a
 }
 
+// maxPortionEnds returns how many portions a request can have that begins with these.
+func maxPortionEnds(plan []divide.Portion) int {
+	n := 0
+	for _, p := range plan {
+		n += len(p.VMs) + 2
+	}
+	return n
+}
+
 // startPortion starts a portion on this VM or calls the VM that the plan assigns it to.
 func (v *dividedRequest) startPortion(ctx context.Context, p divide.Portion) {
-	shards := make([]int, 0, p.End-p.First)
-	for i := p.First; i < p.End; i++ {
-		shards = append(shards, i)
-	}
 	if p.Local {
-		v.startLocal(ctx, shards)
+		v.startLocal(ctx, p.Shards)
 		return
 	}
-	v.setPending(shards, true)
+	v.setPending(p.Shards, true)
 	v.collector.AddPortion()
-	v.dispatcher.recordPortionStart(p.VM.Node)
+	services := v.servicesOf(p.Shards)
+	extra := v.dispatcher.startRemote(v.job, p.VM.Node, services)
 	go func() {
-		result, err := v.dispatcher.callPortion(ctx, v.job, v.servicesOf(shards), p.VM.Address)
+		result, err := v.dispatcher.callPortion(ctx, v.job, services, extra, p.VM)
 		v.dispatcher.recordPeerDepartures(result.Leaving)
-		v.dispatcher.recordPortionEnd(p.VM.Node, v.vmFailed(ctx, err) || v.vmMissedEndpoints(shards, result))
-		v.ends <- portionEnd{shards: shards, result: portionResult{wirePortionResult: result, mayHaveRun: true}, err: err}
+		v.dispatcher.endRemote(v.job, services, extra, result, err)
+		v.dispatcher.recordPortionEnd(p.VM.Node, v.vmFailed(ctx, err) || v.vmMissedEndpoints(p.Shards, result))
+		v.ends <- portionEnd{
+			shards: p.Shards, vms: p.VMs, result: portionResult{wirePortionResult: result, mayHaveRun: true}, err: err,
+		}
 	}()
 }
 
@@ -163,7 +181,8 @@
 	v.setPending(eligible, true)
 	v.collector.AddPortion()
 	go func() {
-		p := v.dispatcher.serveShards(ctx, v.job, v.servicesOf(eligible), params, sentBefore)
+		f := v.dispatcher.newFanout(v.job, v.servicesOf(eligible), params, sentBefore)
+		p := v.dispatcher.serveShards(ctx, f)
 		v.ends <- portionEnd{shards: eligible, local: true, result: p}
 	}()
 }
@@ -249,7 +268,8 @@
 	}
 }
 
-// handleLost handles a portion whose VM returned no result, and retries it on this VM if enough time is left.
+// handleLost handles a portion whose VM returned no result, and retries it if enough time is left: at another VM of the
+// group if nothing of it can have been sent to an endpoint, otherwise on this VM.
 func (v *dividedRequest) handleLost(ctx context.Context, e portionEnd) {
 	now := v.dispatcher.Now()
 	v.dispatcher.Metrics.Add("portion.lost", 1)
@@ -259,7 +279,11 @@
 	for _, s := range e.shards {
 		v.sent[s] += sent
 	}
-	if v.collector.ShouldRetry(now) {
+	switch {
+	case !v.collector.ShouldRetry(now):
+	case sent == 0:
+		v.startPortion(ctx, v.dispatcher.assignPortion(divide.Group{Shards: e.shards, VMs: e.vms}))
+	default:
 		v.startLocal(ctx, e.shards)
 	}
 }
@@ -334,13 +358,6 @@
 	return r
 }
 
-// recordPortionStart counts a portion as in progress at another VM until recordPortionEnd.
-func (d *Dispatcher) recordPortionStart(node unit.NodeID) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.portionTracker.RecordSent(node)
-}
-
 // recordPortionEnd records the end of a portion at another VM; after a failure the VM gets no portions for a while.
 func (d *Dispatcher) recordPortionEnd(node unit.NodeID, failed bool) {
 	d.mu.Lock()
--- a/internal/core/dispatch/fanout.go
+++ b/internal/core/dispatch/fanout.go
@@ -26,6 +26,9 @@
 	// flights and replies are indexed by attempt.
 	flights []*leaf.Flight
 	replies []*leaf.Result
+	// granted marks the shards that may be sent one extra attempt which counts at another VM, and grantsUsed those of
+	// them that were.
+	granted, grantsUsed bitmap
 	// denied counts the extra attempts that the allowance did not permit.
 	denied int
 	// returnTime is how long before the end of a planned stop's time for answers the fan-out ends.
@@ -193,9 +196,14 @@
 	return f.sentBefore != nil && f.sentBefore[shard]
 }
 
-// allowExtra reports whether the allowance permits an extra attempt at the shard. It counts an attempt that is
-// permitted against the allowance, and one that is not as denied. The caller holds the dispatcher's lock.
+// allowExtra reports whether an extra attempt at the shard is permitted, by the VM that asked for the portion or by the
+// allowance of this VM. It counts an attempt that is permitted against either, and one that is not as denied. The caller
+// holds the dispatcher's lock.
 func (f *fanout) allowExtra(now time.Time, shard int) bool {
+	if f.granted.has(shard) && !f.grantsUsed.has(shard) {
+		f.grantsUsed.set(shard)
+		return true
+	}
 	ok := f.dispatcher.allowance.Allow(now, f.services[shard], f.view.VMs)
 	if !ok {
 		f.denied++
--- a/internal/core/dispatch/portion.go
+++ b/internal/core/dispatch/portion.go
@@ -9,6 +9,7 @@
 	"basilspan/internal/core/unit"
 	"basilspan/internal/link/leaf"
 	"basilspan/internal/link/peer"
+	"basilspan/internal/policy/divide"
 	"basilspan/internal/policy/gather"
 	"basilspan/internal/policy/merge"
 	"basilspan/internal/policy/routing"
@@ -17,9 +18,11 @@
 const (
 	// methodPortion has another VM serve some of a request's shards.
 	methodPortion peer.Method = "portion"
-	// portionReturnTime is how long before a request's partial deadline the VMs that serve its portions respond. It
-	// covers the network and the merge.
-	portionReturnTime = 4 * time.Millisecond
+	// portionReturnTime is how long before a request's partial deadline, besides the round trip, the VMs that serve its
+	// portions respond. It covers the merge.
+	portionReturnTime = 3 * time.Millisecond
+	// maxRoundTripShare bounds the round trip to a part of the time until the partial deadline.
+	maxRoundTripShare = 4
 	// stopReturnTime is how long before the end of a planned stop's time for answers portions return.
 	stopReturnTime = 20 * time.Millisecond
 )
@@ -41,6 +44,8 @@
 	Target          int64              `json:"target"`
 	PartialDeadline int64              `json:"cut"`
 	Deadline        int64              `json:"end"`
+	// Extra marks the shards that may be sent one extra attempt which counts at the VM that asks.
+	Extra bitmap `json:"extra,omitempty"`
 }
 
 // wirePortionResult is the response: the greatest records of the shards that replied and, by shard, the seal of
@@ -56,6 +61,10 @@
 	Hedges  int             `json:"hedges,omitempty"`
 	Retries int             `json:"retries,omitempty"`
 	Denied  int             `json:"denied,omitempty"`
+	// Extra marks the shards whose extra attempt of wirePortion.Extra was sent. Took is for how long the VM has worked on
+	// the portion, in microseconds; older releases don't say.
+	Extra bitmap `json:"extra,omitempty"`
+	Took  int64  `json:"took,omitempty"`
 }
 
 // portionResult is the outcome of a portion.
@@ -66,13 +75,15 @@
 	mayHaveRun bool
 }
 
-// callPortion has the VM at that address serve a portion and waits for the result. A result whose number of shards does
-// not match is an error.
+// callPortion has a VM serve a portion and waits for the result. A result whose number of shards does not match is an
+// error.
 func (d *Dispatcher) callPortion(
-	ctx context.Context, j *job, services []unit.ServiceName, to unit.Address,
+	ctx context.Context, j *job, services []unit.ServiceName, extra bitmap, vm divide.Candidate,
 ) (wirePortionResult, error) {
 	now := d.Now()
 	params := j.params
+	untilPartial := j.params.PartialDeadline.Sub(now)
+	roundTrip := min(d.portionRoundTrip(vm.Node), untilPartial/maxRoundTripShare)
 	if s := d.schedule(); s.InProgress() {
 		params.AnswerBy = s.AnswerBy.Add(-stopReturnTime)
 	}
@@ -86,21 +97,39 @@
 		TopK:            j.route.TopK,
 		Attempts:        j.route.Attempts,
 		Target:          j.route.TargetLatency.Microseconds(),
-		PartialDeadline: j.params.PartialDeadline.Sub(now).Microseconds(),
+		PartialDeadline: (untilPartial - roundTrip).Microseconds(),
 		Deadline:        params.End().Sub(now).Microseconds(),
+		Extra:           extra,
 	}
 	var result wirePortionResult
-	if err := d.Call(ctx, to, methodPortion, call, &result); err != nil {
+	if err := d.Call(ctx, vm.Address, methodPortion, call, &result); err != nil {
 		return wirePortionResult{}, err
 	}
 	if len(result.Seals) != len(services) || len(result.Sent) != len(services) {
 		return wirePortionResult{}, errors.Newf(
-			"entry VM %s returned %d shard results, want %d", to, len(result.Seals), len(services),
+			"entry VM %s returned %d shard results, want %d", vm.Node, len(result.Seals), len(services),
 		)
 	}
+	if result.Took > 0 {
+		d.recordPortionRoundTrip(vm.Node, d.Now().Sub(now)-micros(result.Took))
+	}
 	return result, nil
 }
 
+// portionRoundTrip returns the time that the network takes for a portion at a VM.
+func (d *Dispatcher) portionRoundTrip(node unit.NodeID) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.portionTracker.RoundTrip(node)
+}
+
+// recordPortionRoundTrip records how much longer a portion took than its VM worked on it.
+func (d *Dispatcher) recordPortionRoundTrip(node unit.NodeID, took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.portionTracker.RecordRoundTrip(node, took)
+}
+
 // HandlePortions registers the handler that serves portions of other VMs' requests. The handler refuses them while
 // ready returns false.
 func (d *Dispatcher) HandlePortions(link *peer.Link, ready func() bool) {
@@ -137,7 +166,11 @@
 		PartialDeadline:  now.Add(micros(w.PartialDeadline) - portionReturnTime),
 		Deadline:         now.Add(micros(w.Deadline)),
 	}
-	return d.serveShards(ctx, j, w.Services, j.params, nil)
+	f := d.newFanout(j, w.Services, j.params, nil)
+	f.granted = w.Extra
+	p := d.serveShards(ctx, f)
+	p.Took = max(1, d.Now().Sub(now).Microseconds())
+	return p
 }
 
 // micros converts microseconds from a message into a duration.
@@ -145,19 +178,17 @@
 	return time.Duration(n) * time.Microsecond
 }
 
-// serveShards runs some of the shards of a job on this VM, for a portion of its own request or of another VM's. If
-// params require no share of the shards, it returns the replies that are there at the partial deadline.
-func (d *Dispatcher) serveShards(
-	ctx context.Context, j *job, services []unit.ServiceName, params gather.Params, sentBefore []bool,
-) portionResult {
-	f := d.newFanout(j, services, params, sentBefore)
+// serveShards runs a fan-out to some of the shards of a job on this VM, for a portion of its own request or of another
+// VM's. If its parameters require no share of the shards, it returns the replies that are there at the partial deadline.
+func (d *Dispatcher) serveShards(ctx context.Context, f *fanout) portionResult {
 	f.returnTime = stopReturnTime
 	f.run(ctx)
 	p := portionResult{mayHaveRun: f.machine.MayHaveRun()}
-	p.Seals = make([]string, len(services))
-	p.Sent = make([]int, len(services))
+	p.Seals = make([]string, len(f.services))
+	p.Sent = make([]int, len(f.services))
+	p.Extra = f.grantsUsed
 	var bodies [][]byte
-	for shard := range services {
+	for shard := range f.services {
 		p.Sent[shard] = f.machine.Reached(shard)
 		if p.Sent[shard] == 0 && d.unwanted(f.endpoints[shard]) {
 			p.Away = append(p.Away, shard)
@@ -168,7 +199,7 @@
 		}
 	}
 	p.Leaving = f.departures()
-	p.Records = merge.TopRecords(j.route.TopK, bodies)
+	p.Records = merge.TopRecords(f.route.TopK, bodies)
 	r := f.endRecord(Answer{Code: unit.CodePartial})
 	p.Hedges, p.Retries, p.Denied, p.details = r.Hedges, r.Retries, r.Denied, r.Details
 	return p
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"basilspan/internal/core/kernel"
@@ -57,7 +59,7 @@
 // Fleet is this VM's side of the exchange. The function fields are its seams.
 type Fleet struct {
 	// Self describes this VM to the seeds.
-	Self vmcount.Caller
+	Self divide.Candidate
 	Now  func() time.Time
 	Rand func() float64
 	Log  *slog.Logger
@@ -72,6 +74,8 @@
 	loop       *kernel.Loop
 	census     *vmcount.Census
 	candidates []divide.Candidate
+	// known is the digest of candidates, for the calls to the seeds.
+	known atomic.Uint64
 	// started is when this VM started. countKnown is set once a seed's count includes more than the first callers.
 	started    time.Time
 	countKnown bool
@@ -118,7 +122,9 @@
 
 // censusCall is the event that a VM has called this one. The result is sent to reply, which must be buffered.
 type censusCall struct {
-	caller  vmcount.Caller
+	caller divide.Candidate
+	// known is the digest of the candidates that the caller has.
+	known   uint64
 	leaving bool
 	reply   chan<- wireCensus
 }
@@ -133,7 +139,8 @@
 // wireCensusCall is the request of methodCensus.
 type wireCensusCall struct {
 	wireVM
-	Centre string `json:"centre"`
+	// Known is the digest of the candidates that the caller has, 0 without any.
+	Known uint64 `json:"known,omitempty"`
 	// Leaving reports whether the VM is stopping.
 	Leaving bool `json:"leaving,omitempty"`
 }
@@ -142,6 +149,7 @@
 type wireVM struct {
 	Node    string  `json:"node"`
 	Address string  `json:"address"`
+	Centre  string  `json:"centre,omitempty"`
 	Power   float64 `json:"power"`
 }
 
@@ -150,11 +158,13 @@
 	Count int `json:"count"`
 	// Settled reports whether all VMs have had the time to call.
 	Settled bool `json:"settled"`
-	// Candidates are the VMs that can serve portions of the caller's requests.
+	// Candidates are the VMs that can serve portions of requests. They are left out, and Same is set, if the caller has
+	// them.
 	Candidates []wireVM `json:"mates,omitempty"`
+	Same       bool     `json:"same,omitempty"`
 }
 
-// onCensusCall records a VM's call, or that it is stopping, and replies with the count and the VM's candidates.
+// onCensusCall records a VM's call, or that it is stopping, and replies with the count and the candidates.
 func (f *Fleet) onCensusCall(now time.Time, e censusCall) {
 	if e.leaving {
 		f.census.RemoveCaller(e.caller.Node)
@@ -163,8 +173,11 @@
 	}
 	n, settled := f.census.Count(now)
 	result := wireCensus{Count: n, Settled: settled}
-	for _, m := range f.census.Candidates(e.caller) {
-		result.Candidates = append(result.Candidates, encodeVM(m))
+	candidates := f.census.Candidates(now)
+	if result.Same = digest(candidates) == e.known; !result.Same {
+		for _, m := range candidates {
+			result.Candidates = append(result.Candidates, encodeVM(m))
+		}
 	}
 	e.reply <- result
 }
@@ -176,6 +189,9 @@
 	var candidates []divide.Candidate
 	for _, c := range e.counts {
 		f.census.RecordCount(now, c.Count, c.Settled)
+		if c.Same && len(f.candidates) >= len(candidates) {
+			candidates = f.candidates
+		}
 		if len(c.Candidates) > len(candidates) {
 			candidates = decodeVMs(c.Candidates)
 		}
@@ -191,13 +207,14 @@
 	countKnown := f.countKnown || (len(e.counts) > 0 && now.Sub(f.started) >= censusSettleTime)
 	if after != before || countKnown != f.countKnown || !slices.Equal(candidates, f.candidates) {
 		f.candidates, f.countKnown = candidates, countKnown
+		f.known.Store(digest(candidates))
 		f.loop.Raise(now, CensusChanged{VMs: after, Candidates: candidates, CountKnown: countKnown})
 	}
 	e.reply <- f.census.NextCallDelay(now)
 }
 
 func encodeVM(m divide.Candidate) wireVM {
-	return wireVM{Node: string(m.Node), Address: string(m.Address), Power: float64(m.Power)}
+	return wireVM{Node: string(m.Node), Address: string(m.Address), Centre: string(m.Centre), Power: float64(m.Power)}
 }
 
 func decodeVMs(all []wireVM) []divide.Candidate {
@@ -209,14 +226,29 @@
 }
 
 func (w wireVM) decode() divide.Candidate {
-	return divide.Candidate{Node: unit.NodeID(w.Node), Address: unit.Address(w.Address), Power: unit.Cores(w.Power)}
+	return divide.Candidate{
+		Node: unit.NodeID(w.Node), Address: unit.Address(w.Address), Centre: unit.CentreName(w.Centre),
+		Power: unit.Cores(w.Power),
+	}
+}
+
+// digest returns a hash of the candidates and their order, 0 without any.
+func digest(all []divide.Candidate) uint64 {
+	if len(all) == 0 {
+		return 0
+	}
+	h := xxhash.New()
+	for _, c := range all {
+		fmt.Fprintln(h, c.Node, c.Address, c.Centre, float64(c.Power))
+	}
+	return h.Sum64()
 }
 
 // handleCensus handles a census call of a VM; the control goroutine makes the response.
 func (f *Fleet) handleCensus(ctx context.Context, w wireCensusCall) (wireCensus, error) {
-	caller := vmcount.Caller{Candidate: w.decode(), Centre: unit.CentreName(w.Centre)}
 	reply := make(chan wireCensus, 1)
-	if err := kernel.Post(ctx, f.loop, censusCall{caller: caller, leaving: w.Leaving, reply: reply}); err != nil {
+	call := censusCall{caller: w.decode(), known: w.Known, leaving: w.Leaving, reply: reply}
+	if err := kernel.Post(ctx, f.loop, call); err != nil {
 		return wireCensus{}, err
 	}
 	select {
@@ -281,7 +313,7 @@
 	defer cancel()
 	var c wireCensus
 	call := wireCensusCall{
-		wireVM: encodeVM(f.Self.Candidate), Centre: string(f.Self.Centre), Leaving: f.leaving.Err() != nil,
+		wireVM: encodeVM(f.Self), Known: f.known.Load(), Leaving: f.leaving.Err() != nil,
 	}
 	err := f.Call(ctx, seed, methodCensus, call, &c)
 	return c, err
--- a/internal/policy/divide/divide.go
+++ b/internal/policy/divide/divide.go
@@ -1,21 +1,14 @@
-// Package divide decides how the shards of one request are divided among the entry VMs of a data centre, so that
-// several processors share the work of a large fan-out.
+// Package divide decides how the shards of one request are divided among the entry VMs of a region, so that several
+// processors share the work of a large fan-out, and which VMs serve which shards.
 package divide
 
 import (
-	"slices"
 	"time"
 
 	"basilspan/internal/core/unit"
 )
 
 const (
-	// minPortionShards is the minimum number of shards of a portion. With fewer, calling another VM costs as much as it
-	// saves.
-	minPortionShards = 12
-	// minGroupVMs is the minimum number of VMs that serve a group of shards, so that the group survives the loss of one
-	// VM.
-	minGroupVMs = 2
 	// initialExclusion is how long a VM is excluded after it has not answered a portion. The time doubles with each
 	// further failure in a row, up to maxExclusion, because each try costs a request its answer.
 	initialExclusion = 3 * time.Second
@@ -25,23 +18,25 @@
 	// costJitter is the largest share by which a cost is increased at random, so that the VMs don't all choose the
 	// same one.
 	costJitter = 0.4
+	// roundTripWeight is the weight of a higher sample in the estimate of a round trip.
+	roundTripWeight = 0.05
 )
 
-// Candidate is an entry VM that can serve portions of requests for other VMs of its data centre.
+// Candidate is an entry VM that can serve portions of requests for other VMs of its region.
 type Candidate struct {
 	Node    unit.NodeID
 	Address unit.Address
+	Centre  unit.CentreName
 	// Power is the processor capacity of the VM in cores; it may be less than one.
 	Power unit.Cores
 }
 
-// Portion describes the shards of a request from First up to but not including End, and the VM that serves them. Local
-// is set if this VM serves the portion itself.
+// Portion describes some of the shards of a request and the VM that serves them. Local is set if this VM serves the
+// portion itself.
 type Portion struct {
+	Group
 	VM    Candidate
 	Local bool
-	First int
-	End   int
 }
 
 // Tracker tracks the portions that other VMs serve and chooses the VMs for new ones. It is not safe for concurrent
@@ -53,6 +48,8 @@
 
 	openPortions map[unit.NodeID]int
 	failures     map[unit.NodeID]failure
+	// roundTrips estimates the time that the network takes for the call of a portion.
+	roundTrips map[unit.NodeID]time.Duration
 }
 
 // failure holds how many portions in a row have failed at a VM (see RecordEnd), and until when it is excluded.
@@ -68,62 +65,34 @@
 		Rand:         rand,
 		openPortions: make(map[unit.NodeID]int),
 		failures:     make(map[unit.NodeID]failure),
+		roundTrips:   make(map[unit.NodeID]time.Duration),
 	}
 }
 
-// GroupCount returns the number of portions into which the shards of a request are divided for this many candidates. It
-// is 1 if there are too few shards or candidates to divide the request.
-func GroupCount(shards, candidates int) int {
-	return max(1, min(shards/minPortionShards, candidates/minGroupVMs))
-}
-
-// Serves reports whether a VM belongs to the group that serves a shard. A VM that is not a candidate serves all
-// shards.
-func Serves(self unit.NodeID, candidates []Candidate, shards, shard int) bool {
-	index := slices.IndexFunc(candidates, func(c Candidate) bool { return c.Node == self })
-	if index < 0 {
-		return true
-	}
-	groups := GroupCount(shards, len(candidates))
-	group := index % groups
-	return shard >= group*shards/groups && shard < (group+1)*shards/groups
-}
-
-// Plan divides the shards of a request into portions. Each group of shards is served by the same few VMs for all
-// requests, so that these VMs keep few connections and have recent records of their endpoints. The candidates must be
-// in the same order on every VM. A portion whose VMs are all excluded is served locally.
-func (t *Tracker) Plan(now time.Time, shards int, candidates []Candidate) []Portion {
-	groups := GroupCount(shards, len(candidates))
-	if groups == 1 {
-		return []Portion{{Local: true, End: shards}}
-	}
-	plan := make([]Portion, 0, groups)
-	for g := range groups {
-		p := Portion{First: g * shards / groups, End: (g + 1) * shards / groups}
-		if vm, ok := t.choose(now, g, groups, candidates); ok {
-			p.VM = vm
-			p.Local = vm.Node == t.Node
-		} else {
-			p.Local = true
-		}
-		plan = append(plan, p)
+// Plan returns the portions of a request whose shards are divided into these groups.
+func (t *Tracker) Plan(now time.Time, groups []Group) []Portion {
+	plan := make([]Portion, 0, len(groups))
+	for _, g := range groups {
+		plan = append(plan, t.Assign(now, g))
 	}
 	return plan
 }
 
-// choose returns the VM of a group with the lowest cost; ok is false when all VMs of the group are excluded.
-func (t *Tracker) choose(now time.Time, group, groups int, candidates []Candidate) (best Candidate, ok bool) {
+// Assign returns the portion of one group, at the VM of the group with the lowest cost. A group whose VMs are all
+// excluded is served locally.
+func (t *Tracker) Assign(now time.Time, group Group) Portion {
+	p := Portion{Group: group, Local: true}
 	lowest := 0.0
-	for i := group; i < len(candidates); i += groups {
-		c := candidates[i]
+	for _, c := range group.VMs {
 		if now.Before(t.failures[c.Node].excludedUntil) {
 			continue
 		}
-		if cost := t.cost(c); !ok || cost < lowest {
-			best, lowest, ok = c, cost, true
+		if cost := t.cost(c); p.VM.Node == "" || cost < lowest {
+			p.VM, lowest = c, cost
+			p.Local = c.Node == t.Node
 		}
 	}
-	return best, ok
+	return p
 }
 
 // cost returns the relative time that a VM is expected to need for one more portion.
@@ -164,3 +133,18 @@
 	}
 	delete(t.failures, node)
 }
+
+// RecordRoundTrip records how much longer a portion took than its VM worked on it. Waiting for processors and new
+// connections is part of it at times, so that a lower value counts at once and a higher one slowly.
+func (t *Tracker) RecordRoundTrip(node unit.NodeID, d time.Duration) {
+	before, known := t.roundTrips[node]
+	if known && d > before {
+		d = before + time.Duration(roundTripWeight*float64(d-before))
+	}
+	t.roundTrips[node] = max(0, d)
+}
+
+// RoundTrip returns the time that the network takes for the call of a portion, 0 while it is unknown.
+func (t *Tracker) RoundTrip(node unit.NodeID) time.Duration {
+	return t.roundTrips[node]
+}
--- a/internal/policy/vmcount/vmcount.go
+++ b/internal/policy/vmcount/vmcount.go
@@ -38,6 +38,9 @@
 	began   time.Time
 	self    unit.NodeID
 	callers map[unit.NodeID]lastCall
+	// candidates is the last result of Candidates, from candidatesAt; nil after a caller has left.
+	candidates   []divide.Candidate
+	candidatesAt time.Time
 	// estimate is the count in use, and confirmed is when a seed last returned a count at least as high.
 	estimate  int
 	confirmed time.Time
@@ -47,15 +50,9 @@
 	settled bool
 }
 
-// Caller is a VM that calls a seed.
-type Caller struct {
-	divide.Candidate
-	Centre unit.CentreName
-}
-
 // lastCall is a caller and the time of its latest call.
 type lastCall struct {
-	Caller
+	divide.Candidate
 	at time.Time
 }
 
@@ -65,13 +62,14 @@
 }
 
 // RecordCall records a call from a VM to this seed. The VM then counts for maxMissedPeriods.
-func (c *Census) RecordCall(now time.Time, caller Caller) {
-	c.callers[caller.Node] = lastCall{Caller: caller, at: now}
+func (c *Census) RecordCall(now time.Time, caller divide.Candidate) {
+	c.callers[caller.Node] = lastCall{Candidate: caller, at: now}
 }
 
 // RemoveCaller removes a VM that is stopping, so that it is no longer counted.
 func (c *Census) RemoveCaller(node unit.NodeID) {
 	delete(c.callers, node)
+	c.candidates = nil
 }
 
 // Count returns the number of VMs that have called recently, including this one. settled reports whether all VMs have
@@ -91,28 +89,43 @@
 	return n, now.Sub(c.began) > 2*c.Period()
 }
 
-// cellSize is the approximate number of VMs in a cell, a group that shares requests. A cell must be large enough to
-// divide the largest requests among its VMs, and small enough for a seed to list the cell's VMs in its response to
-// each caller.
-const cellSize = 14
+const (
+	// maxCandidates is how many VMs a seed lists for portions, so that the list stays small however many VMs there
+	// are. minPerCentre is the least number that it lists of each data centre, enough for two groups of shards.
+	maxCandidates = 36
+	minPerCentre  = 6
+	// candidatesRefresh is how long a seed returns the same list.
+	candidatesRefresh = 100 * time.Millisecond
+)
 
-// Candidates returns the VMs of the caller's data centre that share requests with it, including the caller, in an
-// order that is the same for all VMs of the cell.
-func (c *Census) Candidates(caller Caller) []divide.Candidate {
-	var all []divide.Candidate
+// Candidates returns the VMs that serve portions of requests, the most powerful ones of each data centre, in an order
+// that is the same at all seeds that know the same VMs. The caller must not change the result.
+func (c *Census) Candidates(now time.Time) []divide.Candidate {
+	if c.candidates != nil && now.Sub(c.candidatesAt) < candidatesRefresh {
+		return c.candidates
+	}
+	all := make([]divide.Candidate, 0, len(c.callers))
+	centres := make(map[unit.CentreName]int)
 	for _, s := range c.callers {
-		if s.Centre == caller.Centre {
-			all = append(all, s.Candidate)
-		}
+		all = append(all, s.Candidate)
+		centres[s.Centre] = 0
 	}
-	cells := max(1, uint64(len(all)+cellSize/2)/cellSize)
-	ownCell := nodeHash(caller.Node) % cells
-	all = slices.DeleteFunc(all, func(m divide.Candidate) bool { return nodeHash(m.Node)%cells != ownCell })
-	slices.SortFunc(all, func(a, b divide.Candidate) int { return cmp.Compare(nodeHash(a.Node), nodeHash(b.Node)) })
+	slices.SortFunc(all, func(a, b divide.Candidate) int {
+		return cmp.Or(
+			cmp.Compare(a.Centre, b.Centre), cmp.Compare(b.Power, a.Power),
+			cmp.Compare(nodeHash(a.Node), nodeHash(b.Node)),
+		)
+	})
+	perCentre := max(minPerCentre, maxCandidates/max(1, len(centres)))
+	all = slices.DeleteFunc(all, func(m divide.Candidate) bool {
+		centres[m.Centre]++
+		return centres[m.Centre] > perCentre
+	})
+	c.candidates, c.candidatesAt = all, now
 	return all
 }
 
-// nodeHash returns a hash of a VM's id, which assigns the VM to its cell and fixes its place in the order.
+// nodeHash returns a hash of a VM's id, which orders VMs of the same power.
 func nodeHash(node unit.NodeID) uint64 {
 	return xxhash.Sum64String(string(node))
 }
--- a/internal/serve/gateway/services.go
+++ b/internal/serve/gateway/services.go
@@ -20,7 +20,6 @@
 	"basilspan/internal/platform/store"
 	"basilspan/internal/policy/divide"
 	"basilspan/internal/policy/shutdown"
-	"basilspan/internal/policy/vmcount"
 )
 
 // endpointBatch is how long endpoint changes are collected before they are read. Endpoints change one by one when many
@@ -111,9 +110,11 @@
 	if err := f.Err(); err != nil {
 		return err
 	}
-	self := divide.Candidate{Node: g.settings.Node, Address: g.settings.Peers, Power: g.settings.Power}
+	self := divide.Candidate{
+		Node: g.settings.Node, Address: g.settings.Peers, Centre: g.settings.Centre, Power: g.settings.Power,
+	}
 	fleetService := &fleet.Fleet{
-		Self:         vmcount.Caller{Candidate: self, Centre: g.settings.Centre},
+		Self:         self,
 		Now:          g.options.Now,
 		Rand:         g.options.Rand,
 		Log:          g.options.Log,
@@ -298,8 +299,8 @@
 		for _, p := range r.Split {
 			used[p.Service] = true
 		}
-		for i, s := range r.Shards {
-			used[s] = used[s] || v.ServesShard(g.settings.Node, r, i)
+		for _, s := range r.Shards {
+			used[s] = used[s] || v.ServesShards(s)
 		}
 	}
 	return used
