Hedge sooner when the partial deadline is near

Endpoints pause for 100 ms each 2.4 s, so that a search over 87 shards meets three or four pauses, and its hedges left 12 ms after the first attempts of a portion that had 16 to 24 ms in all.

Cause: the hedge's delay was a share of the target, whatever was left of it when the request or portion began.

Change: at most 0.4 of the time until the partial deadline, still at least twice the typical latency.

TestHedgeAfterNearDeadline fails without the change.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -213,13 +213,14 @@
 		MinShare:         1,
 		AttemptsPerShard: route.Attempts,
 		Idempotent:       route.Repeatable,
-		HedgeAfter:       timing.HedgeAfter(),
 		Deadline:         timing.Deadline(q.Arrived),
 	}
 	if route.Gathers() {
 		params.MinShare = gather.RequiredShare(route.MinShare, shards)
 		params.PartialDeadline = timing.PartialDeadline(caller, d.finishLag.UpperEstimate())
+		timing.UntilPartial = params.PartialDeadline.Sub(q.Arrived)
 	}
+	params.HedgeAfter = timing.HedgeAfter()
 	return params
 }
 
--- a/internal/core/dispatch/portion.go
+++ b/internal/core/dispatch/portion.go
@@ -157,7 +157,10 @@
 		message: &leaf.Message{ID: unit.RequestID(w.ID), Method: w.Method, Head: w.Head, Body: w.Body},
 	}
 	d.mu.Lock()
-	timing := gather.Timing{TypicalLatency: d.endpointTracker.TypicalLatency(route.Name), Target: route.TargetLatency}
+	timing := gather.Timing{
+		TypicalLatency: d.endpointTracker.TypicalLatency(route.Name), Target: route.TargetLatency,
+		UntilPartial: micros(w.PartialDeadline) - portionReturnTime,
+	}
 	d.mu.Unlock()
 	j.params = gather.Params{
 		AttemptsPerShard: route.Attempts,
--- a/internal/policy/gather/timing.go
+++ b/internal/policy/gather/timing.go
@@ -8,6 +8,9 @@
 	// minHedgeLatencyRatio is the minimum ratio of the hedge delay to the typical latency, so that few healthy attempts
 	// are hedged.
 	minHedgeLatencyRatio = 2.0
+	// hedgeWaitShare is the share of the time until the partial deadline after which a shard is hedged, if that is
+	// sooner.
+	hedgeWaitShare = 0.4
 	// maxHedgeTargetShare bounds the hedge delay as a share of the target. A later hedge would not reply in time to
 	// help.
 	maxHedgeTargetShare = 0.6
@@ -32,6 +35,8 @@
 	Timeout time.Duration
 	// Remaining is how long the caller waits, counted from the arrival of the request.
 	Remaining time.Duration
+	// UntilPartial is the time from the first attempts to the partial deadline, 0 without one.
+	UntilPartial time.Duration
 }
 
 // Caller describes how a request arrived.
@@ -70,13 +75,14 @@
 	return c.RoundTrip
 }
 
-// HedgeAfter returns the age at which an attempt is hedged: a share of the target, more if the typical latency is high,
-// and never beyond maxHedgeTargetShare of the target.
+// HedgeAfter returns the age at which an attempt is hedged: a share of the target, less if the partial deadline is near,
+// more if the typical latency is high, and never beyond maxHedgeTargetShare of the target.
 func (t Timing) HedgeAfter() time.Duration {
-	after := max(
-		time.Duration(hedgeTargetShare*float64(t.Target)),
-		time.Duration(minHedgeLatencyRatio*float64(t.TypicalLatency)),
-	)
+	after := time.Duration(hedgeTargetShare * float64(t.Target))
+	if t.UntilPartial > 0 {
+		after = min(after, time.Duration(hedgeWaitShare*float64(t.UntilPartial)))
+	}
+	after = max(after, time.Duration(minHedgeLatencyRatio*float64(t.TypicalLatency)))
 	return min(after, time.Duration(maxHedgeTargetShare*float64(t.Target)))
 }
 
--- a/internal/policy/gather/timing_test.go
+++ b/internal/policy/gather/timing_test.go
@@ -66,6 +66,29 @@
 	}
 }
 
+// TestHedgeAfterNearDeadline checks that a shard is hedged sooner when little time is left to the partial deadline, but
+// not before a healthy attempt has had its time.
+func TestHedgeAfterNearDeadline(t *testing.T) {
+	tests := []struct {
+		name    string
+		typical time.Duration
+		until   time.Duration
+		want    time.Duration
+	}{
+		{"no partial deadline", 3 * ms, 0, 12 * ms},
+		{"much time", 3 * ms, 35 * ms, 12 * ms},
+		{"little time", 3 * ms, 20 * ms, 8 * ms},
+		{"less than a healthy attempt takes", 3 * ms, 5 * ms, 6 * ms},
+		{"slow endpoints", 10 * ms, 20 * ms, 20 * ms},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			timing := Timing{TypicalLatency: tt.typical, Target: 40 * ms, UntilPartial: tt.until}
+			assert.Equal(t, timing.HedgeAfter(), tt.want)
+		})
+	}
+}
+
 func TestLag(t *testing.T) {
 	tests := []struct {
 		name    string
