Open each connection in advance once, and not all VMs at the same time

Every VM opened connections again that an endpoint had closed as idle, all VMs in the same moment; an endpoint with a long queue accepts fewer, and reset the rest, which the next change opened again.

Ruled out: routes without callers to the shards (a VM that serves no shard opened connections to 12 endpoints only).

Change: subset.Warmup opens a connection once for each endpoint, after a delay that spreads the VMs over 10 ms for each of them, and none where there are more VMs than connections.

--- a/internal/link/leaf/leaf_test.go
+++ b/internal/link/leaf/leaf_test.go
@@ -468,8 +468,8 @@
 	s := startScripted(t, &scriptedServer{replies: []string{wholeReply("ID", "a")}})
 	p := newPool(t)
 	address := unit.Address(s.listener.Addr().String())
-	p.Warm(address)
-	p.Warm(address)
+	p.Warm(address, 0)
+	p.Warm(address, 0)
 	for s.connections.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
--- a/internal/link/leaf/pool.go
+++ b/internal/link/leaf/pool.go
@@ -138,24 +138,41 @@
 	f.complete(Result{Kind: KindNotSent, Err: errAbandoned})
 }
 
-// Warm opens a connection to the address in the background if the pool has none and none is being opened. A failure is
-// not retried; the next call or Warm tries again.
-func (p *Pool) Warm(address unit.Address) {
+// Warm opens a connection to the address in the background after a delay, unless the pool has one or is opening one by
+// then. A failure is not retried; the next call or Warm tries again.
+func (p *Pool) Warm(address unit.Address, after time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.hostPool(address)
-	if p.closed || len(h.all)+h.dialling > 0 {
+	if p.closed {
 		return
 	}
-	h.dialling++
 	p.wg.Add(1)
 	go func() {
-		if c, err := p.dial(address); err == nil {
-			p.release(c)
+		defer p.wg.Done()
+		select {
+		case <-time.After(after):
+			p.connectIfNone(address)
+		case <-p.ctx.Done():
 		}
 	}()
 }
 
+// connectIfNone opens a connection to the address unless there is one or one is being opened.
+func (p *Pool) connectIfNone(address unit.Address) {
+	p.mu.Lock()
+	h := p.hostPool(address)
+	if p.closed || len(h.all)+h.dialling > 0 {
+		p.mu.Unlock()
+		return
+	}
+	h.dialling++
+	p.wg.Add(1)
+	p.mu.Unlock()
+	if c, err := p.dial(address); err == nil {
+		p.release(c)
+	}
+}
+
 // Retain closes the idle connections to all addresses that are not in keep. Connections with a call in flight stay.
 func (p *Pool) Retain(keep map[unit.Address]bool) {
 	var gone []*conn
--- a/internal/policy/subset/subset.go
+++ b/internal/policy/subset/subset.go
@@ -34,6 +34,12 @@
 	return max(1, min(int(b.fairShare()), int(slots)+spareConnections))
 }
 
+// scarce reports whether the endpoint accepts fewer connections than there are VMs. One that a VM kept without a use
+// for it would be missing at another VM.
+func (b ConnectionBudget) scarce() bool {
+	return b.fairShare() < 1
+}
+
 // fairShare returns the number of connections for each VM, which may be less than one.
 func (b ConnectionBudget) fairShare() float64 {
 	if b.Connections <= 0 {
--- a/internal/serve/gateway/services.go
+++ b/internal/serve/gateway/services.go
@@ -20,6 +20,7 @@
 	"basilspan/internal/platform/store"
 	"basilspan/internal/policy/divide"
 	"basilspan/internal/policy/shutdown"
+	"basilspan/internal/policy/subset"
 )
 
 // endpointBatch is how long endpoint changes are collected before they are read. Endpoints change one by one when many
@@ -85,6 +86,7 @@
 		return err
 	}
 	timerlag.Install(loop, metrics, g.options.Log)
+	warmup := &subset.Warmup{Rand: g.options.Rand}
 	state := discovery.Install(loop, discovery.Options{
 		Node:           g.settings.Node,
 		Views:          g.views,
@@ -96,7 +98,7 @@
 		DecodeEndpoint: store.DecodeEndpoint,
 		EndpointID:     store.EndpointID,
 		Calm:           g.settings.Calm,
-		OnPublish:      func(_ time.Time, v *discovery.View) { g.updateConnections(pool, v) },
+		OnPublish:      func(_ time.Time, v *discovery.View) { g.updateConnections(pool, warmup, v) },
 	})
 	return g.register(kernel.Service{Name: kernel.ServiceDiscovery, Value: state})
 }
@@ -270,22 +272,25 @@
 	return err
 }
 
-// updateConnections opens connections to the endpoints that this VM sends requests to, and closes connections to
-// endpoints that no longer exist. It is called for each published view. While the number of entry VMs, and so the share
-// of endpoints per VM, is not known, connections are opened only on demand: after a loss of all VMs each of them would
-// otherwise connect to every endpoint at once.
-func (g *Gateway) updateConnections(pool *leaf.Pool, v *discovery.View) {
+// updateConnections opens connections to the endpoints that this VM normally sends requests to, and closes connections
+// to endpoints that no longer exist. It is called for each published view. While the number of entry VMs, and so the
+// share of endpoints per VM, is not known, connections are opened only on demand: after a loss of all VMs each of them
+// would otherwise connect to every endpoint at once.
+func (g *Gateway) updateConnections(pool *leaf.Pool, warmup *subset.Warmup, v *discovery.View) {
 	if !v.Complete() {
 		return
 	}
+	if v.CountKnown {
+		used := g.usedServices(v)
+		isUsed := func(s unit.ServiceName) bool { return used[s] }
+		for _, c := range warmup.Plan(isUsed, v.ConnectionBudget, v.Endpoints) {
+			pool.Warm(c.Address, c.After)
+		}
+	}
 	known := make(map[unit.Address]bool)
-	used := g.usedServices(v)
-	for service, endpoints := range v.Endpoints {
+	for _, endpoints := range v.Endpoints {
 		for _, e := range endpoints {
 			known[e.Address] = true
-			if v.CountKnown && used[service] && !e.Lapsed {
-				pool.Warm(e.Address)
-			}
 		}
 	}
 	pool.Retain(known)
