Estimate the round trip of portions by data centre

Cause: a VM ends a portion earlier by the round trip, which was estimated for each VM that serves portions. A VM asks each of them every ten seconds or so, and the first sample contains a new connection: the portion was ended earlier by a quarter of its time.

Change: one estimate for each data centre, and at most an eighth of the time.

--- a/internal/core/dispatch/portion.go
+++ b/internal/core/dispatch/portion.go
@@ -22,7 +22,7 @@
 	// portions respond. It covers the merge.
 	portionReturnTime = 3 * time.Millisecond
 	// maxRoundTripShare bounds the round trip to a part of the time until the partial deadline.
-	maxRoundTripShare = 4
+	maxRoundTripShare = 8
 	// stopReturnTime is how long before the end of a planned stop's time for answers portions return.
 	stopReturnTime = 20 * time.Millisecond
 )
@@ -83,7 +83,7 @@
 	now := d.Now()
 	params := j.params
 	untilPartial := j.params.PartialDeadline.Sub(now)
-	roundTrip := min(d.portionRoundTrip(vm.Node), untilPartial/maxRoundTripShare)
+	roundTrip := min(d.portionRoundTrip(vm.Centre), untilPartial/maxRoundTripShare)
 	if s := d.schedule(); s.InProgress() {
 		params.AnswerBy = s.AnswerBy.Add(-stopReturnTime)
 	}
@@ -111,23 +111,23 @@
 		)
 	}
 	if result.Took > 0 {
-		d.recordPortionRoundTrip(vm.Node, d.Now().Sub(now)-micros(result.Took))
+		d.recordPortionRoundTrip(vm.Centre, d.Now().Sub(now)-micros(result.Took))
 	}
 	return result, nil
 }
 
-// portionRoundTrip returns the time that the network takes for a portion at a VM.
-func (d *Dispatcher) portionRoundTrip(node unit.NodeID) time.Duration {
+// portionRoundTrip returns the time that the network takes for a portion at a VM of that data centre.
+func (d *Dispatcher) portionRoundTrip(centre unit.CentreName) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.portionTracker.RoundTrip(node)
+	return d.portionTracker.RoundTrip(centre)
 }
 
-// recordPortionRoundTrip records how much longer a portion took than its VM worked on it.
-func (d *Dispatcher) recordPortionRoundTrip(node unit.NodeID, took time.Duration) {
+// recordPortionRoundTrip records how much longer a portion took than its VM, in that data centre, worked on it.
+func (d *Dispatcher) recordPortionRoundTrip(centre unit.CentreName, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.portionTracker.RecordRoundTrip(node, took)
+	d.portionTracker.RecordRoundTrip(centre, took)
 }
 
 // HandlePortions registers the handler that serves portions of other VMs' requests. The handler refuses them while
--- a/internal/policy/divide/divide.go
+++ b/internal/policy/divide/divide.go
@@ -48,8 +48,9 @@
 
 	openPortions map[unit.NodeID]int
 	failures     map[unit.NodeID]failure
-	// roundTrips estimates the time that the network takes for the call of a portion.
-	roundTrips map[unit.NodeID]time.Duration
+	// roundTrips estimates the time that the network takes for the call of a portion at a VM of a data centre. By VM,
+	// the samples would be too few.
+	roundTrips map[unit.CentreName]time.Duration
 }
 
 // failure holds how many portions in a row have failed at a VM (see RecordEnd), and until when it is excluded.
@@ -65,7 +66,7 @@
 		Rand:         rand,
 		openPortions: make(map[unit.NodeID]int),
 		failures:     make(map[unit.NodeID]failure),
-		roundTrips:   make(map[unit.NodeID]time.Duration),
+		roundTrips:   make(map[unit.CentreName]time.Duration),
 	}
 }
 
@@ -134,17 +135,18 @@
 	delete(t.failures, node)
 }
 
-// RecordRoundTrip records how much longer a portion took than its VM worked on it. Waiting for processors and new
-// connections is part of it at times, so that a lower value counts at once and a higher one slowly.
-func (t *Tracker) RecordRoundTrip(node unit.NodeID, d time.Duration) {
-	before, known := t.roundTrips[node]
+// RecordRoundTrip records how much longer a portion took than its VM, in that data centre, worked on it. Waiting for
+// processors and new connections is part of it at times, so that a lower value counts at once and a higher one slowly.
+func (t *Tracker) RecordRoundTrip(centre unit.CentreName, d time.Duration) {
+	before, known := t.roundTrips[centre]
 	if known && d > before {
 		d = before + time.Duration(roundTripWeight*float64(d-before))
 	}
-	t.roundTrips[node] = max(0, d)
+	t.roundTrips[centre] = max(0, d)
 }
 
-// RoundTrip returns the time that the network takes for the call of a portion, 0 while it is unknown.
-func (t *Tracker) RoundTrip(node unit.NodeID) time.Duration {
-	return t.roundTrips[node]
+// RoundTrip returns the time that the network takes for the call of a portion at a VM of that data centre, 0 while it is
+// unknown.
+func (t *Tracker) RoundTrip(centre unit.CentreName) time.Duration {
+	return t.roundTrips[centre]
 }
--- a/internal/policy/divide/divide_test.go
+++ b/internal/policy/divide/divide_test.go
@@ -108,9 +108,9 @@
 		t.Run(tt.name, func(t *testing.T) {
 			tr := New("n0", func() float64 { return 0 })
 			for _, d := range tt.samples {
-				tr.RecordRoundTrip("n1", d)
+				tr.RecordRoundTrip("z", d)
 			}
-			got := tr.RoundTrip("n1")
+			got := tr.RoundTrip("z")
 			assert.Assert(t, got >= tt.lower && got <= tt.upper, "round trip %v", got)
 		})
 	}
