Pack what seeds relay to their followers

A registration is some 300 bytes of JSON in base64, sent to each of 88 VMs one by one, beside the answers, over links of 20 Mbit/s. Large values were compressed, many small ones not.

Change: the items of a response of 4 KB or more are compressed together for peers that say that they accept it, and the last few packed responses are kept, since followers that are up to date ask for the same one.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -80,6 +80,7 @@
 	started    time.Time
 	countKnown bool
 	compressed compressionCache
+	packed     packCache
 	// seedList holds the seeds, which a reload of the settings replaces. large is set if at least relayMinVMs VMs
 	// were counted. seedOffset selects the seed that this VM follows.
 	seedList   atomic.Pointer[[]unit.Address]
--- a/internal/core/fleet/listing.go
+++ b/internal/core/fleet/listing.go
@@ -12,26 +12,30 @@
 	"basilspan/internal/link/peer"
 )
 
-// wireListingQuery requests the values under a prefix if they are newer than a position. Older releases have no era.
+// wireListingQuery requests the values under a prefix if they are newer than a position. Older releases have no era, and
+// don't set Packs, which says that the items may be packed.
 type wireListingQuery struct {
 	Prefix string        `json:"prefix"`
 	After  unit.Revision `json:"after"`
 	Era    unit.Era      `json:"era,omitempty"`
+	Packs  bool          `json:"packs,omitempty"`
 }
 
 func newListingQuery(prefix registry.Prefix, after unit.Position) wireListingQuery {
-	return wireListingQuery{Prefix: string(prefix), After: after.Revision, Era: after.Era}
+	return wireListingQuery{Prefix: string(prefix), After: after.Revision, Era: after.Era, Packs: true}
 }
 
 func (w wireListingQuery) position() unit.Position {
 	return unit.Position{Era: w.Era, Revision: w.After}
 }
 
-// wireListing is the response; Revision is 0 if there is nothing newer.
+// wireListing is the response; Revision is 0 if there is nothing newer. Packed is the compressed JSON of the items, in place
+// of Items.
 type wireListing struct {
 	Revision unit.Revision `json:"at"`
 	Era      unit.Era      `json:"era,omitempty"`
 	Items    []wireItem    `json:"items,omitempty"`
+	Packed   []byte        `json:"packed,omitempty"`
 }
 
 func (w wireListing) position() unit.Position {
@@ -86,9 +90,11 @@
 	if f.leaving.Err() != nil {
 		return wireChanges{}, peer.RefusalError(errLeaving)
 	}
-	result := wireChanges{
-		wireListing: f.encodeListing(changes.Listing), Full: changes.Full, Edition: changes.Edition, Age: -1,
+	listing, err := f.encodeListing(changes.Listing, w.Packs)
+	if err != nil {
+		return wireChanges{}, err
 	}
+	result := wireChanges{wireListing: listing, Full: changes.Full, Edition: changes.Edition, Age: -1}
 	if !changes.ConfirmedAt.IsZero() {
 		result.Age = f.Now().Sub(changes.ConfirmedAt).Milliseconds()
 	}
@@ -152,20 +158,39 @@
 	if !known.After(w.position()) {
 		return wireListing{}, nil
 	}
-	return f.encodeListing(known), nil
+	return f.encodeListing(known, w.Packs)
 }
 
-// encodeListing encodes a listing, with large values compressed.
-func (f *Fleet) encodeListing(l registry.Listing) wireListing {
+// encodeListing encodes a listing: packed if it is large and the peer accepts that, otherwise with each large value
+// compressed.
+func (f *Fleet) encodeListing(l registry.Listing, packs bool) (wireListing, error) {
 	w := wireListing{Revision: l.Revision, Era: l.Era}
+	if packs && valueBytes(l) >= compressMinBytes {
+		var err error
+		w.Packed, err = f.packed.pack(l)
+		return w, err
+	}
 	for _, i := range l.Items {
-		item := wireItem{Key: string(i.Key), Value: i.Value, Revision: i.Revision, Deleted: i.Deleted}
+		item := encodeItem(i)
 		if len(i.Value) >= compressMinBytes {
 			item.Value, item.Compressed = f.compressed.compress(i), true
 		}
 		w.Items = append(w.Items, item)
 	}
-	return w
+	return w, nil
+}
+
+func encodeItem(i registry.Item) wireItem {
+	return wireItem{Key: string(i.Key), Value: i.Value, Revision: i.Revision, Deleted: i.Deleted}
+}
+
+// valueBytes returns the size of a listing's values.
+func valueBytes(l registry.Listing) int {
+	n := 0
+	for _, i := range l.Items {
+		n += len(i.Value)
+	}
+	return n
 }
 
 // ListingFromSeed returns what a seed knows under the prefix if it is newer than after. It tries the seeds one by
@@ -226,9 +251,16 @@
 	return w, err
 }
 
-// decode returns the listing; a value that cannot be decompressed is an error.
+// decode returns the listing; items or a value that cannot be decompressed are an error.
 func (w wireListing) decode() (registry.Listing, error) {
 	all := registry.Listing{Position: w.position()}
+	if w.Packed != nil {
+		items, err := unpack(w.Packed)
+		if err != nil {
+			return registry.Listing{}, errors.Wrap(err, "unpack a listing")
+		}
+		w.Items = items
+	}
 	for _, i := range w.Items {
 		item := registry.Item{
 			Position: unit.Position{Era: w.Era, Revision: i.Revision},
@@ -236,7 +268,7 @@
 		}
 		if i.Compressed {
 			var err error
-			if item.Value, err = decompress(i.Value); err != nil {
+			if item.Value, err = decompress(i.Value, maxValueBytes); err != nil {
 				return registry.Listing{}, errors.Wrapf(err, "decompress the value of %s", i.Key)
 			}
 		}
