Play planned stops with short and long grace times

The report of other operators: in a planned stop of one VM, in calm, requests that came late in the grace were passed on and cut with no answer at its end, among them some that may not be repeated.

TestStopAnswersEveryRequestItHasForwarded sends a request on a kept connection each 35 ms of a stop of 4 s. It now also plays a grace of 2 s and of 10 s, with work of a quarter and more of it, requests that may run once, and searches.

--- a/internal/standin/soak/deployment.go
+++ b/internal/standin/soak/deployment.go
@@ -106,13 +106,13 @@
 }
 
 // newDeployment starts the stand-ins and the given number of entry VMs, and waits until all are ready.
-func newDeployment(t *testing.T, vms int) *deployment {
+func newDeployment(t *testing.T, vms int, bounds Bounds) *deployment {
 	t.Helper()
 	dep := &deployment{
 		t: t, store: registry.New(), callerFactor: 1, registrationChanged: make(map[int]bool), quit: make(chan struct{}),
 		published: make(map[string]string),
 		history: &History{
-			Bounds: defaultBounds, Records: make(map[unit.ServiceName]string),
+			Bounds: bounds, Records: make(map[unit.ServiceName]string),
 			Services:       make(map[unit.EndpointID]unit.ServiceName),
 			VMFaults:       make(map[int][]Span),
 			EndpointFaults: make(map[unit.EndpointID][]Span),
@@ -245,11 +245,12 @@
 
 // writeSettings writes the settings file of a VM and returns its path.
 func (dep *deployment) writeSettings(v *vm, peers unit.Address, seeds string) string {
+	bounds := dep.history.Bounds
 	content := fmt.Sprintf(`{"node":"vm%d","centre":"z","listen":{"callers":%q,"ready":%q,"peers":%q,"metrics":""},
 		"seeds":%q,"registry":%q,"power":1,"grace":%v,"extra":{"ratio":%v,"slack":%v,"window":%v},"calm":%d,"fresh":false,
 		"level":"info"}`,
-		v.number, v.callersAddress, v.readyAddress, peers, seeds, v.registryLink.Address(), defaultBounds.Grace.Seconds(),
-		defaultBounds.Ratio, defaultBounds.Slack, defaultBounds.Window.Seconds(), defaultBounds.CalmTime.Milliseconds())
+		v.number, v.callersAddress, v.readyAddress, peers, seeds, v.registryLink.Address(), bounds.Grace.Seconds(),
+		bounds.Ratio, bounds.Slack, bounds.Window.Seconds(), bounds.CalmTime.Milliseconds())
 	path := filepath.Join(dep.t.TempDir(), "settings.json")
 	const mode = 0o600
 	assert.NilError(dep.t, os.WriteFile(path, []byte(content), mode))
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -102,7 +102,7 @@
 
 // runSeed injects the faults of one seed and checks the history of the run.
 func runSeed(t *testing.T, seed uint64, plan []Fault) {
-	dep := newDeployment(t, *vms)
+	dep := newDeployment(t, *vms, defaultBounds)
 	dep.wg.Add(1)
 	go dep.recordStalls()
 	dep.startBalancer()
--- a/internal/standin/soak/stop_test.go
+++ b/internal/standin/soak/stop_test.go
@@ -17,34 +17,43 @@
 )
 
 const (
-	// stopConnections is the number of connections that are open when the stop begins, and stopSendPeriod is the time
-	// between the requests that are sent on them. Together they cover the grace time.
+	// stopConnections is the number of connections that are open when the stop begins. The requests that are sent on them
+	// cover the grace time and stopOverlap more.
 	stopConnections = 120
-	stopSendPeriod  = 35 * time.Millisecond
+	stopOverlap     = 200 * time.Millisecond
 	// unboundedTimeout is what a caller states that waits longer than a stop takes.
 	unboundedTimeout = time.Minute
 )
 
 // TestStopAnswersEveryRequestItHasForwarded guards against requests that are lost when a stopping process exits.
 func TestStopAnswersEveryRequestItHasForwarded(t *testing.T) {
+	usualGrace, shortGrace, longGrace := defaultBounds.Grace, 2*time.Second, 10*time.Second
 	tests := []struct {
 		name      string
 		mode      shard.Mode
 		delay     time.Duration
 		path      Path
 		remaining time.Duration
+		grace     time.Duration
 	}{
-		{"hanging endpoints", shard.ModeHang, 0, PathOne, callerTimeout},
-		{"hanging endpoints, not idempotent", shard.ModeHang, 0, PathOnce, callerTimeout},
-		{"hanging shards", shard.ModeHang, 0, PathAll, callerTimeout},
-		{"hanging endpoints, patient callers", shard.ModeHang, 0, PathOne, unboundedTimeout},
-		{"slow endpoints", shard.ModeServe, 1200 * time.Millisecond, PathOne, callerTimeout},
-		{"slow endpoints, not idempotent", shard.ModeServe, 1200 * time.Millisecond, PathOnce, callerTimeout},
+		{"hanging endpoints", shard.ModeHang, 0, PathOne, callerTimeout, usualGrace},
+		{"hanging endpoints, not idempotent", shard.ModeHang, 0, PathOnce, callerTimeout, usualGrace},
+		{"hanging shards", shard.ModeHang, 0, PathAll, callerTimeout, usualGrace},
+		{"hanging endpoints, patient callers", shard.ModeHang, 0, PathOne, unboundedTimeout, usualGrace},
+		{"slow endpoints", shard.ModeServe, 1200 * time.Millisecond, PathOne, callerTimeout, usualGrace},
+		{"slow endpoints, not idempotent", shard.ModeServe, 1200 * time.Millisecond, PathOnce, callerTimeout, usualGrace},
+		{"little time, hanging endpoints, not idempotent", shard.ModeHang, 0, PathOnce, callerTimeout, shortGrace},
+		{"little time, slow endpoints", shard.ModeServe, 500 * time.Millisecond, PathOne, unboundedTimeout, shortGrace},
+		{"little time, slow endpoints, not idempotent", shard.ModeServe, 500 * time.Millisecond, PathOnce, callerTimeout, shortGrace},
+		{"little time, slow shards", shard.ModeServe, 500 * time.Millisecond, PathAll, unboundedTimeout, shortGrace},
+		{"much time, slow endpoints, not idempotent", shard.ModeServe, 1500 * time.Millisecond, PathOnce, callerTimeout, longGrace},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			dep := newDeployment(t, 1)
+			bounds := defaultBounds
+			bounds.Grace = tt.grace
+			dep := newDeployment(t, 1, bounds)
 			conns := dep.openConnections(stopConnections)
 			for _, e := range dep.endpoints {
 				e.SetMode(tt.mode)
@@ -55,7 +64,7 @@
 				wg.Add(1)
 				go func() {
 					defer wg.Done()
-					time.Sleep(time.Duration(i) * stopSendPeriod)
+					time.Sleep(time.Duration(i) * (tt.grace + stopOverlap) / stopConnections)
 					dep.sendDuringStop(c, tt.path, tt.remaining)
 				}()
 			}
