Ask each VM of a group for a portion once

What callers could have seen: none did; found on reading the change. A portion that a VM refused was assigned anew among all VMs of its group. The refusing VM is excluded, but a portion of another request that succeeds there ends the exclusion, so that a VM which refuses some portions and serves others was asked again and again, and the goroutines of the request waited for a channel of too little room.

Change: a portion that is served again goes to the VMs of the group that were not asked yet, and then to this one. A seed computes the digest of its candidates when they change, and not in each call; a portion sent after the partial deadline is not lengthened by the round trip.

--- a/internal/core/dispatch/divided.go
+++ b/internal/core/dispatch/divided.go
@@ -50,8 +50,8 @@
 	mayHaveRun bool
 }
 
-// portionEnd reports that a portion has ended. local is set if this VM served it. Otherwise vms are those that serve its
-// shards.
+// portionEnd reports that a portion has ended. local is set if this VM served it. Otherwise vms are the other VMs of its
+// group that have not been asked yet.
 type portionEnd struct {
 	shards []int
 	vms    []divide.Candidate
@@ -75,8 +75,8 @@
 		seals:   make([]string, len(j.services)),
 		sent:    make([]int, len(j.services)),
 		pending: make([]bool, len(j.services)),
-		// Each portion may be served at each VM of its group and at this one; all missing shards together may be retried
-		// once more.
+		// Each portion may be sent to each VM of its group once, and be served here twice; all missing shards together may
+		// be retried once more.
 		ends: make(chan portionEnd, maxPortionEnds(plan)+1),
 	}
 	d.Metrics.Add("request.divided", 1)
@@ -119,7 +119,7 @@
 		v.dispatcher.endRemote(v.job, services, extra, result, err)
 		v.dispatcher.recordPortionEnd(p.VM.Node, v.vmFailed(ctx, err) || v.vmMissedEndpoints(p.Shards, result))
 		v.ends <- portionEnd{
-			shards: p.Shards, vms: p.VMs, result: portionResult{wirePortionResult: result, mayHaveRun: true}, err: err,
+			shards: p.Shards, vms: p.Others(), result: portionResult{wirePortionResult: result, mayHaveRun: true}, err: err,
 		}
 	}()
 }
--- a/internal/core/dispatch/divided_test.go
+++ b/internal/core/dispatch/divided_test.go
@@ -232,6 +232,43 @@
 	assert.DeepEqual(t, c.served, map[unit.Address]int{"n3": 1})
 }
 
+// TestRefusedPortionIsNotSentTwice checks that a VM which refuses a portion is not asked for it again, even if it serves
+// other requests meanwhile, so that a request ends with a bounded number of portions.
+func TestRefusedPortionIsNotSentTwice(t *testing.T) {
+	c := newCluster()
+	for _, d := range c.vms {
+		d.Views.Publish(c.view)
+	}
+	asked := make(map[unit.Address]int)
+	d := c.vms[0]
+	d.Call = func(_ context.Context, to unit.Address, _ peer.Method, _, _ any) error {
+		time.Sleep(2 * time.Millisecond)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		asked[to]++
+		return errors.Mark(errLost, peer.ErrNotSent)
+	}
+	// Portions of other requests succeed at both VMs all the while.
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			select {
+			case <-time.After(50 * time.Microsecond):
+				d.recordPortionEnd("n1", false)
+				d.recordPortionEnd("n3", false)
+			case <-done:
+				return
+			}
+		}
+	})
+	defer wg.Wait()
+	defer close(done)
+	q := &Request{ID: "r", Host: "h", Method: "GET", URI: "/x", Path: "/x", Arrived: time.Now(), Remaining: time.Second}
+	assert.Equal(t, d.Serve(context.Background(), q).Code, unit.CodeWhole)
+	assert.DeepEqual(t, asked, map[unit.Address]int{"n1": 1, "n3": 1})
+}
+
 // TestExtraAttemptsOfPortions checks that a VM hedges a shard of a portion by the allowance of the VM that asks or by its
 // own, that the attempt counts at one of them, and that neither can be exceeded.
 func TestExtraAttemptsOfPortions(t *testing.T) {
--- a/internal/core/dispatch/portion.go
+++ b/internal/core/dispatch/portion.go
@@ -82,7 +82,7 @@
 ) (wirePortionResult, error) {
 	now := d.Now()
 	params := j.params
-	untilPartial := j.params.PartialDeadline.Sub(now)
+	untilPartial := max(0, j.params.PartialDeadline.Sub(now))
 	roundTrip := min(d.portionRoundTrip(vm.Centre), untilPartial/maxRoundTripShare)
 	if s := d.schedule(); s.InProgress() {
 		params.AnswerBy = s.AnswerBy.Add(-stopReturnTime)
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -76,6 +76,9 @@
 	candidates []divide.Candidate
 	// known is the digest of candidates, for the calls to the seeds.
 	known atomic.Uint64
+	// listed are the candidates that this VM listed last as a seed, and listedDigest is their digest.
+	listed       []divide.Candidate
+	listedDigest uint64
 	// started is when this VM started. countKnown is set once a seed's count includes more than the first callers.
 	started    time.Time
 	countKnown bool
@@ -175,7 +178,10 @@
 	n, settled := f.census.Count(now)
 	result := wireCensus{Count: n, Settled: settled}
 	candidates := f.census.Candidates(now)
-	if result.Same = digest(candidates) == e.known; !result.Same {
+	if !slices.Equal(candidates, f.listed) {
+		f.listed, f.listedDigest = candidates, digest(candidates)
+	}
+	if result.Same = f.listedDigest == e.known; !result.Same {
 		for _, m := range candidates {
 			result.Candidates = append(result.Candidates, encodeVM(m))
 		}
--- a/internal/policy/divide/divide.go
+++ b/internal/policy/divide/divide.go
@@ -39,6 +39,17 @@
 	Local bool
 }
 
+// Others returns the VMs of the portion's group without the one that serves it.
+func (p Portion) Others() []Candidate {
+	others := make([]Candidate, 0, len(p.VMs))
+	for _, c := range p.VMs {
+		if c.Node != p.VM.Node {
+			others = append(others, c)
+		}
+	}
+	return others
+}
+
 // Tracker tracks the portions that other VMs serve and chooses the VMs for new ones. It is not safe for concurrent
 // use.
 type Tracker struct {
