Do not skip values that were read and not delivered

Cause: while the registry is away a VM polls its peers for a limited time. When that time ended after a peer's update had come and before it was posted to the control goroutine, the post failed, was not even logged, since the time was over, and the position moved on all the same. The class: progress recorded for work that was not done.

Ruled out: bytes of relayed changes on slow links, suspected before (they are packed, and it still happened); a seed that lags behind (its age is checked); a table that can't be read (it is logged).

Change: the position moves once the event is delivered. TestUndeliveredValuesAreReadAgain: all five rows fail without it.

--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -238,7 +238,7 @@
 // handleFailure handles a failed read that began at began: it takes a listing from a peer and backs off. After
 // ErrCompacted the next read is a listing, and listings that succeed between such reads do not shorten the delay.
 func (f *Follower) handleFailure(ctx context.Context, began time.Time, err error) {
-	f.post(ctx, ReadFailed{Prefix: f.Prefix, Began: began, Err: err})
+	_ = f.post(ctx, ReadFailed{Prefix: f.Prefix, Began: began, Err: err})
 	f.takePeerListing(ctx)
 	if errors.Is(err, ErrCompacted) {
 		f.requireListing()
@@ -294,8 +294,10 @@
 		f.Log.Debug("no newer values from peers", "prefix", f.Prefix, "error", err)
 		return
 	}
-	f.position = listing.Position
-	f.post(ctx, Listed{Position: listing.Position, Prefix: f.Prefix, Items: listing.Items, FromPeer: true})
+	e := Listed{Position: listing.Position, Prefix: f.Prefix, Items: listing.Items, FromPeer: true}
+	if f.post(ctx, e) == nil {
+		f.position = listing.Position
+	}
 }
 
 // readAll lists all values in the registry and posts them. A registry that has been restored may have lost some that
@@ -310,11 +312,13 @@
 	if err := f.checkEra(&listing); err != nil {
 		return err
 	}
-	f.post(ctx, Listed{Position: listing.Position, Prefix: f.Prefix, Items: listing.Items})
+	if err := f.post(ctx, Listed{Position: listing.Position, Prefix: f.Prefix, Items: listing.Items}); err != nil {
+		return err
+	}
 	f.position = listing.Position
 	if f.PeerValues != nil {
 		for _, known := range f.PeerValues(ctx, f.Prefix) {
-			f.post(ctx, Offered{Prefix: f.Prefix, Items: known.Items})
+			_ = f.post(ctx, Offered{Prefix: f.Prefix, Items: known.Items})
 		}
 	}
 	return nil
@@ -336,7 +340,9 @@
 		f.position = unit.Position{Era: changes.Era}
 		return nil
 	}
-	f.post(ctx, Changed{Position: changes.Position, Prefix: f.Prefix, Items: changes.Items})
+	if err := f.post(ctx, Changed{Position: changes.Position, Prefix: f.Prefix, Items: changes.Items}); err != nil {
+		return err
+	}
 	f.position.Revision = max(f.position.Revision, changes.Revision)
 	if len(changes.Items) > 0 {
 		kernel.Wait(ctx, f.BatchDelay)
@@ -451,10 +457,14 @@
 	if err := update.CheckFollows(now, f.position); err != nil {
 		return err
 	}
+	var event any = Changed{
+		Position: update.Position, Prefix: f.Prefix, Items: update.Items, Age: now.Sub(update.ConfirmedAt),
+	}
 	if update.Full {
-		f.post(ctx, Listed{Position: update.Position, Prefix: f.Prefix, Items: update.Items})
-	} else {
-		f.post(ctx, Changed{Position: update.Position, Prefix: f.Prefix, Items: update.Items, Age: now.Sub(update.ConfirmedAt)})
+		event = Listed{Position: update.Position, Prefix: f.Prefix, Items: update.Items}
+	}
+	if err := f.post(ctx, event); err != nil {
+		return err
 	}
 	f.position, f.edition = update.Position, update.Edition
 	return nil
@@ -493,10 +503,13 @@
 	}
 }
 
-// post sends an event to the control goroutine. A failure is not logged once ctx has ended, since the process is then
-// stopping.
-func (f *Follower) post(ctx context.Context, event any) {
-	if err := f.Post(ctx, event); err != nil && ctx.Err() == nil {
+// post sends an event to the control goroutine. An event that was not delivered, for example because the time for the
+// read ended meanwhile, must not count as read: its values would be missing until they change again. A failure is not
+// logged once ctx has ended.
+func (f *Follower) post(ctx context.Context, event any) error {
+	err := f.Post(ctx, event)
+	if err != nil && ctx.Err() == nil {
 		f.Log.Warn("registry event not delivered", "prefix", f.Prefix, "error", err)
 	}
+	return errors.Wrap(err, "deliver what was read")
 }
