Let requests that may run once fit into the short stop of the test

Traced by its lines: all were refused as not run (code 206), the first of them 1.8 ms after the stop began. With a grace of 2 s answers end after 1.58 s, and the row's callers waited 1.8 s, so that no request that may run once fits, and the row passed only if a request was read before SIGTERM. The gateway is right, the row was wrong.

Its callers now wait 0.9 s, and so do those of the other short row that may run once: their requests are forwarded in the first 0.68 s of the stop and refused after it, and that some are forwarded no longer depends on a race.

--- a/internal/standin/soak/stop_test.go
+++ b/internal/standin/soak/stop_test.go
@@ -23,6 +23,9 @@
 	stopOverlap     = 200 * time.Millisecond
 	// unboundedTimeout is what a caller states that waits longer than a stop takes.
 	unboundedTimeout = time.Minute
+	// shortTimeout fits into a stop with a short grace time, so that requests which must not be repeated are forwarded in
+	// its first half.
+	shortTimeout = 900 * time.Millisecond
 )
 
 // TestStopAnswersEveryRequestItHasForwarded guards against requests that are lost when a stopping process exits.
@@ -42,9 +45,9 @@
 		{"hanging endpoints, patient callers", shard.ModeHang, 0, PathOne, unboundedTimeout, usualGrace},
 		{"slow endpoints", shard.ModeServe, 1200 * time.Millisecond, PathOne, callerTimeout, usualGrace},
 		{"slow endpoints, not idempotent", shard.ModeServe, 1200 * time.Millisecond, PathOnce, callerTimeout, usualGrace},
-		{"little time, hanging endpoints, not idempotent", shard.ModeHang, 0, PathOnce, callerTimeout, shortGrace},
+		{"little time, hanging endpoints, not idempotent", shard.ModeHang, 0, PathOnce, shortTimeout, shortGrace},
 		{"little time, slow endpoints", shard.ModeServe, 500 * time.Millisecond, PathOne, unboundedTimeout, shortGrace},
-		{"little time, slow endpoints, not idempotent", shard.ModeServe, 500 * time.Millisecond, PathOnce, callerTimeout, shortGrace},
+		{"little time, slow endpoints, not idempotent", shard.ModeServe, 500 * time.Millisecond, PathOnce, shortTimeout, shortGrace},
 		{"little time, slow shards", shard.ModeServe, 500 * time.Millisecond, PathAll, unboundedTimeout, shortGrace},
 		{"much time, slow endpoints, not idempotent", shard.ModeServe, 1500 * time.Millisecond, PathOnce, callerTimeout, longGrace},
 	}
