review: show a retry at an endpoint that had left

Cause: a request keeps the endpoints of the view that it began with. The directory ends the use of an endpoint 2 s after its registration is gone, but a retry of an older request still chooses it, and nothing looks at the present view before the call is written.

--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -18,10 +18,11 @@
 
 func main() {
 	cases := map[string]func(*run) bool{
-		"copies": runCopies,
+		"copies":  runCopies,
+		"retired": runRetired,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: harness copies FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: harness copies|retired FOLDER")
 		os.Exit(exitNotRun)
 	}
 	r, err := newRun(os.Args[2], os.Getenv("TROUBLE") != "0")
