review: show endpoints hidden by registrations of another writer

Cause: newestByAddress of policy/directory lets the newest registration of an address hide all others there, also one of a service that no routing table names. The endpoint's own registration holds, and gets no requests.

--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -20,9 +20,10 @@
 	cases := map[string]func(*run) bool{
 		"copies":  runCopies,
 		"retired": runRetired,
+		"foreign": runForeign,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: harness copies|retired FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: harness copies|retired|foreign FOLDER")
 		os.Exit(exitNotRun)
 	}
 	r, err := newRun(os.Args[2], os.Getenv("TROUBLE") != "0")
