Send each call for a request on a connection of its own

Cause: a reply names its request, not its call. A retry at the only endpoint of a service went out on the connection that had just carried the first attempt, and a late copy of the rejection there was taken for the reply to the retry.

Why this works: a connection remembers the requests of its last 64 calls and takes no other call for one of them, so a copy that comes late never meets a call with the same id. This holds for retries, portions that are sent again, ids that a caller repeats and calls after an abandoned one. At the limit a connection is closed for the call, so the retry still goes out.

--- a/internal/link/leaf/conn.go
+++ b/internal/link/leaf/conn.go
@@ -22,6 +22,9 @@
 	pool *Pool
 	host *hostPool
 	r    *Reader
+	// carried holds the requests of earlier calls. Only the goroutine that starts a call may use it, and the pool while
+	// the connection is idle.
+	carried carriedRequests
 
 	mu     sync.Mutex
 	flight *Flight
@@ -49,6 +52,7 @@
 	}
 	c.flight = f
 	c.writing = true
+	c.carried.add(f.call.Message.ID)
 	c.mu.Unlock()
 	c.writeCall(now, f)
 	return true
--- a/internal/link/leaf/pool.go
+++ b/internal/link/leaf/pool.go
@@ -127,6 +127,10 @@
 		case stepReject:
 			f.complete(Result{Kind: KindNotSent, Err: ErrFull})
 			return
+		case stepReplace:
+			p.count("leaf.closed.repeated")
+			c.closeOnce()
+			continue
 		}
 		if c.startCall(now, f) {
 			return
@@ -226,22 +230,29 @@
 	stepWait
 	// stepReject completes the call as not sent.
 	stepReject
+	// stepReplace closes the returned connection, so that a new one can be opened for the call.
+	stepReplace
 )
 
-// acquire returns an idle connection with stepStart, or nil and how to proceed without one. For stepDial, it has
-// already counted the new connection towards the limit, and for stepWait, it has queued the call. It also closes stale
-// connections and completes the waiting calls that were abandoned.
+// acquire returns an idle connection with stepStart or stepReplace, or nil and how to proceed without one. For stepDial,
+// it has already counted the new connection towards the limit, and for stepWait, it has queued the call. It also closes
+// stale connections and completes the waiting calls that were abandoned.
+//
+// A connection that has carried a call for the same request is not used for another one, see carriedRequests.
 func (p *Pool) acquire(now time.Time, f *Flight) (*conn, nextStep) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hostPool(f.call.Address)
-	for len(h.idle) > 0 {
-		c := h.idle[len(h.idle)-1]
-		h.idle = h.idle[:len(h.idle)-1]
-		if !c.isStale(now) {
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		c := h.idle[i]
+		switch {
+		case c.isStale(now):
+			h.idle = slices.Delete(h.idle, i, i+1)
+			go c.closeOnce()
+		case !c.carried.has(f.call.Message.ID):
+			h.idle = slices.Delete(h.idle, i, i+1)
 			return c, stepStart
 		}
-		go c.closeOnce()
 	}
 	h.waiting = slices.DeleteFunc(h.waiting, (*Flight).completeAbandoned)
 	switch {
@@ -251,6 +262,10 @@
 		h.dialling++
 		p.wg.Add(1)
 		return nil, stepDial
+	case len(h.idle) > 0:
+		c := h.idle[0]
+		h.idle = slices.Delete(h.idle, 0, 1)
+		return c, stepReplace
 	case len(h.waiting) < maxWaiting:
 		h.waiting = append(h.waiting, f)
 		f.startWaitTimer()
@@ -332,7 +347,7 @@
 }
 
 // release starts the next waiting call on the connection, or marks the connection as idle if none waits. It closes the
-// connection if the pool no longer keeps it.
+// connection if the pool no longer keeps it, or if it has carried the requests of all waiting calls; they get a new one.
 func (p *Pool) release(c *conn) {
 	for {
 		f, keep := p.nextOrIdle(c)
@@ -356,12 +371,19 @@
 	if p.closed || !c.host.all[c] {
 		return nil, false
 	}
-	if h := c.host; len(h.waiting) > 0 {
-		f = h.waiting[0]
-		h.waiting = h.waiting[1:]
-		return f, true
+	h := c.host
+	h.waiting = slices.DeleteFunc(h.waiting, (*Flight).completeAbandoned)
+	for i, f := range h.waiting {
+		if !c.carried.has(f.call.Message.ID) {
+			h.waiting = slices.Delete(h.waiting, i, i+1)
+			return f, true
+		}
+	}
+	if len(h.waiting) > 0 {
+		p.count("leaf.closed.repeated")
+		return nil, false
 	}
-	c.host.idle = append(c.host.idle, c)
+	h.idle = append(h.idle, c)
 	return nil, true
 }
 
