Choose each attempt from the endpoints that are there now

Cause: a fan-out chose all its attempts from the endpoints that were known when its request came, and the check right before a call is written knew backoffs and departures that replies had told of, but not the registry.

Why this works: an attempt is chosen from the latest view, and the view is looked at again right before the write, so a call reaches an endpoint that has left no later than one that has just come. Calls that wait for a connection are withdrawn as soon as the view changes, and a retry can use an endpoint that has registered meanwhile.

--- a/internal/core/discovery/view.go
+++ b/internal/core/discovery/view.go
@@ -3,6 +3,7 @@
 package discovery
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -70,6 +71,13 @@
 	return v.Table != nil && v.Endpoints != nil
 }
 
+// HasEndpoint reports whether an endpoint is among those that may get requests, at the same address.
+func (v *View) HasEndpoint(e directory.Endpoint) bool {
+	return slices.ContainsFunc(v.Endpoints[e.Service], func(known directory.Endpoint) bool {
+		return known.ID == e.ID && known.Address == e.Address
+	})
+}
+
 // Views holds the latest view. It is safe for concurrent use.
 type Views struct {
 	latest atomic.Pointer[View]
--- a/internal/core/dispatch/fanout.go
+++ b/internal/core/dispatch/fanout.go
@@ -16,7 +16,8 @@
 type fanout struct {
 	*job
 	dispatcher *Dispatcher
-	// services are the shards, all or some of the job's, and endpoints holds the endpoints of each.
+	// services are the shards, all or some of the job's. endpoints holds the endpoints of each that attempts may go to:
+	// those of the job's view, and those that later attempts have found in later views.
 	services  []unit.ServiceName
 	endpoints [][]directory.Endpoint
 	// sentBefore marks the shards that the request has been sent to before; nil means none.
@@ -174,23 +175,41 @@
 
 // chooseEndpoint returns the index of the endpoint for an attempt; the bool is false if there is none, or if it would
 // be an extra attempt that the allowance does not permit. The caller holds the dispatcher's lock. A hedge goes only to
-// a healthy endpoint that was not tried yet; a retry may go to the same endpoint again if there is no other.
+// a healthy endpoint that was not tried yet; a retry may go to the same endpoint again if there is no other. Both choose
+// from the latest view, since endpoints may have left since the request came.
 func (f *fanout) chooseEndpoint(now time.Time, shard int, tried []int, reason gather.Reason) (int, bool) {
 	if reason == gather.ReasonFirst && f.wasSentBefore(shard) && !f.allowExtra(now, shard) {
 		return 0, false
 	}
-	all := f.endpoints[shard]
 	ids := make([]unit.EndpointID, 0, len(tried))
 	for _, i := range tried {
-		ids = append(ids, all[i].ID)
+		ids = append(ids, f.endpoints[shard][i].ID)
 	}
+	v := f.dispatcher.Views.Load()
+	all := v.Endpoints[f.services[shard]]
 	index := f.dispatcher.endpointTracker.Choose(now, f.route.Name, all, ids, reason == gather.ReasonHedge)
 	if index < 0 && reason == gather.ReasonRetry {
 		index = f.dispatcher.endpointTracker.Choose(now, f.route.Name, all, nil, false)
 	}
+	if index >= 0 && v != f.view {
+		index = f.indexOf(shard, all[index])
+	}
 	return index, index >= 0
 }
 
+// indexOf returns the index of an endpoint among those of the shard, to which it adds the endpoint if it is missing.
+func (f *fanout) indexOf(shard int, e directory.Endpoint) int {
+	all := f.endpoints[shard]
+	for i, known := range all {
+		if known.ID == e.ID && known.Position == e.Position {
+			return i
+		}
+	}
+	// The slice may belong to a view, which must not change.
+	f.endpoints[shard] = append(slices.Clip(all), e)
+	return len(all)
+}
+
 // wasSentBefore reports whether the request has been sent to the shard before this fan-out.
 func (f *fanout) wasSentBefore(shard int) bool {
 	return f.sentBefore != nil && f.sentBefore[shard]
--- a/internal/core/dispatch/result.go
+++ b/internal/core/dispatch/result.go
@@ -114,8 +114,12 @@
 	}
 }
 
-// mayUse reports whether a call may be sent to an endpoint at now.
+// mayUse reports whether a call may be sent to an endpoint at now: not if it has left or its address has been taken over
+// since it was chosen.
 func (d *Dispatcher) mayUse(now time.Time, e directory.Endpoint) bool {
+	if !d.Views.Load().HasEndpoint(e) {
+		return false
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.endpointTracker.MayUse(now, e)
--- a/internal/link/leaf/leaf_test.go
+++ b/internal/link/leaf/leaf_test.go
@@ -475,7 +475,7 @@
 	}
 	assert.Equal(t, string(call(t, p, s, "r", 1).Reply.Body), "a")
 	assert.Equal(t, s.connections.Load(), int64(1))
-	p.Retain(map[unit.Address]bool{})
+	p.Retain(time.Now(), map[unit.Address]bool{})
 	assert.Equal(t, call(t, p, s, "r", 1).Kind, leaf.KindReply)
 	assert.Equal(t, s.connections.Load(), int64(2))
 }
--- a/internal/link/leaf/pool.go
+++ b/internal/link/leaf/pool.go
@@ -177,11 +177,16 @@
 	}
 }
 
-// Retain closes the idle connections to all addresses that are not in keep. Connections with a call in flight stay.
-func (p *Pool) Retain(keep map[unit.Address]bool) {
+// Retain closes the idle connections to all addresses that are not in keep. Connections with a call in flight stay. It
+// also ends the calls that wait for a connection and may not be sent any more, so that they need not wait for one.
+func (p *Pool) Retain(now time.Time, keep map[unit.Address]bool) {
 	var gone []*conn
+	var waiting []*hostPool
 	p.mu.Lock()
 	for address, h := range p.hosts {
+		if len(h.waiting) > 0 {
+			waiting = append(waiting, h)
+		}
 		if !keep[address] {
 			gone = append(gone, h.idle...)
 			h.idle = nil
@@ -192,6 +197,9 @@
 	for _, c := range gone {
 		c.closeOnce()
 	}
+	for _, h := range waiting {
+		p.withdrawWaiting(now, h)
+	}
 }
 
 // Close closes all connections and waits for their goroutines to exit. Waiting calls end as not sent, and calls that
--- a/internal/link/leaf/withdraw_test.go
+++ b/internal/link/leaf/withdraw_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -54,3 +55,43 @@
 		})
 	}
 }
+
+// TestRetainWithdrawsCalls guards against calls that wait for a connection to an endpoint that has left, although they
+// will not be sent.
+func TestRetainWithdrawsCalls(t *testing.T) {
+	tests := []struct {
+		name string
+		left bool
+		want leaf.ResultKind
+	}{
+		{"the endpoint has left", true, leaf.KindNotSent},
+		{"the endpoint is still there", false, leaf.KindReply},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			reply := wholeReply("ID", "a")
+			s := startScripted(t, &scriptedServer{replies: []string{reply, reply}, hold: make(chan struct{})})
+			replyNow := sync.OnceFunc(func() { close(s.hold) })
+			t.Cleanup(replyNow)
+			p := newPool(t)
+			first := send(t, p, s, "r1", 1)
+			c := newCall(t, s, "r2", 1)
+			var left atomic.Bool
+			c.Allowed = func(time.Time) bool { return !left.Load() }
+			results := make(chan leaf.Result, 1)
+			p.Send(time.Now(), c, func(e leaf.Result) { results <- e })
+			left.Store(tt.left)
+			p.Retain(time.Now(), map[unit.Address]bool{c.Address: !tt.left})
+			if tt.left {
+				e := <-results
+				assert.Equal(t, e.Kind, tt.want)
+				assert.ErrorContains(t, e.Err, "no further calls")
+			}
+			replyNow()
+			assert.Equal(t, (<-first).Kind, leaf.KindReply)
+			if !tt.left {
+				assert.Equal(t, (<-results).Kind, tt.want)
+			}
+		})
+	}
+}
--- a/internal/serve/gateway/services.go
+++ b/internal/serve/gateway/services.go
@@ -98,7 +98,7 @@
 		DecodeEndpoint: store.DecodeEndpoint,
 		EndpointID:     store.EndpointID,
 		Calm:           g.settings.Calm,
-		OnPublish:      func(_ time.Time, v *discovery.View) { g.updateConnections(pool, warmup, v) },
+		OnPublish:      func(now time.Time, v *discovery.View) { g.updateConnections(now, pool, warmup, v) },
 	})
 	return g.register(kernel.Service{Name: kernel.ServiceDiscovery, Value: state})
 }
@@ -276,7 +276,9 @@
 // to endpoints that no longer exist. It is called for each published view. While the number of entry VMs, and so the
 // share of endpoints per VM, is not known, connections are opened only on demand: after a loss of all VMs each of them
 // would otherwise connect to every endpoint at once.
-func (g *Gateway) updateConnections(pool *leaf.Pool, warmup *subset.Warmup, v *discovery.View) {
+func (g *Gateway) updateConnections(
+	now time.Time, pool *leaf.Pool, warmup *subset.Warmup, v *discovery.View,
+) {
 	if !v.Complete() {
 		return
 	}
@@ -293,7 +295,7 @@
 			known[e.Address] = true
 		}
 	}
-	pool.Retain(known)
+	pool.Retain(now, known)
 }
 
 // usedServices returns the services that this VM normally sends requests to: all services that a route splits its
--- a/internal/standin/shard/shard.go
+++ b/internal/standin/shard/shard.go
@@ -128,6 +128,11 @@
 	e.server.Close()
 }
 
+// Disconnect closes the connections of all callers, also those with a call in progress.
+func (e *Endpoint) Disconnect() {
+	e.server.CloseClientConnections()
+}
+
 // SetMode changes how the endpoint handles calls that arrive from now on.
 func (e *Endpoint) SetMode(m Mode) {
 	e.mu.Lock()
