Bound the memory that endpoints' replies take together

Cause: the size of one reply is bounded, the sum of those that are being read or wait to be answered was not, and a body grows by copies.

One that may not go on ends as lost, at once if its stated length shows it.

--- a/internal/cmd/gateway/gateway.go
+++ b/internal/cmd/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"basilspan/internal/cmd/stream"
 	config "basilspan/internal/config/gateway"
 	"basilspan/internal/core/logline"
+	"basilspan/internal/core/unit"
 	gateway "basilspan/internal/serve/gateway"
 )
 
@@ -24,6 +25,11 @@
 	// gcPercent is the heap growth, in percent, that triggers a garbage collection (as GOGC). On a fifth of a core a
 	// collection delays the queries in flight by milliseconds, and a larger value costs memory.
 	gcPercent = 75
+	// heapShare is the percentage of the process's memory limit at which garbage is collected more often. The limit also
+	// covers the program itself and the sockets' buffers.
+	heapShare = 70
+	// minMemory is the least limit on the memory of the process, in MB. A process without requests takes about 25.
+	minMemory = 64
 	// maxThreads is the number of threads that run Go code, since an entry VM has one core or less.
 	maxThreads = 1
 	// fileCheckPeriod is the time between two checks of the settings file for a change.
@@ -37,6 +43,8 @@
 	Streams stream.Streams
 	// File is the name of the settings file.
 	File string
+	// Memory is the limit on the memory of the process in MB; 0 means a default.
+	Memory int
 	// Now returns the current time.
 	Now func() time.Time
 	// ReadFile reads the settings file.
@@ -74,6 +82,19 @@
 				Required:    true,
 				Destination: &opts.File,
 			},
+			&cli.IntFlag{
+				Name:        "memory",
+				Usage:       "limit on the memory of the process in MB",
+				Sources:     cli.EnvVars("BASILSPAN_MEMORY"),
+				Value:       int(gateway.DefaultMemory >> 20),
+				Destination: &opts.Memory,
+				Validator: func(n int) error {
+					if n < minMemory {
+						return errors.Newf("must be at least %d", minMemory)
+					}
+					return nil
+				},
+			},
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error { return run(ctx, opts) },
 	}
@@ -89,7 +110,8 @@
 	if err != nil {
 		return stream.WithExitCode(err, stream.ExitUsage)
 	}
-	configureRuntime()
+	limit := unit.Bytes(opts.Memory) << 20
+	configureRuntime(limit)
 	out, closeOut := stream.Polled(opts.Streams.Out)
 	defer closeOut()
 	lines := logline.NewWriter(out)
@@ -100,14 +122,14 @@
 	if len(unknown) > 0 {
 		log.Warn("unknown settings ignored", "keys", unknown)
 	}
-	g, err := gateway.New(settings, gateway.Options{Now: opts.Now, Log: log})
+	g, err := gateway.New(settings, gateway.Options{Now: opts.Now, Log: log, Memory: limit})
 	if err != nil {
 		return err
 	}
 	if err := g.Start(ctx); err != nil {
 		return err
 	}
-	log.Info("started", "callers", settings.Callers, "registry", settings.Registry)
+	log.Info("started", "callers", settings.Callers, "registry", settings.Registry, "memory_mb", opts.Memory)
 	watchSettings(stop, hangup, opts, g, log)
 	log.Info("stopping", "grace_s", settings.Grace.Seconds())
 	err = g.Close()
@@ -157,10 +179,13 @@
 	log.Info("settings reloaded", "unknown", unknown, "kept_until_restart", kept)
 }
 
-// configureRuntime sets the garbage collector and the number of threads for a small VM, and discards the log of the
-// HTTP library.
-func configureRuntime() {
+// configureRuntime sets the garbage collector and the number of threads for a small VM with that limit on its memory, 0
+// for none, and discards the log of the HTTP library.
+func configureRuntime(limit unit.Bytes) {
 	debug.SetGCPercent(gcPercent)
+	if limit > 0 {
+		debug.SetMemoryLimit(int64(limit) * heapShare / 100)
+	}
 	runtime.GOMAXPROCS(maxThreads)
 	hlog.SetOutput(io.Discard)
 }
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"basilspan/internal/core/discovery"
+	"basilspan/internal/core/memory"
 	"basilspan/internal/core/metric"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/link/leaf"
@@ -37,6 +38,8 @@
 	) (*leaf.Message, error)
 	// Call calls a method of another entry VM and decodes its result.
 	Call func(ctx context.Context, to unit.Address, method peer.Method, params, result any) error
+	// Memory bounds what the endpoints' replies take; nil means no bound.
+	Memory *memory.Account
 	// OnRequestEnd is called once for each caller's request, when its answer is final. It is not called for portions.
 	OnRequestEnd func(Record)
 
@@ -112,6 +115,11 @@
 	f := d.newFanout(j, j.services, j.params, nil)
 	f.run(ctx)
 	answer := f.answer()
+	if answer.Status != 0 {
+		answer.Release = f.memory.Close
+	} else {
+		f.memory.Close()
+	}
 	d.recordFinishLag(j, answer)
 	d.OnRequestEnd(f.endRecord(answer))
 	return answer
@@ -181,7 +189,7 @@
 func (d *Dispatcher) newFanout(j *job, services []unit.ServiceName, params gather.Params, sentBefore []bool) *fanout {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	f := &fanout{job: j, dispatcher: d, services: services, sentBefore: sentBefore}
+	f := &fanout{job: j, dispatcher: d, services: services, sentBefore: sentBefore, memory: d.Memory.NewHold()}
 	f.endpoints = make([][]directory.Endpoint, len(services))
 	for i, s := range services {
 		f.endpoints[i] = j.view.Endpoints[s]
--- a/internal/core/dispatch/fanout.go
+++ b/internal/core/dispatch/fanout.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"basilspan/internal/core/memory"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/link/leaf"
 	"basilspan/internal/policy/directory"
@@ -27,6 +28,8 @@
 	// flights and replies are indexed by attempt.
 	flights []*leaf.Flight
 	replies []*leaf.Result
+	// memory is what the replies take. Once it is closed, it takes over no more.
+	memory *memory.Hold
 	// granted marks the shards that may be sent one extra attempt which counts at another VM, and grantsUsed those of
 	// them that were.
 	granted, grantsUsed bitmap
@@ -164,6 +167,7 @@
 	}
 	f.flights[id] = f.dispatcher.Send(f.dispatcher.Now(), call, func(e leaf.Result) {
 		f.dispatcher.recordResult(f.route, endpoint, attempt.Sent, e)
+		e.Reply.Memory.MoveTo(f.memory)
 		f.ends <- attemptEnd{attempt: id, result: &e}
 	})
 }
--- a/internal/core/dispatch/portion.go
+++ b/internal/core/dispatch/portion.go
@@ -185,6 +185,7 @@
 // VM's. If its parameters require no share of the shards, it returns the replies that are there at the partial deadline.
 func (d *Dispatcher) serveShards(ctx context.Context, f *fanout) portionResult {
 	f.returnTime = stopReturnTime
+	defer f.memory.Close()
 	f.run(ctx)
 	p := portionResult{mayHaveRun: f.machine.MayHaveRun()}
 	p.Seals = make([]string, len(f.services))
--- a/internal/core/dispatch/request.go
+++ b/internal/core/dispatch/request.go
@@ -43,6 +43,9 @@
 	Merged  bool
 	Seals   []string
 	Missing int
+	// Release, if it is set, gives back the memory of an endpoint's reply. It is called once the answer has been written or
+	// can't be.
+	Release func()
 	// RetryAfter is the time after which a request that has not run is worth sending again; 0 means that it is not
 	// stated.
 	RetryAfter time.Duration
--- a/internal/core/kernel/names.go
+++ b/internal/core/kernel/names.go
@@ -14,6 +14,8 @@
 	ServiceTrace Name = "trace"
 	// ServiceEndpoint is the client of the endpoints.
 	ServiceEndpoint Name = "endpoint"
+	// ServiceReplyMemory bounds what the endpoints' replies take.
+	ServiceReplyMemory Name = "reply-memory"
 	// ServicePeer is the RPC link to the other entry VMs.
 	ServicePeer Name = "peer"
 	// ServiceExchange exchanges state with the other entry VMs.
--- a/internal/link/leaf/call.go
+++ b/internal/link/leaf/call.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"basilspan/internal/core/memory"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/policy/replica"
 )
@@ -79,6 +80,9 @@
 	RetryAfterInvalid bool
 	// Leaving reports whether the endpoint stated that it is leaving.
 	Leaving bool
+	// Memory is what the reply takes of the pool's Memory. Whoever receives the reply has to close it when the reply is no
+	// longer needed. It is nil without a bound.
+	Memory *memory.Hold
 }
 
 // endsUse reports whether further calls must not be sent to the endpoint before the reply has been recorded.
@@ -171,10 +175,10 @@
 }
 
 // complete passes the result to the callback of the flight and stops its wait timer. Only the first call invokes the
-// callback.
-func (f *Flight) complete(e Result) {
+// callback; first reports whether this one did.
+func (f *Flight) complete(e Result) (first bool) {
 	f.mu.Lock()
-	first := !f.completed
+	first = !f.completed
 	f.completed = true
 	if f.waitTimer != nil {
 		f.waitTimer.Stop()
@@ -183,6 +187,7 @@
 	if first {
 		f.done(e)
 	}
+	return first
 }
 
 // isAbandoned reports whether the call was abandoned or its wait for a connection expired.
--- a/internal/link/leaf/conn.go
+++ b/internal/link/leaf/conn.go
@@ -122,6 +122,7 @@
 // readLoop reads replies until the connection fails or is closed.
 func (c *conn) readLoop() {
 	defer c.pool.wg.Done()
+	defer c.r.Close()
 	for {
 		if partial, err := c.readReply(); err != nil {
 			c.fail(partial, err)
@@ -161,6 +162,7 @@
 		return Reply{}, nil
 	}
 	c.surplus = 0
+	reply.Memory = c.r.PassMemory()
 	c.finishCall(f, reply)
 	return Reply{}, nil
 }
@@ -180,9 +182,10 @@
 		c.idleTimeout = reply.IdleTimeout
 	}
 	c.mu.Unlock()
+	received := false
 	if reply.endsUse() {
 		// Calls that wait for this connection must see the effect of the reply.
-		f.complete(Result{Kind: KindReply, Reply: reply})
+		received = f.complete(Result{Kind: KindReply, Reply: reply})
 		c.pool.withdrawWaiting(now, c.host)
 	}
 	switch {
@@ -192,7 +195,9 @@
 		c.pool.count("leaf.closed.last")
 		c.closeOnce()
 	}
-	f.complete(Result{Kind: KindReply, Reply: reply})
+	if !f.complete(Result{Kind: KindReply, Reply: reply}) && !received {
+		reply.Memory.Close()
+	}
 }
 
 // fail closes the connection and completes its call, if it has one, as lost with what is known of its reply, since the
@@ -223,6 +228,8 @@
 		return "surplus"
 	case errors.Is(err, ErrOversized):
 		return "oversized"
+	case errors.Is(err, ErrNoMemory):
+		return "memory"
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return "abandoned"
 	case busy:
--- a/internal/link/leaf/pool.go
+++ b/internal/link/leaf/pool.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"basilspan/internal/core/kernel"
+	"basilspan/internal/core/memory"
 	"basilspan/internal/core/unit"
 )
 
@@ -58,6 +59,8 @@
 	Decode func(now time.Time, r *Reader, method string) (Reply, error)
 	// Count increments the counter with the given name.
 	Count func(name string)
+	// Memory bounds what the replies take that are being read or have not been released; nil means no bound.
+	Memory *memory.Account
 
 	mu     sync.Mutex
 	hosts  map[unit.Address]*hostPool
@@ -318,7 +321,7 @@
 		failUnsent(waiting, err)
 		return nil, err
 	}
-	c := &conn{Conn: raw, pool: p, host: h, r: NewReader(raw), idleSince: p.Now()}
+	c := &conn{Conn: raw, pool: p, host: h, r: NewReader(raw, p.Memory), idleSince: p.Now()}
 	h.all[c] = true
 	p.mu.Unlock()
 	go c.readLoop()
--- a/internal/link/leaf/reader.go
+++ b/internal/link/leaf/reader.go
@@ -5,6 +5,9 @@
 	"io"
 
 	"github.com/cockroachdb/errors"
+
+	"basilspan/internal/core/memory"
+	"basilspan/internal/core/unit"
 )
 
 const (
@@ -16,6 +19,8 @@
 	// MaxChunkOverhead is how many bytes the encoding of a body's chunks may take. It bounds the work for a body of tiny
 	// chunks.
 	MaxChunkOverhead = 256 << 10
+	// readMemoryFactor is how much memory a reply takes for each byte that is read of it: a body that grows is copied.
+	readMemoryFactor = 2
 	// readBufferSize is the size of a connection's read buffer in bytes. It holds a typical reply.
 	readBufferSize = 4096
 )
@@ -23,6 +28,9 @@
 // ErrOversized is the error of a reply whose head or body is larger than the bounds.
 var ErrOversized = errors.New("the reply is too large")
 
+// ErrNoMemory is the error of a reply for which too little of the VM's memory for replies is free.
+var ErrNoMemory = errors.New("too little memory is free for the reply")
+
 // Reader reads the replies of one connection. An endpoint may send bytes without end, and http.ReadResponse collects a
 // head of any size, so the bounds apply as the bytes are read from the connection.
 type Reader struct {
@@ -32,17 +40,45 @@
 	bodyStart int64
 }
 
-// NewReader returns a reader of the source, in which a head is expected first.
-func NewReader(source io.Reader) *Reader {
-	s := &boundedSource{source: source}
+// NewReader returns a reader of the source, in which a head is expected first. What it reads is taken from the account;
+// nil means no bound.
+func NewReader(source io.Reader, account *memory.Account) *Reader {
+	s := &boundedSource{source: source, account: account, hold: account.NewHold()}
 	r := &Reader{Reader: bufio.NewReaderSize(s, readBufferSize), source: s}
 	r.BeginHead()
 	return r
 }
 
-// BeginHead starts the bound on the size of a head. It is called before the first byte of each reply is read.
+// BeginHead starts the bound on the size of a head, and gives back the memory of the reply before it. It is called before
+// the first byte of each reply is read.
 func (r *Reader) BeginHead() {
 	r.source.left = MaxHeadBytes
+	r.source.hold.Release()
+}
+
+// PassMemory passes the memory of the reply that has been read to a new hold, which its receiver has to close. It is nil
+// without a bound.
+func (r *Reader) PassMemory() *memory.Hold {
+	hold := r.source.account.NewHold()
+	r.source.hold.MoveTo(hold)
+	return hold
+}
+
+// Close gives back the memory of the reply that is being read. Nothing may be read afterwards.
+func (r *Reader) Close() {
+	r.source.hold.Close()
+}
+
+// CheckBody returns ErrOversized or ErrNoMemory if a body of n bytes can't be taken.
+func (r *Reader) CheckBody(n int64) error {
+	switch {
+	case n > MaxBodyBytes:
+		return ErrOversized
+	case !r.source.hold.Fits(readMemoryFactor * unit.Bytes(n)):
+		return ErrNoMemory
+	default:
+		return nil
+	}
 }
 
 // BeginBody starts the bound on the size of a body, after its head was read.
@@ -72,6 +108,9 @@
 type boundedSource struct {
 	source io.Reader
 	left   int64
+	// hold has the memory of the reply that is being read, from account.
+	account *memory.Account
+	hold    *memory.Hold
 	// total is the number of bytes read so far.
 	total int64
 	err   error
@@ -88,5 +127,8 @@
 	n, s.err = s.source.Read(p[:min(int64(len(p)), s.left)])
 	s.left -= int64(n)
 	s.total += int64(n)
+	if !s.hold.Take(readMemoryFactor * unit.Bytes(n)) {
+		s.err = ErrNoMemory
+	}
 	return n, s.err
 }
--- a/internal/platform/ingress/ingress.go
+++ b/internal/platform/ingress/ingress.go
@@ -137,6 +137,8 @@
 	case !tracker.Answerable(rc):
 		writeAnswer(rc, s.Refuse(q, unit.CodeStopping))
 	default:
-		writeAnswer(rc, s.Answer(ctx, q))
+		answer := s.Answer(ctx, q)
+		tracker.ReleaseAfter(rc, answer.Release)
+		writeAnswer(rc, answer)
 	}
 }
--- a/internal/platform/leaf/leaf.go
+++ b/internal/platform/leaf/leaf.go
@@ -170,12 +170,15 @@
 	case method == http.MethodHead:
 		// The length is that of the body that a GET would return.
 		return nil, nil
-	case n > leaf.MaxBodyBytes:
-		return nil, leaf.ErrOversized
-	case n >= 0 && n <= initialBodyBytes:
-		body := make([]byte, n)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
+	case n >= 0:
+		if err := r.CheckBody(n); err != nil {
+			return nil, err
+		}
+		if n <= initialBodyBytes {
+			body := make([]byte, n)
+			_, err := io.ReadFull(resp.Body, body)
+			return body, err
+		}
 	}
 	body, err := io.ReadAll(io.LimitReader(&chunkedBody{reader: r, body: resp.Body}, leaf.MaxBodyBytes+1))
 	if err == nil && len(body) > leaf.MaxBodyBytes {
--- a/internal/platform/leaf/leaf_bench_test.go
+++ b/internal/platform/leaf/leaf_bench_test.go
@@ -16,7 +16,7 @@
 		b.Fatal(err)
 	}
 	source := strings.NewReader(text)
-	r := leaf.NewReader(source)
+	r := leaf.NewReader(source, nil)
 	b.ReportAllocs()
 	for b.Loop() {
 		Encode(leaf.Call{Message: m, Endpoint: "i-7f3a91c2", Deadline: now}, now)
--- a/internal/platform/leaf/leaf_test.go
+++ b/internal/platform/leaf/leaf_test.go
@@ -190,7 +190,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			got, err := Decode(now, leaf.NewReader(strings.NewReader(tt.text)), tt.method)
+			got, err := Decode(now, leaf.NewReader(strings.NewReader(tt.text), nil), tt.method)
 			assert.Equal(t, err != nil, tt.fault, "%v", err)
 			got.Fields = nil
 			assert.DeepEqual(t, got, tt.want)
@@ -237,7 +237,7 @@
 			t.Run(fmt.Sprint(tt.name, " ", end), func(t *testing.T) {
 				for cut := range len(tt.text) + 1 {
 					source := io.MultiReader(strings.NewReader(tt.text[:cut]), iotest.ErrReader(end))
-					reply, err := Decode(now, leaf.NewReader(source), "GET")
+					reply, err := Decode(now, leaf.NewReader(source, nil), "GET")
 					assert.Equal(t, err == nil, cut >= whole, "cut at %d of %d: %+v", cut, len(tt.text), reply)
 				}
 			})
@@ -249,7 +249,7 @@
 func TestForwardedFields(t *testing.T) {
 	text := "HTTP/1.1 200 OK\r\nX-One: 1\r\nX-One: 2\r\nConnection: close\r\nKeep-Alive: timeout=1\r\nDate: x\r\n" +
 		"Basilspan-Server-Load: 1,2,3\r\nServer-Leaving: 1\r\nBasilspan-Response-Seal: s\r\nContent-Length: 0\r\n\r\n"
-	got, err := Decode(now, leaf.NewReader(strings.NewReader(text)), "GET")
+	got, err := Decode(now, leaf.NewReader(strings.NewReader(text), nil), "GET")
 	assert.NilError(t, err)
 	kept := make(map[string]int)
 	for _, f := range got.Fields {
@@ -286,7 +286,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			text := fmt.Sprintf("HTTP/1.1 %d X\r\nRetry-After: %s\r\nContent-Length: 0\r\n\r\n", tt.status, tt.value)
-			got, err := Decode(now, leaf.NewReader(strings.NewReader(text)), "GET")
+			got, err := Decode(now, leaf.NewReader(strings.NewReader(text), nil), "GET")
 			assert.NilError(t, err)
 			assert.Equal(t, got.RetryAfter, tt.want)
 			assert.Equal(t, got.RetryAfterInvalid, tt.invalid)
--- a/internal/serve/gateway/fixture_test.go
+++ b/internal/serve/gateway/fixture_test.go
@@ -43,6 +43,8 @@
 	version int
 	// grace is how long the gateway may take to stop.
 	grace time.Duration
+	// memory is the limit on the gateway's memory, 0 for the default.
+	memory unit.Bytes
 	// log holds the gateway's log lines.
 	log *syncBuffer
 	// closed reports whether the test has closed the gateway itself.
@@ -91,7 +93,7 @@
 		Extra: allowance.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second, Fresh: true},
 	}
 	log := slog.New(slog.NewJSONHandler(f.log, nil)).With("node", "n1")
-	g, err := New(settings, Options{Now: time.Now, Log: log})
+	g, err := New(settings, Options{Now: time.Now, Log: log, Memory: f.memory})
 	assert.NilError(f.t, err)
 	assert.NilError(f.t, g.Start(context.Background()))
 	f.gateway = g
--- a/internal/serve/gateway/gateway.go
+++ b/internal/serve/gateway/gateway.go
@@ -14,6 +14,7 @@
 	config "basilspan/internal/config/gateway"
 	"basilspan/internal/core/discovery"
 	"basilspan/internal/core/kernel"
+	"basilspan/internal/core/unit"
 	"basilspan/internal/platform/ingress"
 	"basilspan/internal/policy/shutdown"
 	"basilspan/internal/serve/lifecycle"
@@ -24,6 +25,8 @@
 	Now  func() time.Time
 	Rand func() float64
 	Log  *slog.Logger
+	// Memory is the limit on the memory of the process; 0 means DefaultMemory.
+	Memory unit.Bytes
 }
 
 // Gateway is one entry VM that reads its routes and endpoints from a registry.
@@ -49,6 +52,9 @@
 	if options.Rand == nil {
 		options.Rand = rand.Float64
 	}
+	if options.Memory == 0 {
+		options.Memory = DefaultMemory
+	}
 	g := &Gateway{
 		kernel:    kernel.New(),
 		settings:  settings,
--- a/internal/serve/gateway/services.go
+++ b/internal/serve/gateway/services.go
@@ -9,6 +9,7 @@
 	"basilspan/internal/core/dispatch"
 	"basilspan/internal/core/fleet"
 	"basilspan/internal/core/kernel"
+	"basilspan/internal/core/memory"
 	"basilspan/internal/core/metric"
 	"basilspan/internal/core/registry"
 	"basilspan/internal/core/timerlag"
@@ -56,19 +57,22 @@
 func (g *Gateway) installBase() error {
 	metrics := metric.NewSet()
 	client := store.New(g.settings.Registry)
+	replies := g.newAccount(metrics, "memory.replies")
 	return g.register(
 		kernel.Service{Name: kernel.ServiceMetrics, Value: metrics},
+		kernel.Service{Name: kernel.ServiceReplyMemory, Value: replies},
 		kernel.Service{Name: kernel.ServiceViews, Value: g.views},
 		kernel.NewLoop(g.options.Now).Service(kernel.ServiceControl),
-		g.newPool(metrics).Service(kernel.ServiceEndpoint),
+		g.newPool(metrics, replies).Service(kernel.ServiceEndpoint),
 		kernel.Service{Name: kernel.ServiceRegistry, Value: client, Close: client.Close},
 		peer.New(g.settings.Peers).Service(kernel.ServicePeer),
 	)
 }
 
 // newPool returns the connection pool for endpoints, with the encoding of the platform's messages.
-func (g *Gateway) newPool(metrics *metric.Set) *leaf.Pool {
+func (g *Gateway) newPool(metrics *metric.Set, replies *memory.Account) *leaf.Pool {
 	pool := leaf.New(g.options.Now)
+	pool.Memory = replies
 	pool.Encode = platformleaf.Encode
 	pool.Decode = platformleaf.Decode
 	pool.Count = func(name string) { metrics.Add(name, 1) }
@@ -168,6 +172,7 @@
 	metrics := kernel.Lookup[*metric.Set](f, kernel.ServiceMetrics)
 	pool := kernel.Lookup[*leaf.Pool](f, kernel.ServiceEndpoint)
 	link := kernel.Lookup[*peer.Link](f, kernel.ServicePeer)
+	replies := kernel.Lookup[*memory.Account](f, kernel.ServiceReplyMemory)
 	if err := f.Err(); err != nil {
 		return err
 	}
@@ -176,6 +181,7 @@
 	d.Now = g.options.Now
 	d.Views = g.views
 	d.Metrics = metrics
+	d.Memory = replies
 	d.Log = g.options.Log
 	d.Send = pool.Send
 	d.EncodeMessage = platformleaf.EncodeMessage
--- a/internal/serve/keepalive/keepalive.go
+++ b/internal/serve/keepalive/keepalive.go
@@ -38,6 +38,16 @@
 	accepted *port.Conn
 	// closed reports whether CloseIdle has closed the connection.
 	closed bool
+	// release is what ReleaseAfter has been given for the last request, nil once it has been called.
+	release func()
+}
+
+// callRelease calls the function that ReleaseAfter has been given, if there is one. The caller holds the tracker's mu.
+func (c *connection) callRelease() {
+	if c.release != nil {
+		c.release()
+		c.release = nil
+	}
 }
 
 // New returns a tracker without connections.
@@ -87,6 +97,7 @@
 	t.mu.Lock()
 	if c, known := t.conns[conn]; known {
 		c.accepted.Answered()
+		c.callRelease()
 	}
 	closing := t.closing
 	t.mu.Unlock()
@@ -95,6 +106,21 @@
 	}
 }
 
+// ReleaseAfter has release called once the response to a request has been written, or its connection has closed. It is
+// called once for a request, and release must not call the tracker. nil does nothing.
+func (t *Tracker) ReleaseAfter(rc *app.RequestContext, release func()) {
+	if release == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c, known := t.conns[rc.GetConn()]; known {
+		c.release = release
+		return
+	}
+	release()
+}
+
 // BeginDrain makes CloseIfDraining mark each further response as the last of its connection. Requests are still served,
 // and idle connections stay open until CloseIdle.
 func (t *Tracker) BeginDrain() {
@@ -142,5 +168,8 @@
 func (t *Tracker) forget(conn network.Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if c, known := t.conns[conn]; known {
+		c.callRelease()
+	}
 	delete(t.conns, conn)
 }
--- a/internal/standin/proc/usage.go
+++ b/internal/standin/proc/usage.go
@@ -20,6 +20,19 @@
 	Resident int64
 }
 
+// PeakMemory returns the most resident memory that the process has had, in bytes.
+func (p *Process) PeakMemory() int64 {
+	p.t.Helper()
+	status, err := os.ReadFile("/proc/" + strconv.Itoa(p.cmd.Process.Pid) + "/status")
+	assert.NilError(p.t, err)
+	_, rest, _ := strings.Cut(string(status), "VmHWM:")
+	fields := strings.Fields(rest)
+	assert.Assert(p.t, len(fields) > 1 && fields[1] == "kB", "no VmHWM: %s", status)
+	kilobytes, err := strconv.ParseInt(fields[0], 10, 64)
+	assert.NilError(p.t, err)
+	return kilobytes << 10
+}
+
 // Usage reads the current resource usage of the process.
 func (p *Process) Usage() Usage {
 	p.t.Helper()
--- a/internal/standin/soak/stop_test.go
+++ b/internal/standin/soak/stop_test.go
@@ -115,13 +115,16 @@
 	return conns
 }
 
-// sendDuringStop sends a request on an open connection, waits for its response or the end of the connection, and
-// records both.
+// sendDuringStop sends a request with an ID of its own on an open connection.
 func (dep *deployment) sendDuringStop(c net.Conn, path Path, remaining time.Duration) {
-	req := Request{
+	dep.send(c, Request{
 		ID:   unit.RequestID("s" + strings.ReplaceAll(c.LocalAddr().String(), ":", "-")),
 		Path: path, Method: http.MethodGet, Remaining: remaining, Sent: time.Now(),
-	}
+	})
+}
+
+// send sends a request on an open connection, waits for its response or the end of the connection, and records both.
+func (dep *deployment) send(c net.Conn, req Request) {
 	_, req.Err = c.Write([]byte(req.encode()))
 	if req.Err == nil {
 		_, req.Err = req.readResponse(bufio.NewReader(c))
