Bound the memory that callers' requests take together

What callers would see: a VM that is killed for its memory with the requests of all its callers, when many callers send large bodies at a time.

Each request is bounded, at 16 MB of body, and published limits are checked only once it has been read; nothing bounded the sum.

Evidence: with the check in Conn.Read switched off, the row of 40 callers with 2 MB each in TestRequestsShareMemory is never denied and fails.

Why this works: what is read of a request is taken from an account of its own, a quarter of the process's memory limit, until its response is written. A connection that may not go on is closed without a response, as the request has not been read and may be sent again; hertz's 400 would forbid that. Usual bodies get through meanwhile.

--- a/internal/core/kernel/names.go
+++ b/internal/core/kernel/names.go
@@ -14,8 +14,9 @@
 	ServiceTrace Name = "trace"
 	// ServiceEndpoint is the client of the endpoints.
 	ServiceEndpoint Name = "endpoint"
-	// ServiceReplyMemory bounds what the endpoints' replies take.
-	ServiceReplyMemory Name = "reply-memory"
+	// ServiceReplyMemory and ServiceRequestMemory bound what the endpoints' replies and the callers' requests take.
+	ServiceReplyMemory   Name = "reply-memory"
+	ServiceRequestMemory Name = "request-memory"
 	// ServicePeer is the RPC link to the other entry VMs.
 	ServicePeer Name = "peer"
 	// ServiceExchange exchanges state with the other entry VMs.
--- a/internal/platform/ingress/ingress.go
+++ b/internal/platform/ingress/ingress.go
@@ -13,6 +13,7 @@
 
 	"basilspan/internal/core/dispatch"
 	"basilspan/internal/core/kernel"
+	"basilspan/internal/core/memory"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/policy/shutdown"
 	"basilspan/internal/serve/keepalive"
@@ -39,6 +40,8 @@
 type Options struct {
 	Now func() time.Time
 	Log *slog.Logger
+	// Memory bounds what the requests take that are being read or served; nil means no bound.
+	Memory *memory.Account
 }
 
 // Server is the HTTP server for callers.
@@ -111,7 +114,7 @@
 		server.WithDisableDefaultContentType(true),
 		{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
 	}
-	s.server, err = listen.Start(ctx, s.listen, options, func(h *server.Hertz, tracker *keepalive.Tracker) {
+	s.server, err = listen.Start(ctx, s.listen, s.Memory, options, func(h *server.Hertz, tracker *keepalive.Tracker) {
 		handle := func(ctx context.Context, rc *app.RequestContext) { s.handle(ctx, rc, tracker) }
 		h.Any("/*path", handle)
 		h.NoRoute(handle)
--- a/internal/platform/ingress/ready.go
+++ b/internal/platform/ingress/ready.go
@@ -61,7 +61,7 @@
 				server.WithIdleTimeout(probeIdleTimeout),
 				server.WithExitWaitTime(probeExitWait),
 			}
-			p.server, err = listen.Start(ctx, address, options, func(h *server.Hertz, _ *keepalive.Tracker) {
+			p.server, err = listen.Start(ctx, address, nil, options, func(h *server.Hertz, _ *keepalive.Tracker) {
 				h.GET(pathReady, p.handleReady)
 				h.GET(pathMetrics, p.handleMetrics)
 			})
--- a/internal/serve/caller/caller.go
+++ b/internal/serve/caller/caller.go
@@ -98,7 +98,7 @@
 		server.WithExitWaitTime(exitWait),
 		config.Option{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
 	)
-	s.server, err = listen.Start(ctx, s.listen, options, func(h *server.Hertz, tracker *keepalive.Tracker) {
+	s.server, err = listen.Start(ctx, s.listen, nil, options, func(h *server.Hertz, tracker *keepalive.Tracker) {
 		h.POST("/query", func(ctx context.Context, rc *app.RequestContext) {
 			defer tracker.CloseIfDraining(rc)
 			s.handle(ctx, rc)
--- a/internal/serve/gateway/memory_test.go
+++ b/internal/serve/gateway/memory_test.go
@@ -92,6 +92,54 @@
 	}
 }
 
+// TestRequestsShareMemory guards against the bodies of many callers that together take more memory than the VM has.
+func TestRequestsShareMemory(t *testing.T) {
+	const limit = 64 << 20
+	tests := []struct {
+		name    string
+		callers int
+		// sent is how much of its body each caller sends.
+		sent int
+		// denied reports whether the memory does not suffice for all.
+		denied bool
+	}{
+		{"usual bodies", 50, 200, false},
+		{"a few large bodies", 3, 800_000, false},
+		{"many large bodies", 40, 2_000_000, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.memory = limit
+			f.start()
+			requests := f.account(kernel.ServiceRequestMemory)
+			var conns []net.Conn
+			for i := range tt.callers {
+				c := f.dial()
+				conns = append(conns, c)
+				// A caller whose connection is closed meanwhile gets an error.
+				_, _ = io.WriteString(c, fmt.Sprintf(
+					"POST /one/x HTTP/1.1\r\nHost: h\r\nBasilspan-Request-Id: b%d\r\nContent-Length: 4000000\r\n\r\n", i))
+				_, _ = io.WriteString(c, strings.Repeat("x", tt.sent))
+			}
+			assert.Equal(t, f.request("GET", "/one/x", "r", "").status, 200)
+			if tt.denied {
+				// A status would tell the caller that the request must not be sent again.
+				answer, err := io.ReadAll(conns[len(conns)-1])
+				assert.Equal(t, string(answer), "", "%v", err)
+			}
+			f.await(func() bool {
+				return tt.denied == strings.Contains(f.log.String(), `"msg":"memory denied","node":"n1","account":"memory.requests"`)
+			})
+			assert.Assert(t, requests.Peak() <= limit/accountShare)
+			for _, c := range conns {
+				assert.NilError(t, c.Close())
+			}
+			f.await(func() bool { return requests.Used() == 0 })
+		})
+	}
+}
+
 // account returns an account of the gateway's memory.
 func (f *fixture) account(name kernel.Name) *memory.Account {
 	f.t.Helper()
--- a/internal/serve/gateway/services.go
+++ b/internal/serve/gateway/services.go
@@ -61,6 +61,7 @@
 	return g.register(
 		kernel.Service{Name: kernel.ServiceMetrics, Value: metrics},
 		kernel.Service{Name: kernel.ServiceReplyMemory, Value: replies},
+		kernel.Service{Name: kernel.ServiceRequestMemory, Value: g.newAccount(metrics, "memory.requests")},
 		kernel.Service{Name: kernel.ServiceViews, Value: g.views},
 		kernel.NewLoop(g.options.Now).Service(kernel.ServiceControl),
 		g.newPool(metrics, replies).Service(kernel.ServiceEndpoint),
@@ -271,8 +272,12 @@
 			return err
 		}
 	}
+	requests, err := kernel.Find[*memory.Account](g.kernel, kernel.ServiceRequestMemory)
+	if err != nil {
+		return err
+	}
 	callers, err := ingress.Install(g.kernel, g.settings.Callers, ingress.Options{
-		Now: g.options.Now, Log: g.options.Log,
+		Now: g.options.Now, Log: g.options.Log, Memory: requests,
 	})
 	g.callers = callers
 	return err
--- a/internal/serve/listen/listen.go
+++ b/internal/serve/listen/listen.go
@@ -10,6 +10,7 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cockroachdb/errors"
 
+	"basilspan/internal/core/memory"
 	"basilspan/internal/core/unit"
 	"basilspan/internal/serve/keepalive"
 	"basilspan/internal/serve/port"
@@ -31,13 +32,15 @@
 // Start starts a server at that address and returns when it responds to requests. routes adds the server's handlers.
 // The server is returned also with an error if it does not respond.
 func Start(
-	ctx context.Context, address unit.Address, options []config.Option, routes func(*server.Hertz, *keepalive.Tracker),
+	ctx context.Context, address unit.Address, account *memory.Account, options []config.Option,
+	routes func(*server.Hertz, *keepalive.Tracker),
 ) (*Server, error) {
 	parsed := config.NewOptions(options)
 	listener, err := port.Listen(address, port.Bounds{
 		Idle: parsed.IdleTimeout, Read: parsed.ReadTimeout, Write: parsed.WriteTimeout,
 		// The encoding of chunks may double the size of a body.
 		Unanswered: 2 * unit.Bytes(parsed.MaxRequestBodySize+parsed.MaxHeaderBytes),
+		Memory:     account,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/serve/port/conn.go
+++ b/internal/serve/port/conn.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"basilspan/internal/core/memory"
 	"basilspan/internal/core/unit"
 )
 
@@ -27,6 +28,13 @@
 // errOversized is the error of a Read beyond Bounds.Unanswered.
 var errOversized = errors.New("the caller has sent too much without a response")
 
+// errNoMemory is the error of a Read beyond Bounds.Memory.
+var errNoMemory = errors.New("too little memory is free for the request")
+
+// requestMemoryFactor is how much memory a request takes for each byte that is read of it: besides hertz's buffer, there
+// is a copy of the request and one in the encoding of its attempts, and a buffer that grows is copied.
+const requestMemoryFactor = 4
+
 // Bounds bound how long a connection may wait for its other side, and how much that may send. Zero means no bound.
 type Bounds struct {
 	// Idle bounds the wait for the first byte of a connection.
@@ -39,6 +47,8 @@
 	// Unanswered bounds the bytes that are read since the last write. Hertz collects a trailer, and the encoding of
 	// chunks, of any size.
 	Unanswered unit.Bytes
+	// Memory bounds what the requests of all connections take until their responses are written.
+	Memory *memory.Account
 }
 
 // Conn is an accepted TCP connection for hertz's standard transport, which waits in the poller of the Go runtime. Its
@@ -66,6 +76,8 @@
 	sinceWrite atomic.Int64
 	// readTimeout bounds the wait of one Read.
 	readTimeout atomic.Int64
+	// hold is what the bytes that have been read since the last Write take of Bounds.Memory.
+	hold *memory.Hold
 	// timer is used by Read only.
 	timer *time.Timer
 
@@ -107,6 +119,7 @@
 		readable: make(chan struct{}, 1),
 		watched:  make(chan struct{}),
 		timer:    time.NewTimer(time.Hour),
+		hold:     l.bounds.Memory.NewHold(),
 	}
 	c.timer.Stop()
 	c.readTimeout.Store(int64(l.bounds.Idle))
@@ -155,6 +168,11 @@
 	}
 	n, err := c.awaitInput(b)
 	c.sinceWrite.Add(int64(n))
+	if n > 0 && !c.hold.Take(requestMemoryFactor*unit.Bytes(n)) {
+		// Hertz would answer with status 400, and the caller may send the request again.
+		c.Disconnect()
+		err = errNoMemory
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && !c.received.Load() {
 		return 0, io.EOF
 	}
@@ -243,6 +261,7 @@
 // Write writes b within the write timeout and LateTimeout. Hertz's standard transport sets no write deadline itself.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.sinceWrite.Store(0)
+	c.hold.Release()
 	if c.listener.bounds.Write <= 0 {
 		return c.Conn.Write(b)
 	}
@@ -315,6 +334,7 @@
 	}
 	c.discardInput()
 	c.Disconnect()
+	c.hold.Close()
 	<-c.watched
 	for _, f := range callbacks {
 		f()
