Let only named services take an address over

Cause: the newest registration of an address hid all others there, also one of a service that no table names and to which no request can go.

Why this works: such a registration no longer hides the endpoint, which is kept as a last resort. It may still be a true one, so it is not dropped: if another endpoint has the address, it answers 421 without running the call, and the old one is not chosen again; if a table names its service later, it hides the old one as before.

The first row of TestForeignRegistrations failed before.

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -68,6 +68,7 @@
 		directory: directory.New(options.Calm),
 		lostSince: make(map[registry.Prefix]time.Time),
 	}
+	s.directory.Named = func(service unit.ServiceName) bool { return s.view.Table == nil || s.view.Table.Names(service) }
 	kernel.On(loop, s.onListed)
 	kernel.On(loop, s.onChanged)
 	kernel.On(loop, s.onOffered)
@@ -213,7 +214,7 @@
 		s.view.Table = table
 		s.tableValue = item.Value
 		s.view.TableSince = now
-		s.publish(now)
+		s.publishTable(now)
 	}
 }
 
@@ -294,6 +295,14 @@
 	}
 }
 
+// publishTable publishes a new table, with the endpoints that may get requests by it.
+func (s *State) publishTable(now time.Time) {
+	if s.endpointsListed {
+		s.view.Endpoints = s.directory.Endpoints()
+	}
+	s.publish(now)
+}
+
 // publishEndpoints publishes the endpoints of the directory as of a registry revision.
 func (s *State) publishEndpoints(now time.Time, revision unit.Revision) {
 	s.view.Endpoints = s.directory.Endpoints()
--- a/internal/policy/directory/directory.go
+++ b/internal/policy/directory/directory.go
@@ -59,6 +59,10 @@
 	Registration
 	// Lapsed endpoints have lost their registration and are used only as a last resort.
 	Lapsed bool
+	// Contested endpoints have an address at which a service that is not named has a newer registration, and are used only
+	// as a last resort. That registration may come from another writer, or from an endpoint that has the address now, which
+	// answers that it is not the one that was meant.
+	Contested bool
 }
 
 // entry is a known registration.
@@ -97,6 +101,8 @@
 type Directory struct {
 	// Calm is the time after an outage within which this VM has to be up to date.
 	Calm time.Duration
+	// Named reports whether a service is one that requests can go to; nil means that all are.
+	Named func(unit.ServiceName) bool
 
 	entries map[unit.EndpointID]*entry
 	// unavailable is set while the registry cannot be read. lastFailure is when the most recent failed read was made,
@@ -312,26 +318,34 @@
 }
 
 // Endpoints returns the endpoints that may receive requests, grouped by service: all but those that are leaving and
-// those whose address a newer registration has taken. Missing ones stay in it during their grace period.
+// those whose address a newer registration of a named service has taken. Missing ones stay in it during their grace
+// period.
 func (d *Directory) Endpoints() map[unit.ServiceName][]Endpoint {
-	newestByAddress := d.newestByAddress()
+	newest := d.newestByAddress(func(*entry) bool { return true })
+	newestNamed := d.newestByAddress(func(e *entry) bool { return d.isNamed(e.Service) })
 	all := make(map[unit.ServiceName][]Endpoint)
 	for id, e := range d.entries {
-		if e.Leaving || e.gone() || newestByAddress[e.Address] != id {
+		contested := newest[e.Address] != id
+		if e.Leaving || e.gone() || contested && newestNamed[e.Address] != id {
 			continue
 		}
 		lapsed := !e.missingSince.IsZero() && !e.nearOutage
-		all[e.Service] = append(all[e.Service], Endpoint{Registration: e.Registration, Lapsed: lapsed})
+		all[e.Service] = append(all[e.Service], Endpoint{Registration: e.Registration, Lapsed: lapsed, Contested: contested})
 	}
 	return all
 }
 
-// newestByAddress returns the endpoint that currently uses each address. Addresses are reused, and the newest
-// registration wins.
-func (d *Directory) newestByAddress() map[unit.Address]unit.EndpointID {
+// isNamed reports whether requests can go to a service.
+func (d *Directory) isNamed(service unit.ServiceName) bool {
+	return d.Named == nil || d.Named(service)
+}
+
+// newestByAddress returns the endpoint that currently uses each address, going by the entries that count. Addresses are
+// reused, and the newest registration wins.
+func (d *Directory) newestByAddress(counts func(e *entry) bool) map[unit.Address]unit.EndpointID {
 	newestByAddress := make(map[unit.Address]unit.EndpointID, len(d.entries))
 	for id, e := range d.entries {
-		if e.gone() {
+		if e.gone() || !counts(e) {
 			continue
 		}
 		other, taken := newestByAddress[e.Address]
--- a/internal/policy/replica/choose.go
+++ b/internal/policy/replica/choose.go
@@ -9,8 +9,8 @@
 	"basilspan/internal/policy/directory"
 )
 
-// The statuses of endpoints: without a known problem, with a request open for too long, missing from the registry,
-// demoted after a failure, and leaving. An endpoint with a lower status is preferred whatever its cost.
+// The statuses of endpoints: without a known problem, with a request open for too long, missing from the registry or with
+// a contested address, demoted after a failure, and leaving. An endpoint with a lower status is preferred whatever its cost.
 const (
 	statusHealthy = iota
 	statusStalled
@@ -76,7 +76,7 @@
 		c.cost *= coldCostFactor
 	}
 	c.cost *= 1 + costJitter*t.Rand()
-	if e.Lapsed {
+	if e.Lapsed || e.Contested {
 		c.status = statusLapsed
 	}
 	s := t.states[e.ID]
--- a/internal/policy/routing/routing.go
+++ b/internal/policy/routing/routing.go
@@ -92,6 +92,8 @@
 
 	byHost map[unit.HostName][]*Route
 	routes []*Route
+	// named has the services that the table names anywhere.
+	named map[unit.ServiceName]bool
 }
 
 // NewTable returns a table of the given routes and services.
@@ -102,12 +104,20 @@
 		Limits:   limits,
 		byHost:   make(map[unit.HostName][]*Route),
 		routes:   routes,
+		named:    make(map[unit.ServiceName]bool),
 	}
 	for _, s := range services {
 		t.Services[s.Name] = s
+		t.named[s.Name] = true
 	}
 	for _, r := range routes {
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+		for _, p := range r.Split {
+			t.named[p.Service] = true
+		}
+		for _, s := range r.Shards {
+			t.named[s] = true
+		}
 	}
 	for _, list := range t.byHost {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -120,6 +130,11 @@
 	return t.routes
 }
 
+// Names reports whether the table names a service, for a route or on its own.
+func (t *Table) Names(service unit.ServiceName) bool {
+	return t.named[service]
+}
+
 // Match returns the route of the host whose prefix is the longest one that path begins with, or nil if there is none.
 func (t *Table) Match(host unit.HostName, path string) *Route {
 	for _, r := range t.byHost[host] {
