End the calls of a peer whose connection has ended

Cause: when the connection between two VMs was reset, the VM that served a portion went on with it, hedged and retried, while the VM that had asked sent its shards to further endpoints. Only a cancellation from the peer ended a call, and a reset keeps that away.

Evidence: with the new cancel taken out, all three rows of TestDisconnectEndsCalls still had their calls running when they were given up after 20 s.

Why this works: all calls of a connection share a context that ends with it, and a fan-out whose context has ended sends nothing more.

--- a/internal/link/peer/peer.go
+++ b/internal/link/peer/peer.go
@@ -195,6 +195,7 @@
 			return
 		}
 		s := newSession(l)
+		s.ctx, s.cancel = context.WithCancel(l.ctx)
 		l.mu.Lock()
 		l.incoming[s] = true
 		s.conn = l.startRPC(c, s)
@@ -204,11 +205,11 @@
 	}
 }
 
-// awaitDisconnect waits until an incoming connection has ended and its calls are handled, and then removes its
-// session.
+// awaitDisconnect waits until an incoming connection has ended, ends its calls, and then removes its session.
 func (l *Link) awaitDisconnect(s *session) {
 	defer l.wg.Done()
 	<-s.conn.DisconnectNotify()
+	s.cancel()
 	s.wg.Wait()
 	l.mu.Lock()
 	delete(l.incoming, s)
--- a/internal/link/peer/session.go
+++ b/internal/link/peer/session.go
@@ -47,6 +47,9 @@
 type session struct {
 	link *Link
 	conn *jsonrpc2.Conn
+	// ctx is the context of all calls. cancel ends them when an incoming connection has ended.
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	mu sync.Mutex
 	// cancels holds the cancel function of each call in flight, by JSON-RPC id.
@@ -60,21 +63,23 @@
 	wg        sync.WaitGroup
 }
 
-// newSession returns a session of the link. The caller sets conn for incoming connections. For outgoing connections
-// conn stays nil, since close is not called for their sessions.
+// newSession returns a session of the link. The caller sets conn for incoming connections, and ctx and cancel. For outgoing
+// connections conn and cancel stay nil, since peers make their calls on connections of their own and close is not called.
 func newSession(l *Link) *session {
-	return &session{link: l, cancels: make(map[uint64]context.CancelFunc)}
+	return &session{link: l, ctx: l.ctx, cancels: make(map[uint64]context.CancelFunc)}
 }
 
 // Handle handles one message; jsonrpc2 calls it for each message that it reads. Messages are handled in the order of
 // arrival, and each call runs in its own goroutine.
-func (s *session) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+//
+// A call ends with its connection: nobody gets its result, and the peer may make it again elsewhere.
+func (s *session) Handle(_ context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	if req.Notif {
 		s.handleCancel(req)
 		return
 	}
 	a := arrival{read: time.Now(), delay: s.queueingDelay(req)}
-	ctx, cancel := context.WithCancel(context.WithValue(ctx, arrivalKey{}, a))
+	ctx, cancel := context.WithCancel(context.WithValue(s.ctx, arrivalKey{}, a))
 	if !s.register(req.ID.Num, cancel) {
 		cancel()
 		refusal := &jsonrpc2.Error{Code: codeClosing, Message: "this entry VM is stopping"}
