--- a/internal/cmd/gateway/gateway.go
+++ b/internal/cmd/gateway/gateway.go
@@ -28,7 +28,7 @@
 	// heapShare is the percentage of the process's memory limit at which garbage is collected more often. The limit also
 	// covers the program itself and the sockets' buffers.
 	heapShare = 70
-	// minMemory is the least limit on the memory of the process, in MB. A process without requests takes about 25.
+	// minMemory is the least limit on the memory of the process, in MB.
 	minMemory = 64
 	// maxThreads is the number of threads that run Go code, since an entry VM has one core or less.
 	maxThreads = 1
--- a/internal/link/leaf/conn.go
+++ b/internal/link/leaf/conn.go
@@ -22,8 +22,8 @@
 	pool *Pool
 	host *hostPool
 	r    *Reader
-	// carried holds the requests of earlier calls. Only the goroutine that starts a call may use it, and the pool while
-	// the connection is idle.
+	// carried holds the requests of earlier calls. Only the goroutine that starts a call may use it, and the pool while no
+	// call is on the connection.
 	carried carriedRequests
 
 	mu     sync.Mutex
