Let the other request of TestLateCopyOfEarlierAttempt wait for its connection

It is reproduced in 60 repeats. A reply can be read while its call is still being written; the connection is released once the write has returned, and the result may be delivered before. With a limit of two connections the next call may open a second one then, which is allowed and not what the row is about. With a limit of one it has to wait, and the check that one connection serves both requests stays as strict. 300 repeats with -race pass.

--- a/internal/link/leaf/carried_test.go
+++ b/internal/link/leaf/carried_test.go
@@ -87,7 +87,7 @@
 		{name: "a retry after another request", calls: []unit.RequestID{"r", "q", "r"}, limit: 1, connections: 2},
 		{name: "a retry that waits before another request", calls: []unit.RequestID{"r", "r", "q"}, limit: 1, queued: true, connections: 2},
 		{name: "a retry of an abandoned call", calls: []unit.RequestID{"r", "r"}, limit: 1, queued: true, abandon: true, connections: 2},
-		{name: "another request", calls: []unit.RequestID{"r", "q"}, limit: 2, connections: 1},
+		{name: "another request", calls: []unit.RequestID{"r", "q"}, limit: 1, connections: 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
