List that floods can keep out usual replies for a moment

Floods that grow one after the other take half of what is free each, so that little is left until those with more than is free are read again and end.

--- a/internal/policy/quota/quota.go
+++ b/internal/policy/quota/quota.go
@@ -4,8 +4,9 @@
 import "basilspan/internal/core/unit"
 
 // Quota is a supply of bytes that many holders share. A holder may take as much as the others leave free, and so must
-// leave as much free as it has. However many holders take all they can, a part stays free: of n such holders each gets
-// 1/(n+1) of the supply, and a new one with a small need finds the rest. It is not safe for concurrent use.
+// leave as much free as it has. Of n holders that grow together each gets 1/(n+1) of the supply, and a new one with a small
+// need finds the rest. Holders that grow one after the other leave less, until those with more than is free ask again and
+// are denied. It is not safe for concurrent use.
 type Quota struct {
 	// Limit is the size of the supply.
 	Limit unit.Bytes
