--- a/review/_stand2/kept.go
+++ b/review/_stand2/kept.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strconv"
@@ -13,15 +14,21 @@
 )
 
 func init() {
-	cases["kept-requests"] = func(w *world, trouble bool) bool { return kept(w, trouble, 262144, 100) }
-	cases["kept-answers"] = func(w *world, trouble bool) bool { return kept(w, trouble, 100, 262144) }
+	cases["kept-requests"] = func(w *world, trouble bool) bool {
+		return load{clients: 1300, body: 262144, reply: 100}.play(w, trouble)
+	}
+	cases["kept-answers"] = func(w *world, trouble bool) bool {
+		return load{clients: 1300, body: 100, reply: 262144}.play(w, trouble)
+	}
+	cases["kept-heads"] = func(w *world, trouble bool) bool {
+		return load{clients: 600, head: 250000, body: 100, reply: 100}.play(w, trouble)
+	}
 }
 
 const (
 	// memoryMB is the memory of a machine in the settings.
 	memoryMB = 284
-	// crowd is how many clients come to a machine, and usual how many connections carry the same requests without trouble.
-	crowd = 1300
+	// usual is how many connections carry the same requests without trouble.
 	usual = 20
 	// keepTime is how long a client keeps its connection open for its next request, four fifths of idle_timeout_ms.
 	keepTime = 12 * time.Second
@@ -29,6 +36,23 @@
 	rounds = 3
 )
 
+// load is what the clients of a machine send in one round, one request each, and what the leafs answer. Sizes are in bytes.
+type load struct {
+	clients int
+	// head is the size of a header field that is added.
+	head, body, reply int
+}
+
+// message returns the request with that id.
+func (l load) message(id string) string {
+	head := ""
+	if l.head > 0 {
+		head = "X-Note: " + strings.Repeat("h", l.head) + "\r\n"
+	}
+	return fmt.Sprintf("POST /q/a HTTP/1.1\r\nHost: shop.example\r\nBasilspan-Request-Id: %s\r\n"+
+		"Basilspan-Deadline-Ms: 1500\r\n%sContent-Length: %d\r\n\r\n%s", id, head, l.body, strings.Repeat("b", l.body))
+}
+
 // memory returns the anonymous memory of the process in bytes, which leaves out the program's file.
 func (n *node) memory() int {
 	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.cmd.Process.Pid))
@@ -44,13 +68,13 @@
 	return 0
 }
 
-// kept has many clients send one request each, inside the limits of the configuration, read the answer and keep their
-// connections for the next one. The platform kills a process that exceeds the memory of its machine, and starts it again.
-func kept(w *world, trouble bool, request, reply int) bool {
+// play has many clients send one request each, read the answer and keep their connections for the next one. The platform
+// kills a process that exceeds the memory of its machine, and starts it again.
+func (l load) play(w *world, trouble bool) bool {
 	for i := range 4 {
-		l := w.newLeaf("orders", fmt.Sprintf("i-%d", i))
-		l.quiet, l.text = true, strings.Repeat("r", reply)
-		l.register("ready")
+		s := w.newLeaf("orders", fmt.Sprintf("i-%d", i))
+		s.quiet, s.text = true, strings.Repeat("r", l.reply)
+		s.register("ready")
 	}
 	w.publish(11, []route{{
 		"name": "q", "host": "shop.example", "prefix": "/q/", "route_kind": "idempotent", "timeout_ms": 1500,
@@ -70,7 +94,6 @@
 		n.awaitReady(10 * time.Second)
 		n.fields["first_start"] = "false"
 	}
-	body := strings.Repeat("b", request)
 	var machines sync.WaitGroup
 	for i, n := range nodes {
 		machines.Go(func() {
@@ -97,7 +120,7 @@
 						}
 					}
 				})
-				answers := come(w, n, trouble, fmt.Sprintf("%d%d", i, round), body)
+				answers := l.come(n, trouble, fmt.Sprintf("%d%d", i, round))
 				w.rec.printf("%s, round %d: %d MB, answers %v", n.name, round+1, n.memory()>>20, answers)
 				select {
 				case <-killed:
@@ -127,13 +150,12 @@
 
 // come has the clients of one round send their requests to a machine, and returns what they got. They keep their
 // connections until each has been idle for keepTime or the process has ended.
-func come(w *world, n *node, trouble bool, prefix, body string) map[string]int {
+func (l load) come(n *node, trouble bool, prefix string) map[string]int {
 	var mu sync.Mutex
 	answers := make(map[string]int)
 	send := func(c net.Conn, r *bufio.Reader, k int) {
 		_ = c.SetDeadline(time.Now().Add(3 * time.Second))
-		_, err := fmt.Fprintf(c, "POST /q/a HTTP/1.1\r\nHost: shop.example\r\nBasilspan-Request-Id: %s%06x\r\n"+
-			"Basilspan-Deadline-Ms: 1500\r\nContent-Length: %d\r\n\r\n%s", prefix, k, len(body), body)
+		_, err := io.WriteString(c, l.message(fmt.Sprintf("%s%06x", prefix, k)))
 		a := answer{err: err}
 		if err == nil {
 			a = readAnswer(r, "POST")
@@ -158,7 +180,7 @@
 				}
 				defer func() { _ = c.Close() }()
 				r := bufio.NewReader(c)
-				for i := k; i < crowd; i += usual {
+				for i := k; i < l.clients; i += usual {
 					sending <- struct{}{}
 					send(c, r, i)
 					<-sending
@@ -168,7 +190,7 @@
 		clients.Wait()
 		return answers
 	}
-	for i := range crowd {
+	for i := range l.clients {
 		sending <- struct{}{}
 		c, err := net.DialTimeout("tcp", n.front, time.Second)
 		if err != nil {
--- a/review/_stand2/leaf.go
+++ b/review/_stand2/leaf.go
@@ -6,6 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -14,10 +17,35 @@
 type call struct {
 	leaf *leaf
 	conn net.Conn
-	req  *http.Request
-	id   string
-	body []byte
-	at   time.Time
+	// method and target are those of the request line, as they came.
+	method, target string
+	header         textproto.MIMEHeader
+	id             string
+	body           []byte
+	at             time.Time
+}
+
+// readCall reads one request, with whatever its request line holds.
+func readCall(r *bufio.Reader) (*call, error) {
+	t := textproto.NewReader(r)
+	line, err := t.ReadLine()
+	if err != nil {
+		return nil, err
+	}
+	method, rest, _ := strings.Cut(line, " ")
+	target, _, ok := strings.Cut(rest, " HTTP/1.")
+	if !ok {
+		return nil, fmt.Errorf("malformed request line %q", line)
+	}
+	k := &call{method: method, target: target}
+	if k.header, err = t.ReadMIMEHeader(); err != nil {
+		return nil, err
+	}
+	n, _ := strconv.Atoi(k.header.Get("Content-Length"))
+	k.body = make([]byte, n)
+	_, err = io.ReadFull(r, k.body)
+	k.id, k.at = k.header.Get("Basilspan-Request-Id"), time.Now()
+	return k, err
 }
 
 // leaf is one server of a service. It runs each request that is meant for it and echoes its id.
@@ -103,28 +131,23 @@
 func (s *leaf) serveConn(c net.Conn) {
 	r := bufio.NewReader(c)
 	for {
-		req, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		body, err := io.ReadAll(req.Body)
+		k, err := readCall(r)
 		if err != nil {
 			return
 		}
-		id := req.Header.Get("Basilspan-Request-Id")
-		if to := req.Header.Get("Basilspan-Expected-Instance"); to != "" && to != s.id {
-			s.w.rec.printf("leaf %s answers 421 to %s, which is for %s", s.id, id, to)
+		k.leaf, k.conn = s, c
+		if to := k.header.Get("Basilspan-Expected-Instance"); to != "" && to != s.id {
+			s.w.rec.printf("leaf %s answers 421 to %s, which is for %s", s.id, k.id, to)
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nBasilspan-Request-Id: %s\r\nBasilspan-Instance-Id: %s\r\n"+
-				"Content-Length: 0\r\n\r\n", id, s.id)
+				"Content-Length: 0\r\n\r\n", k.id, s.id)
 			continue
 		}
-		k := &call{leaf: s, conn: c, req: req, id: id, body: body, at: time.Now()}
 		s.mu.Lock()
 		if !s.quiet {
 			s.runs = append(s.runs, k)
 		}
 		s.mu.Unlock()
-		s.print("leaf %s runs %s %s %s, %d bytes", s.id, id, req.Method, req.RequestURI, len(body))
+		s.print("leaf %s runs %s %s %s, %d bytes", s.id, k.id, k.method, k.target, len(k.body))
 		if s.onCall == nil {
 			if k.reply(200, s.text) != nil {
 				return
@@ -147,17 +170,17 @@
 // seal is the leaf's signature of its answer to the request.
 func (k *call) seal() string { return k.leaf.id + "." + k.id }
 
-// ran returns how often the leaf has run a request.
-func (s *leaf) ran(id string) int {
+// runsOf returns the runs of a request.
+func (s *leaf) runsOf(id string) []*call {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := 0
+	var all []*call
 	for _, k := range s.runs {
 		if k.id == id {
-			n++
+			all = append(all, k)
 		}
 	}
-	return n
+	return all
 }
 
 func (s *leaf) print(format string, args ...any) {
