--- a/review/_stand2/harness.go
+++ b/review/_stand2/harness.go
@@ -90,11 +90,6 @@
 }
 
 func (w *world) close() {
-	if d := os.Getenv("KEEPLOGS"); d != "" {
-		for _, n := range w.nodes {
-			_ = os.WriteFile(filepath.Join(d, n.name+".log"), []byte(n.logs()), 0o600)
-		}
-	}
 	for _, n := range w.nodes {
 		n.kill()
 	}
--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"syscall"
 )
 
 // cases are the cases by their names. Each returns whether the rule was broken.
@@ -18,6 +19,7 @@
 }
 
 func run(name, folder string) (code int) {
+	limitDescriptors()
 	rec, err := newRecord(filepath.Join(folder, "record.txt"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -44,3 +46,14 @@
 	fmt.Println("rule held")
 	return exitHeld
 }
+
+// descriptors is how many a process of the deployment may have.
+const descriptors = 4100
+
+// limitDescriptors gives this process and those that it starts the limit of the deployment, unless theirs is lower.
+func limitDescriptors() {
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) == nil && limit.Max >= descriptors {
+		_ = syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: descriptors, Max: descriptors})
+	}
+}
